--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,305 @@
+//! What users and workers reach over HTTP.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Deserialize;
+use serde_json::{json, Value};
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+
+use crate::control::{Beat, Node, Submitted};
+use crate::state::record::Phase;
+use crate::state::view::Summary;
+use crate::types::{Amount, Image, JobId, JobSpec, Kind, Priority, TypeName, Zone};
+use crate::worker::Report;
+
+const MOST_BODY: usize = 64 << 10;
+const MOST_TASKS: u64 = 100_000;
+
+type Reply = Response<Full<Bytes>>;
+
+fn reply(status: u16, body: Value) -> Reply {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
+    let headers = response.headers_mut();
+    headers.insert(
+        "content-type",
+        hyper::header::HeaderValue::from_static("application/json"),
+    );
+    if status == 503 {
+        headers.insert("retry-after", hyper::header::HeaderValue::from_static("1"));
+    }
+    response
+}
+
+fn refuse(status: u16, why: &str) -> Reply {
+    reply(status, json!({ "error": why }))
+}
+
+#[derive(Deserialize)]
+struct WireJob {
+    jobclass: String,
+    crew: String,
+    shape: String,
+    rank: String,
+    pieces: u64,
+    cpus: f64,
+    cards: f64,
+    ram_gb: f64,
+    bundle: String,
+    pull_gb: f64,
+    builds: Option<Vec<String>>,
+    rack: Option<String>,
+    together: bool,
+    spread: bool,
+    loaners: bool,
+    guess_s: f64,
+    mark_s: f64,
+    stash_s: f64,
+    due_s: Option<f64>,
+}
+
+/// Whether a text is a job id in the only form there is.
+fn job_id(text: &str) -> Option<JobId> {
+    let digits = text.strip_prefix("run-")?;
+    let valid = (1..=40).contains(&digits.len())
+        && digits
+            .bytes()
+            .all(|b| b.is_ascii_alphanumeric() || b == b'-');
+    valid.then(|| JobId::from(text))
+}
+
+/// Reads a job; the error names what is wrong.
+pub fn read_job(value: Value) -> Result<JobSpec, &'static str> {
+    let wire: WireJob =
+        serde_json::from_value(value).map_err(|_| "a field is missing or of the wrong type")?;
+    let kind = match wire.shape.as_str() {
+        "sweep" => Kind::Array,
+        "standing" => Kind::Service,
+        // Gangs are in the design, but not among the protocol's shapes.
+        _ => return Err("shape is neither sweep nor standing"),
+    };
+    let priority = match wire.rank.as_str() {
+        "critical" => Priority::Critical,
+        "high" => Priority::High,
+        "normal" => Priority::Normal,
+        "idle" => Priority::Idle,
+        _ => return Err("unknown rank"),
+    };
+    if !(1..=MOST_TASKS).contains(&wire.pieces) {
+        return Err("pieces is not within 1 to 100000");
+    }
+    let amount = |x: f64| (0.0..=1e6).contains(&x);
+    if ![wire.cpus, wire.cards, wire.ram_gb, wire.pull_gb]
+        .into_iter()
+        .all(amount)
+    {
+        return Err("cpus, cards, ram_gb or pull_gb is out of range");
+    }
+    let span = |x: f64| (0.0..=1e9).contains(&x);
+    if ![wire.guess_s, wire.mark_s, wire.stash_s]
+        .into_iter()
+        .chain(wire.due_s)
+        .all(span)
+    {
+        return Err("guess_s, mark_s, stash_s or due_s is out of range");
+    }
+    let short = |text: &str| !text.is_empty() && text.len() <= 200;
+    let named = [&wire.jobclass, &wire.crew, &wire.bundle];
+    if !named
+        .into_iter()
+        .chain(&wire.rack)
+        .chain(wire.builds.iter().flatten())
+        .all(|t| short(t))
+    {
+        return Err("a name is empty or too long");
+    }
+    if wire
+        .builds
+        .as_ref()
+        .is_some_and(|b| b.is_empty() || b.len() > 32)
+    {
+        return Err("builds is empty or too long");
+    }
+    Ok(JobSpec {
+        class: Arc::from(wire.jobclass),
+        team: Arc::from(wire.crew),
+        kind,
+        priority,
+        tasks: wire.pieces as u32,
+        each: Amount::new(wire.cpus, wire.cards, wire.ram_gb),
+        image: Image::from(wire.bundle.as_str()),
+        image_gb: wire.pull_gb,
+        types: wire
+            .builds
+            .map(|b| b.iter().map(|t| TypeName::from(t.as_str())).collect()),
+        zone: wire.rack.map(|z| Zone::from(z.as_str())),
+        one_zone: wire.together,
+        spread: wire.spread,
+        spot: wire.loaners,
+        estimate_s: wire.guess_s,
+        checkpoint_s: wire.mark_s,
+        save_s: wire.stash_s,
+        deadline_s: wire.due_s,
+    })
+}
+
+fn phase_name(summary: Summary) -> &'static str {
+    match summary.phase {
+        Phase::Done => "done",
+        Phase::Cancelled => "cancelled",
+        Phase::Live if summary.running > 0 => "running",
+        Phase::Live => "pending",
+    }
+}
+
+fn describe(id: &JobId, summary: Summary) -> Value {
+    json!({"uid": id, "phase": phase_name(summary), "done": summary.done, "running": summary.running})
+}
+
+async fn submit(node: &Node, body: &[u8]) -> Reply {
+    let Ok(value) = serde_json::from_slice::<Value>(body) else {
+        return refuse(400, "not JSON");
+    };
+    if !value.is_object() {
+        return refuse(400, "not an object");
+    }
+    let Some(id) = value.get("uid").and_then(Value::as_str).and_then(job_id) else {
+        return refuse(400, "uid is missing or invalid");
+    };
+    match node.submit(&id, read_job(value)).await {
+        Err(why) => refuse(400, why),
+        Ok(Submitted::Accepted) => reply(201, json!({"uid": id, "phase": "pending"})),
+        Ok(Submitted::Known(summary)) => reply(200, describe(&id, summary)),
+        Ok(Submitted::Never(why)) => refuse(422, why),
+        Ok(Submitted::Unavailable) => refuse(503, "can't decide now, ask again"),
+    }
+}
+
+async fn poll(node: &Node, id: &str) -> Reply {
+    let Some(id) = job_id(id) else {
+        return refuse(404, "no such job");
+    };
+    match node.status(&id).await {
+        None => refuse(503, "can't tell now, ask again"),
+        Some(None) => refuse(404, "no such job"),
+        Some(Some(summary)) => reply(200, describe(&id, summary)),
+    }
+}
+
+async fn withdraw(node: &Node, id: &str) -> Reply {
+    let Some(id) = job_id(id) else {
+        return refuse(404, "no such job");
+    };
+    match node.cancel(&id).await {
+        None => refuse(503, "can't decide now, ask again"),
+        Some(None) => refuse(404, "no such job"),
+        Some(Some(Phase::Done)) => reply(200, json!({"uid": id, "phase": "done"})),
+        Some(Some(_)) => reply(200, json!({"uid": id, "phase": "cancelled"})),
+    }
+}
+
+fn beat(node: &Rc<Node>, body: &[u8]) -> Reply {
+    let report: Report = match serde_json::from_slice(body) {
+        Ok(report) => report,
+        Err(error) => {
+            tracing::error!(%error, "malformed report");
+            return refuse(400, "malformed report");
+        }
+    };
+    match node.beat(&report) {
+        Beat::Reply(answer) => reply(200, json!(answer)),
+        Beat::Elsewhere(owner) => reply(421, json!({ "foreman": owner })),
+        Beat::Unavailable => refuse(503, "nobody is known to own the block"),
+    }
+}
+
+async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Reply {
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    if method == Method::GET && path == "/healthz" {
+        return if node.healthy() {
+            reply(200, json!({}))
+        } else {
+            refuse(503, "not ready")
+        };
+    }
+    let post = method == Method::POST;
+    let job = path.strip_prefix("/v1/jobs/");
+    let cancel = job.and_then(|rest| rest.strip_suffix("/withdraw"));
+    let known = matches!(path.as_str(), "/healthz" | "/v1/jobs" | "/agent/beat")
+        || cancel
+            .or(job)
+            .is_some_and(|id| !id.is_empty() && !id.contains('/'));
+    if !known {
+        return refuse(404, "no such path");
+    }
+    if let (Some(id), None, true) = (job, cancel, method == Method::GET) {
+        return poll(&node, id).await;
+    }
+    let takes_post = cancel.is_some() || path == "/v1/jobs" || path == "/agent/beat";
+    if !post || !takes_post {
+        return refuse(405, "no such method here");
+    }
+    let collected = timeout(
+        Duration::from_secs(10),
+        Limited::new(request.into_body(), MOST_BODY).collect(),
+    );
+    let body = match collected.await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => return refuse(400, "body over 64 KiB"),
+        Ok(Err(_)) | Err(_) => return refuse(400, "incomplete body"),
+    };
+    match cancel {
+        Some(id) => withdraw(&node, id).await,
+        None if path == "/v1/jobs" => submit(&node, &body).await,
+        None => beat(&node, &body),
+    }
+}
+
+/// Serves connections until cancelled, `most` at a time.
+pub async fn serve(node: Rc<Node>, listener: TcpListener, most: usize) {
+    let open = Rc::new(());
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::debug!(%error, "accept");
+                sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        if Rc::strong_count(&open) > most {
+            continue;
+        }
+        let _ = stream.set_nodelay(true);
+        let held = open.clone();
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            let _held = held;
+            let service = service_fn(move |request| {
+                let node = node.clone();
+                async move { Ok::<_, Infallible>(answer(node, request).await) }
+            });
+            let result = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                // Also ends connections on which nothing is asked any more.
+                .header_read_timeout(Duration::from_secs(60))
+                .max_buf_size(128 << 10)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = result {
+                tracing::debug!(%error, "connection");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,364 @@
+//! The platform's settings (TOML) and the operators' own (Java properties).
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use serde::Deserialize;
+
+use crate::types::{Amount, NodeId, Zone};
+
+/// What is wrong with the settings, in one line that names the field.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The file can't be read.
+    #[error("{0}: {1}")]
+    Read(PathBuf, std::io::Error),
+    /// The file is not TOML, or a field is missing or of the wrong type.
+    #[error("{0}: {1}")]
+    Toml(PathBuf, String),
+    /// A field's value is out of range.
+    #[error("{0}: {1}")]
+    Field(String, String),
+}
+
+fn field(name: impl Into<String>, why: impl Into<String>) -> ConfigError {
+    ConfigError::Field(name.into(), why.into())
+}
+
+#[derive(Deserialize)]
+struct RawOther {
+    node: String,
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct RawOutside {
+    cloud: SocketAddr,
+    state: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct RawTeam {
+    name: String,
+    #[serde(default)]
+    cpus: f64,
+    #[serde(default)]
+    cpus_max: f64,
+    #[serde(default)]
+    gpus: f64,
+    #[serde(default)]
+    gpus_max: f64,
+}
+
+#[derive(Deserialize)]
+struct RawObjective {
+    kind: String,
+    class: Option<String>,
+    within_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct RawWorkers {
+    report_s: f64,
+    lease_s: f64,
+    cancel_s: f64,
+}
+
+#[derive(Deserialize)]
+struct RawState {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: usize,
+}
+
+#[derive(Deserialize)]
+struct RawCloud {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Deserialize)]
+struct RawLimits {
+    max_sockets: usize,
+}
+
+#[derive(Deserialize)]
+struct RawParams {
+    zones: Vec<String>,
+    #[serde(default)]
+    teams: Vec<RawTeam>,
+    #[serde(default)]
+    objectives: Vec<RawObjective>,
+    workers: RawWorkers,
+    state: RawState,
+    cloud: RawCloud,
+    machine_limits: Option<RawLimits>,
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    node: String,
+    area: String,
+    bind: SocketAddr,
+    peer_bind: SocketAddr,
+    #[serde(default)]
+    others: Vec<RawOther>,
+    outside: RawOutside,
+    params: RawParams,
+}
+
+/// A team's guarantee and limit.
+#[derive(Clone, Debug)]
+pub struct TeamConfig {
+    /// Name.
+    pub name: Arc<str>,
+    /// Guaranteed amount.
+    pub guarantee: Amount,
+    /// The most that its tasks may use at any time.
+    pub limit: Amount,
+}
+
+/// Another controller.
+#[derive(Clone, Debug)]
+pub struct Other {
+    /// Its name.
+    pub node: NodeId,
+    /// Its address for the exchange between controllers.
+    pub address: SocketAddr,
+}
+
+/// Everything that the service is told, checked.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// This controller.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: Zone,
+    /// Where users and workers reach it.
+    pub bind: SocketAddr,
+    /// Where other controllers reach it.
+    pub peer_bind: SocketAddr,
+    /// The other controllers.
+    pub others: Vec<Other>,
+    /// The cloud.
+    pub cloud: SocketAddr,
+    /// The state service.
+    pub state: SocketAddr,
+    /// All zones.
+    pub zones: Vec<Zone>,
+    /// All teams.
+    pub teams: Vec<TeamConfig>,
+    /// The shortest time that an aim allows a class to start in.
+    pub start_aims: HashMap<Arc<str>, f64>,
+    /// Usual time between a worker's reports.
+    pub report_s: f64,
+    /// A worker's lease.
+    pub lease_s: f64,
+    /// From cancelling a job to its last task gone.
+    pub cancel_s: f64,
+    /// State service requests per second, all controllers together.
+    pub state_rps: f64,
+    /// State service changes per second, all controllers together.
+    pub state_write_rps: f64,
+    /// Largest value, in bytes.
+    pub value_bytes: usize,
+    /// Most changes in a transaction.
+    pub txn_ops: usize,
+    /// Cloud requests per second, all controllers together.
+    pub cloud_rps: f64,
+    /// How late the machine list is.
+    pub list_lag_s: f64,
+    /// Most sockets of this process.
+    pub max_sockets: usize,
+    /// The operators' own settings.
+    pub tuning: Tuning,
+}
+
+/// The operators' own settings, see `docs/operations.md`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    /// T1+T2 as a multiple of the time that the image's fetch takes.
+    pub delay_fetches: f64,
+    /// Upper bound of T1+T2 in seconds.
+    pub delay_max_s: f64,
+    /// Life of the leader's lease in the state service, in seconds.
+    pub leader_lease_s: f64,
+    /// Seconds that a machine may be silent before it is given back.
+    pub silent_s: f64,
+    /// Seconds that a machine stays idle before it is given back.
+    pub idle_s: f64,
+    /// CPUs kept free for work to come, as a share of those in use.
+    pub headroom: f64,
+    /// Whether lower priorities and borrowers are stopped for others.
+    pub preempt: bool,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            delay_fetches: 0.5,
+            delay_max_s: 5.0,
+            leader_lease_s: 2.5,
+            silent_s: 20.0,
+            idle_s: 60.0,
+            headroom: 0.25,
+            preempt: true,
+        }
+    }
+}
+
+fn number(key: &str, text: &str, least: f64, most: f64) -> Result<f64, ConfigError> {
+    let value: f64 = text
+        .trim()
+        .parse()
+        .map_err(|_| field(key, format!("not a number: {text:?}")))?;
+    in_range(key, value, least, most)
+}
+
+fn in_range(key: &str, value: f64, least: f64, most: f64) -> Result<f64, ConfigError> {
+    if value.is_finite() && (least..=most).contains(&value) {
+        Ok(value)
+    } else {
+        Err(field(
+            key,
+            format!("{value} is not within {least} to {most}"),
+        ))
+    }
+}
+
+impl Tuning {
+    /// Reads the operators' properties; a key that is not known is refused.
+    pub fn parse(text: &[u8]) -> Result<Self, ConfigError> {
+        let pairs = java_properties::read(text).map_err(|e| field("properties", e.to_string()))?;
+        let mut tuning = Self::default();
+        for (key, value) in &pairs {
+            let t = &mut tuning;
+            match key.as_str() {
+                "delay.fetches" => t.delay_fetches = number(key, value, 0.0, 100.0)?,
+                "delay.max.s" => t.delay_max_s = number(key, value, 0.0, 600.0)?,
+                "leader.lease.s" => t.leader_lease_s = number(key, value, 1.0, 60.0)?,
+                "machine.silent.s" => t.silent_s = number(key, value, 5.0, 600.0)?,
+                "fleet.idle.s" => t.idle_s = number(key, value, 0.0, 86_400.0)?,
+                "fleet.headroom" => t.headroom = number(key, value, 0.0, 10.0)?,
+                "preempt" => {
+                    t.preempt = value
+                        .trim()
+                        .parse()
+                        .map_err(|_| field(key, "neither true nor false"))?;
+                }
+                _ => return Err(field(key, "no such property")),
+            }
+        }
+        Ok(tuning)
+    }
+}
+
+fn read(path: &Path) -> Result<Vec<u8>, ConfigError> {
+    std::fs::read(path).map_err(|e| ConfigError::Read(path.to_owned(), e))
+}
+
+impl Config {
+    /// Reads and checks the platform's file and, if given, the properties.
+    pub fn load(path: &Path, properties: Option<&Path>) -> Result<Self, ConfigError> {
+        let text = String::from_utf8_lossy(&read(path)?).into_owned();
+        let mut config = Self::parse(&text).map_err(|e| match e {
+            ConfigError::Toml(_, why) => ConfigError::Toml(path.to_owned(), why),
+            other => other,
+        })?;
+        if let Some(file) = properties {
+            config.tuning = Tuning::parse(&read(file)?)?;
+        }
+        Ok(config)
+    }
+
+    /// Reads and checks the platform's settings.
+    pub fn parse(text: &str) -> Result<Self, ConfigError> {
+        let raw: Raw = toml::from_str(text).map_err(|e| {
+            let line = e
+                .span()
+                .map_or(1, |span| 1 + text[..span.start].matches('\n').count());
+            ConfigError::Toml(PathBuf::new(), format!("line {line}: {}", e.message()))
+        })?;
+        let p = raw.params;
+        let positive = |key: &str, value: f64| in_range(key, value, 1e-3, 1e9);
+        let mut teams: Vec<TeamConfig> = Vec::new();
+        for team in p.teams {
+            for (key, value) in [
+                ("cpus", team.cpus),
+                ("cpus_max", team.cpus_max),
+                ("gpus", team.gpus),
+                ("gpus_max", team.gpus_max),
+            ] {
+                in_range(
+                    &format!("params.teams.{}.{key}", team.name),
+                    value,
+                    0.0,
+                    1e9,
+                )?;
+            }
+            if teams.iter().any(|t| *t.name == *team.name) {
+                return Err(field(
+                    "params.teams.name",
+                    format!("{:?} appears twice", team.name),
+                ));
+            }
+            teams.push(TeamConfig {
+                name: Arc::from(team.name.as_str()),
+                guarantee: Amount::new(team.cpus, team.gpus, 0.0),
+                limit: Amount::new(team.cpus_max, team.gpus_max, 0.0),
+            });
+        }
+        let mut start_aims: HashMap<Arc<str>, f64> = HashMap::new();
+        for aim in p.objectives {
+            if let ("wait", Some(class), Some(within)) =
+                (aim.kind.as_str(), aim.class, aim.within_s)
+            {
+                let least = start_aims.entry(Arc::from(class)).or_insert(within);
+                *least = least.min(within);
+            }
+        }
+        if p.zones.is_empty() {
+            return Err(field("params.zones", "no zone is named"));
+        }
+        if p.state.txn_ops < 2 {
+            return Err(field(
+                "params.state.txn_ops",
+                "a transaction needs at least 2 changes",
+            ));
+        }
+        Ok(Self {
+            node: NodeId::from(raw.node.as_str()),
+            zone: Zone::from(raw.area.as_str()),
+            bind: raw.bind,
+            peer_bind: raw.peer_bind,
+            others: raw
+                .others
+                .into_iter()
+                .map(|o| Other {
+                    node: NodeId::from(o.node.as_str()),
+                    address: o.address,
+                })
+                .collect(),
+            cloud: raw.outside.cloud,
+            state: raw.outside.state,
+            zones: p.zones.iter().map(|z| Zone::from(z.as_str())).collect(),
+            teams,
+            start_aims,
+            report_s: positive("params.workers.report_s", p.workers.report_s)?,
+            lease_s: positive("params.workers.lease_s", p.workers.lease_s)?,
+            cancel_s: positive("params.workers.cancel_s", p.workers.cancel_s)?,
+            state_rps: in_range("params.state.rps", p.state.rps, 5.0, 1e9)?,
+            state_write_rps: in_range("params.state.write_rps", p.state.write_rps, 1.0, 1e9)?,
+            value_bytes: (in_range("params.state.value_kb", p.state.value_kb, 1.0, 1e6)? * 1024.0)
+                as usize,
+            txn_ops: p.state.txn_ops,
+            cloud_rps: in_range("params.cloud.rps", p.cloud.rps, 0.1, 1e9)?,
+            list_lag_s: in_range("params.cloud.list_lag_s", p.cloud.list_lag_s, 0.0, 3600.0)?,
+            max_sockets: p.machine_limits.map_or(1000, |l| l.max_sockets.max(100)),
+            tuning: Tuning::default(),
+        })
+    }
+}
--- /dev/null
+++ b/src/control/core.rs
@@ -0,0 +1,1287 @@
+//! What the owner of the block knows and decides, without I/O: time, reports
+//! and outcomes come in, transactions, commands and cloud calls go out.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::cloud::{Listed, MachinePhase, Rental};
+use crate::config::Config;
+use crate::fleet;
+use crate::sched::{Board, Claim, Delay, DelayRule, Job, Machine, Progress, Sent, Tasks, Team};
+use crate::state::record::{chunk_key, job_key, ChunkRecord, JobRecord, Phase, GRANT};
+use crate::state::view::{JobEntry, Versioned, View};
+use crate::state::{Change, Txn, When};
+use crate::types::{
+    Attempt, JobId, JobSpec, Kind, MachineId, MachineType, Priority, Revision, Seq, Session,
+    TaskId, Time, Token, TypeName, Zone,
+};
+use crate::worker::{Command, Orders, Reply, Report, ReportedTask, TaskPhase, Why};
+
+/// Where a report came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The worker's own reporting.
+    Beat,
+    /// The answer to a direct command.
+    Direct,
+}
+
+/// The line to one worker.
+#[derive(Debug)]
+struct Link {
+    addr: SocketAddr,
+    session: Session,
+    seq: Seq,
+    /// The token that commands to this machine carry now.
+    token: Token,
+    /// The highest token that the worker has reported.
+    seen: Token,
+    last_heard: Time,
+    tasks: BTreeMap<(TaskId, Attempt), (TaskPhase, Option<Why>)>,
+    /// A direct command is under way.
+    flying: bool,
+    /// Direct commands don't get through; next try at this time.
+    direct_retry: Time,
+    direct_failures: u32,
+    /// The cloud takes it, or it was chosen to go.
+    leaving: bool,
+    /// Being deleted: nothing may count on it again.
+    deleting: bool,
+    /// Not used until then, after failures.
+    shunned_until: Time,
+    /// Jobs that failed here.
+    errors: BTreeSet<JobId>,
+    kill_sent: BTreeMap<(TaskId, Attempt), Time>,
+}
+
+impl Link {
+    /// Whether the last report was made after the worker had learnt the token
+    /// that now fences every earlier command to it.
+    fn fenced(&self) -> bool {
+        self.seen >= self.token
+    }
+}
+
+/// A machine that is on its way.
+#[derive(Clone, Debug)]
+struct Coming {
+    kind: TypeName,
+    zone: Zone,
+    spot: bool,
+    since: Time,
+}
+
+/// A transaction under way, with what it records.
+#[derive(Debug)]
+pub struct Batch {
+    /// The transaction.
+    pub txn: Txn,
+    chunks: Vec<(JobId, u32, Option<ChunkRecord>)>,
+    finished: Vec<(JobId, JobRecord)>,
+}
+
+/// Direct commands to send.
+#[derive(Debug)]
+pub struct Dispatch {
+    /// To which machine.
+    pub machine: MachineId,
+    /// Where it is.
+    pub addr: SocketAddr,
+    /// What to send.
+    pub orders: Orders,
+}
+
+/// What became of direct commands.
+#[derive(Debug)]
+pub enum Sent1 {
+    /// Carried out.
+    Executed(Box<Report>),
+    /// Refused, with the reason in the report.
+    Refused(Box<Report>),
+    /// Never reached the worker.
+    NotSent,
+    /// May still be carried out.
+    Unknown,
+}
+
+/// The block owner's knowledge.
+pub struct Core {
+    cfg: Rc<Config>,
+    /// The jobs, machines and shares.
+    pub board: Board,
+    /// The grant's number and the revision that wrote it.
+    pub grant: u64,
+    grant_stamp: Revision,
+    types: HashMap<TypeName, Rc<MachineType>>,
+    links: BTreeMap<MachineId, Link>,
+    coming: BTreeMap<MachineId, Coming>,
+    dirty: BTreeSet<(bool, JobId, u32)>,
+    finished: BTreeSet<JobId>,
+    refused: HashMap<(TypeName, Zone, bool), Time>,
+    rentals: u64,
+    renting: u32,
+    missing: BTreeMap<MachineId, u32>,
+    started: Time,
+    /// Work arrived or room appeared: walk all machines.
+    pub walk_all: bool,
+    last_fleet: Time,
+}
+
+const PREEMPT_URGENT_S: f64 = 0.25;
+const PREEMPT_NORMAL_S: f64 = 1.0;
+const KILL_AGAIN_S: f64 = 2.0;
+const TXN_BYTES: usize = 48 << 10;
+
+impl Core {
+    /// Takes up the grant: everything recorded is on the board, and every
+    /// claim counts until a report that carries the new token says otherwise.
+    pub fn load(
+        cfg: Rc<Config>,
+        view: &View,
+        grant: u64,
+        grant_stamp: Revision,
+        now: Time,
+        wall_ms: u64,
+    ) -> Self {
+        let teams = cfg
+            .teams
+            .iter()
+            .map(|t| Team {
+                name: t.name.clone(),
+                guarantee: t.guarantee,
+                // One block holds all machines, so its slice of a limit is
+                // the whole limit.
+                limit: t.limit,
+                used: Default::default(),
+            })
+            .collect();
+        let mut core = Self {
+            cfg,
+            board: Board {
+                teams,
+                last_walk: now,
+                ..Board::default()
+            },
+            grant,
+            grant_stamp,
+            types: HashMap::new(),
+            links: BTreeMap::new(),
+            coming: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            finished: BTreeSet::new(),
+            refused: HashMap::new(),
+            rentals: 0,
+            renting: 0,
+            missing: BTreeMap::new(),
+            started: now,
+            walk_all: true,
+            last_fleet: now,
+        };
+        let mut jobs: Vec<(&JobId, &JobEntry)> = view.jobs().collect();
+        jobs.sort_by(|a, b| a.0.cmp(b.0));
+        for (id, entry) in jobs {
+            core.add_job(id, entry, now, wall_ms);
+        }
+        core
+    }
+
+    /// The grant's lowest token.
+    fn base_token(&self) -> Token {
+        Token::of_grant(self.grant)
+    }
+
+    fn add_job(&mut self, id: &JobId, entry: &JobEntry, now: Time, wall_ms: u64) {
+        let record = &entry.record.value;
+        let over = record.phase != Phase::Live;
+        if over && entry.chunks.values().all(|c| c.value.claims.is_empty()) {
+            self.dirty
+                .extend(entry.chunks.keys().map(|&c| (true, id.clone(), c)));
+            return;
+        }
+        let Some(spec) = &record.spec else {
+            tracing::error!(job = %id, "record has no description");
+            return;
+        };
+        let Some(team) = self.cfg.teams.iter().position(|t| t.name == spec.team) else {
+            tracing::error!(job = %id, team = %spec.team, "unknown team");
+            return;
+        };
+        let age = wall_ms.saturating_sub(record.accepted_ms) as f64 / 1000.0;
+        let mut tasks = Tasks::new(record.tasks, record.chunk);
+        let mut claims = Vec::new();
+        for (&chunk, held) in &entry.chunks {
+            tasks.set_next_attempt(chunk, held.value.next_attempt);
+            for bit in 0..tasks.chunk_size() {
+                if held.value.done >> bit & 1 == 1 {
+                    tasks.set_done(chunk * record.chunk + bit);
+                }
+            }
+            for (place, attempt, machine) in &held.value.claims {
+                let index = chunk * record.chunk + place;
+                if index < record.tasks {
+                    claims.push((index, *attempt, machine.clone()));
+                }
+            }
+        }
+        let job = Job {
+            spec: Rc::new(spec.clone()),
+            team,
+            submitted: Time(now.0 - age),
+            cancelled: record.phase == Phase::Cancelled,
+            tasks,
+            delay: Delay::default(),
+            avoid: BTreeMap::new(),
+            hold_until: Time(0.0),
+            failures: 0,
+            blocked_since: None,
+        };
+        let all_done = job.tasks.all_done();
+        self.board.jobs.insert(id.clone(), job);
+        for (index, attempt, machine) in claims {
+            let claim = Claim {
+                attempt,
+                machine,
+                since: now,
+                committed: true,
+                sent: Sent::Flying,
+                progress: Progress::Unseen,
+                stop: None,
+            };
+            self.board.put_claim(
+                &TaskId {
+                    job: id.clone(),
+                    index,
+                },
+                claim,
+            );
+        }
+        if all_done && !over {
+            self.finished.insert(id.clone());
+        }
+        self.walk_all = true;
+    }
+
+    /// Jobs changed in the state service: new ones, and cancelled ones.
+    pub fn jobs_changed(&mut self, view: &View, changed: &[JobId], now: Time, wall_ms: u64) {
+        for id in changed {
+            let Some(entry) = view.job(id) else { continue };
+            match self.board.jobs.get_mut(id) {
+                None => {
+                    if entry.record.value.phase == Phase::Live {
+                        self.add_job(id, entry, now, wall_ms);
+                    }
+                }
+                Some(job) => {
+                    if entry.record.value.phase == Phase::Cancelled && !job.cancelled {
+                        job.cancelled = true;
+                        self.finished.remove(id);
+                        self.settle_stopped(id, now);
+                    }
+                }
+            }
+            self.forget_job(view, id);
+        }
+    }
+
+    /// Removes a job that is over and leaves nothing behind.
+    fn forget_job(&mut self, view: &View, id: &JobId) {
+        let over = view
+            .job(id)
+            .is_some_and(|e| e.record.value.phase != Phase::Live);
+        if !over {
+            return;
+        }
+        if let Some(job) = self.board.jobs.get(id) {
+            if !job.tasks.claims().is_empty() {
+                return;
+            }
+            self.board.jobs.remove(id);
+        }
+        if let Some(entry) = view.job(id) {
+            self.dirty
+                .extend(entry.chunks.keys().map(|&c| (true, id.clone(), c)));
+        }
+    }
+
+    /// Drops claims of a cancelled job, or of tasks to be stopped, whose start
+    /// was certainly never sent; the others are stopped.
+    fn settle_stopped(&mut self, id: &JobId, now: Time) {
+        let Some(job) = self.board.jobs.get(id) else {
+            return;
+        };
+        let cancelled = job.cancelled;
+        let mut unsent = Vec::new();
+        let mut stop = Vec::new();
+        for (&index, claim) in job.tasks.claims() {
+            let task = TaskId {
+                job: id.clone(),
+                index,
+            };
+            if cancelled || claim.stop.is_some() {
+                if claim.sent == Sent::No {
+                    unsent.push(task);
+                } else if cancelled {
+                    stop.push(task);
+                }
+            }
+        }
+        for task in unsent {
+            self.release(&task, now);
+        }
+        for task in stop {
+            self.board.stop(&task);
+        }
+    }
+
+    fn touch(&mut self, task: &TaskId) {
+        let chunk = self
+            .board
+            .jobs
+            .get(&task.job)
+            .map_or(0, |j| j.tasks.chunk_of(task.index));
+        self.dirty.insert((false, task.job.clone(), chunk));
+    }
+
+    fn release(&mut self, task: &TaskId, now: Time) -> Option<Claim> {
+        let claim = self.board.release(task, now)?;
+        self.touch(task);
+        self.walk_all = true;
+        Some(claim)
+    }
+
+    // ---- machines -------------------------------------------------------
+
+    /// The cloud's machine types.
+    pub fn set_types(&mut self, types: &[MachineType]) {
+        self.types = types
+            .iter()
+            .map(|t| (t.name.clone(), Rc::new(t.clone())))
+            .collect();
+    }
+
+    /// Whether the machine types are known.
+    pub fn has_types(&self) -> bool {
+        !self.types.is_empty()
+    }
+
+    fn link(
+        &mut self,
+        id: &MachineId,
+        addr: SocketAddr,
+        kind: &TypeName,
+        zone: &Zone,
+        spot: bool,
+        now: Time,
+    ) -> Option<&mut Link> {
+        if !self.links.contains_key(id) {
+            let kind = self.types.get(kind)?.clone();
+            self.coming.remove(id);
+            self.board
+                .add_machine(id.clone(), Machine::new(kind, zone.clone(), spot, now));
+            let link = Link {
+                addr,
+                session: Session(1),
+                seq: Seq(0),
+                token: self.base_token(),
+                seen: Token(0),
+                last_heard: now,
+                tasks: BTreeMap::new(),
+                flying: false,
+                direct_retry: now,
+                direct_failures: 0,
+                leaving: false,
+                deleting: false,
+                shunned_until: Time(0.0),
+                errors: BTreeSet::new(),
+                kill_sent: BTreeMap::new(),
+            };
+            self.links.insert(id.clone(), link);
+        }
+        self.links.get_mut(id)
+    }
+
+    /// Takes in a worker's report. False if a newer grant than ours commands
+    /// the worker.
+    pub fn report(&mut self, report: &Report, source: Source, now: Time) -> bool {
+        if report.baton.grant() > self.grant {
+            return false;
+        }
+        let Some(link) = self.link(
+            &report.machine,
+            report.addr,
+            &report.build,
+            &report.rack,
+            report.loaners,
+            now,
+        ) else {
+            return true;
+        };
+        // A late report tells of the past: its tasks may have changed since.
+        if (report.shift, report.tick) <= (link.session, link.seq) {
+            return true;
+        }
+        link.addr = report.addr;
+        link.session = report.shift;
+        link.seq = report.tick;
+        link.seen = link.seen.max(report.baton);
+        link.last_heard = now;
+        if source == Source::Beat {
+            link.direct_retry = Time(link.direct_retry.0.min(now.0 + 1.0));
+        }
+        if report.warning_s.is_some() {
+            link.leaving = true;
+        }
+        link.tasks = report
+            .pieces
+            .iter()
+            .filter_map(|p: &ReportedTask| Some(((p.id()?, p.attempt), (p.phase, p.cause))))
+            .collect();
+        if report.baton >= link.token {
+            self.reconcile(&report.machine, source, now);
+        }
+        self.refresh_machine(&report.machine, now);
+        true
+    }
+
+    fn refresh_machine(&mut self, id: &MachineId, now: Time) {
+        let silence = 2.5 * self.cfg.report_s + 1.0;
+        let Some(link) = self.links.get(id) else {
+            return;
+        };
+        let usable = link.fenced()
+            && !link.leaving
+            && !link.deleting
+            && now >= link.shunned_until
+            && now.since(link.last_heard) < silence;
+        let leaving = link.leaving || link.deleting;
+        let mut stop = Vec::new();
+        if let Some(m) = self.board.machines.get_mut(id) {
+            if usable && !m.usable {
+                self.walk_all = true;
+            }
+            m.usable = usable;
+            if leaving {
+                stop.extend(m.claims.iter().cloned());
+            }
+        }
+        for task in stop {
+            let unsent = self
+                .board
+                .jobs
+                .get(&task.job)
+                .and_then(|j| j.tasks.claims().get(&task.index))
+                .is_some_and(|c| c.sent == Sent::No);
+            if unsent {
+                self.release(&task, now);
+            } else {
+                self.board.stop(&task);
+            }
+        }
+    }
+
+    /// Compares the claims on a machine with an authoritative report: one
+    /// that carries the token which fences all earlier commands.
+    fn reconcile(&mut self, id: &MachineId, source: Source, now: Time) {
+        let Some(machine) = self.board.machines.get(id) else {
+            return;
+        };
+        let claims: Vec<TaskId> = machine.claims.iter().cloned().collect();
+        for task in claims {
+            let Some(job) = self.board.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let spec = job.spec.clone();
+            let Some(claim) = job.tasks.claim_mut(task.index) else {
+                continue;
+            };
+            let Some(link) = self.links.get(id) else {
+                return;
+            };
+            match link.tasks.get(&(task.clone(), claim.attempt)).copied() {
+                Some((TaskPhase::Ended, why)) => {
+                    self.ended(id, &task, &spec, why.unwrap_or(Why::Other), now);
+                }
+                Some((phase, _)) => {
+                    claim.sent = Sent::Answered;
+                    claim.progress = match (phase, claim.progress) {
+                        (TaskPhase::Fetching, _) => Progress::Fetching,
+                        (TaskPhase::Saving, _) => Progress::Saving,
+                        (_, Progress::Running(since)) => Progress::Running(since),
+                        _ => Progress::Running(now),
+                    };
+                }
+                None => match claim.sent {
+                    Sent::No => {}
+                    // Only the next report of the worker's own shows whether
+                    // it took a reply: a direct answer may overtake it.
+                    Sent::InReply if source == Source::Direct => {}
+                    // An answer is still to come, and tells.
+                    Sent::Flying if link.flying => {}
+                    Sent::Flying | Sent::InReply => {
+                        claim.sent = Sent::No;
+                        if job.cancelled || claim_stops(job, task.index) {
+                            self.release(&task, now);
+                        }
+                    }
+                    Sent::Answered => {
+                        tracing::info!(task = %task, machine = %id, "task is gone");
+                        self.release(&task, now);
+                    }
+                },
+            }
+        }
+    }
+
+    fn ended(&mut self, id: &MachineId, task: &TaskId, spec: &JobSpec, why: Why, now: Time) {
+        self.release(task, now);
+        let Some(job) = self.board.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if job.cancelled {
+            return;
+        }
+        match why {
+            Why::Done if spec.kind == Kind::Array => {
+                job.tasks.set_done(task.index);
+                job.failures = 0;
+                if job.tasks.all_done() {
+                    self.finished.insert(task.job.clone());
+                }
+                if let Some(link) = self.links.get_mut(id) {
+                    link.errors.clear();
+                }
+            }
+            Why::Error => self.failed(id, task, now),
+            Why::Full | Why::InUse => {
+                job.avoid
+                    .insert(id.clone(), now.after(2.0 * self.cfg.report_s));
+            }
+            Why::NoSuch => {
+                job.failures += 1;
+                job.hold_until = now.after(f64::from(job.failures).exp2().min(30.0));
+            }
+            Why::Done | Why::Stopped | Why::Other => {}
+        }
+        if why != Why::Done {
+            tracing::info!(task = %task, machine = %id, ?why, "task ended");
+        }
+    }
+
+    /// A task failed. Mostly the machine is faulty, so it is shunned; a job
+    /// that fails on several machines is itself mistaken, waits longer each
+    /// time and is held against no machine.
+    fn failed(&mut self, id: &MachineId, task: &TaskId, now: Time) {
+        let Some(job) = self.board.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.failures += 1;
+        job.avoid.insert(id.clone(), now.after(60.0));
+        let machines = job.avoid.values().filter(|t| now < **t).count();
+        if machines >= 3 {
+            job.hold_until = now.after(f64::from(job.failures.min(6)).exp2().min(40.0));
+            for link in self.links.values_mut() {
+                if link.errors.remove(&task.job) && link.errors.is_empty() {
+                    link.shunned_until = Time(0.0);
+                }
+            }
+        } else if let Some(link) = self.links.get_mut(id) {
+            link.errors.insert(task.job.clone());
+            link.shunned_until = now.after(20.0);
+            if link.errors.len() >= 2 {
+                link.leaving = true;
+            }
+        }
+    }
+
+    /// The answer to a report: token and commands that need no hurry, and the
+    /// starts if they can't be sent directly.
+    pub fn reply(&mut self, id: &MachineId, view: &View, now: Time) -> Reply {
+        let starts = self
+            .links
+            .get(id)
+            .is_some_and(|l| !l.flying && l.direct_failures > 0 && now < l.direct_retry);
+        let orders = self.commands(id, view, starts.then_some(Sent::InReply), now);
+        let token = self.links.get(id).map_or(self.base_token(), |l| l.token);
+        Reply {
+            baton: token,
+            orders,
+        }
+    }
+
+    /// Commands for a machine. Starts are included, and marked sent, if
+    /// `starts` says how.
+    fn commands(
+        &mut self,
+        id: &MachineId,
+        view: &View,
+        starts: Option<Sent>,
+        now: Time,
+    ) -> Vec<Command> {
+        let mut orders = Vec::new();
+        let Some(link) = self.links.get_mut(id) else {
+            return orders;
+        };
+        if !link.fenced() {
+            return orders;
+        }
+        let Some(machine) = self.board.machines.get(id) else {
+            return orders;
+        };
+        link.kill_sent.retain(|key, _| link.tasks.contains_key(key));
+        for ((task, attempt), (phase, _)) in &link.tasks {
+            let piece = task.to_string();
+            let claim = self
+                .board
+                .jobs
+                .get(&task.job)
+                .and_then(|j| j.tasks.claims().get(&task.index))
+                .filter(|c| c.attempt == *attempt && c.machine == *id);
+            if *phase == TaskPhase::Ended {
+                // Only once the result is recorded, and while no start of
+                // this attempt can still arrive: it would run again.
+                if claim.is_none() && !recorded_claim(view, task, *attempt) {
+                    orders.push(Command::Forget {
+                        piece,
+                        attempt: *attempt,
+                    });
+                }
+                continue;
+            }
+            let grace = match claim {
+                // Nobody claims it any more: it must not run on.
+                None => Some(0.0),
+                Some(claim) => claim.stop,
+            };
+            let Some(mercy_s) = grace else { continue };
+            let key = (task.clone(), *attempt);
+            let saving = *phase == TaskPhase::Saving && mercy_s > 0.0;
+            let due = link
+                .kill_sent
+                .get(&key)
+                .is_none_or(|t| now.since(*t) >= KILL_AGAIN_S);
+            if !saving && due {
+                link.kill_sent.insert(key, now);
+                orders.push(Command::Kill {
+                    piece,
+                    attempt: *attempt,
+                    mercy_s,
+                });
+            }
+        }
+        if let (Some(sent), true) = (starts, machine.usable) {
+            let tasks: Vec<TaskId> = machine.claims.iter().cloned().collect();
+            for task in tasks {
+                let Some(job) = self.board.jobs.get_mut(&task.job) else {
+                    continue;
+                };
+                if job.cancelled {
+                    continue;
+                }
+                let Some(claim) = job.tasks.claim_mut(task.index) else {
+                    continue;
+                };
+                if claim.committed && claim.sent == Sent::No && claim.stop.is_none() {
+                    claim.sent = sent;
+                    orders.push(Command::Start {
+                        piece: task.to_string(),
+                        attempt: claim.attempt,
+                    });
+                }
+            }
+        }
+        orders
+    }
+
+    /// Direct commands that should go out now.
+    pub fn dispatch(&mut self, view: &View, now: Time) -> Vec<Dispatch> {
+        let ids: Vec<MachineId> = self
+            .links
+            .iter()
+            .filter(|(_, l)| !l.flying && !l.deleting && now >= l.direct_retry)
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut out = Vec::new();
+        for id in ids {
+            let orders = self.commands(&id, view, Some(Sent::Flying), now);
+            let Some(link) = self.links.get_mut(&id) else {
+                continue;
+            };
+            let forgets_only = orders.iter().all(|o| matches!(o, Command::Forget { .. }));
+            // Forgetting waits for the next report; a worker that does not
+            // know our token is told at once.
+            if forgets_only && link.fenced() {
+                continue;
+            }
+            link.flying = true;
+            out.push(Dispatch {
+                machine: id,
+                addr: link.addr,
+                orders: Orders {
+                    baton: link.token,
+                    shift: link.session,
+                    orders,
+                },
+            });
+        }
+        out
+    }
+
+    /// What became of direct commands. False if we are deposed.
+    pub fn dispatched(&mut self, id: &MachineId, outcome: Sent1, now: Time) -> bool {
+        let flying: Vec<TaskId> = self
+            .board
+            .machines
+            .get(id)
+            .map(|m| m.claims.iter().cloned().collect())
+            .unwrap_or_default();
+        let Some(link) = self.links.get_mut(id) else {
+            return true;
+        };
+        link.flying = false;
+        let mut mark = |from: Sent, to: Sent| {
+            for task in &flying {
+                if let Some(c) = self
+                    .board
+                    .jobs
+                    .get_mut(&task.job)
+                    .and_then(|j| j.tasks.claim_mut(task.index))
+                {
+                    if c.sent == from {
+                        c.sent = to;
+                    }
+                }
+            }
+        };
+        match outcome {
+            Sent1::Executed(report) => {
+                link.direct_failures = 0;
+                link.direct_retry = now;
+                // The session that took the command may end right after it;
+                // the report decides what is there.
+                mark(Sent::Flying, Sent::Answered);
+                self.report(&report, Source::Direct, now)
+            }
+            Sent1::Refused(report) => {
+                link.direct_failures = 0;
+                // Not at once: a report that was overtaken leaves the session
+                // as it was.
+                link.direct_retry = now.after(0.02);
+                let inherited = !link.fenced();
+                if !inherited {
+                    mark(Sent::Flying, Sent::No);
+                }
+                self.report(&report, Source::Direct, now)
+            }
+            Sent1::NotSent | Sent1::Unknown => {
+                if matches!(outcome, Sent1::NotSent) {
+                    // Claims found at the takeover stay in doubt until a
+                    // report carries our token.
+                    if link.fenced() {
+                        mark(Sent::Flying, Sent::No);
+                    }
+                } else {
+                    // The commands may be carried out minutes late, unless a
+                    // higher token gets there first. Until a report carries
+                    // it, nothing on this machine is settled.
+                    link.token = link.token.raised();
+                }
+                link.direct_failures += 1;
+                let pause = 0.25 * f64::from(link.direct_failures.min(5)).exp2();
+                link.direct_retry = now.after(pause);
+                tracing::info!(machine = %id, token = %link.token, "direct command failed");
+                self.refresh_machine(id, now);
+                true
+            }
+        }
+    }
+
+    // ---- the record -----------------------------------------------------
+
+    /// Whether something is to be recorded.
+    pub fn has_dirty(&self) -> bool {
+        !self.dirty.is_empty() || !self.finished.is_empty()
+    }
+
+    fn snapshot(&self, id: &JobId, chunk: u32) -> Option<ChunkRecord> {
+        let job = self.board.jobs.get(id)?;
+        let size = job.tasks.chunk_size();
+        let from = chunk * size;
+        let claims = job
+            .tasks
+            .claims()
+            .range(from..from + size)
+            .map(|(&i, c)| (i - from, c.attempt, c.machine.clone()))
+            .collect();
+        Some(ChunkRecord {
+            next_attempt: job.tasks.next_attempt(chunk),
+            done: job.tasks.done_bits(chunk),
+            claims,
+        })
+    }
+
+    /// The next transaction, if anything is to be recorded. Every one is
+    /// guarded by the grant, the jobs' records and the chunks.
+    pub fn next_batch(&mut self, view: &View, most_ops: usize) -> Option<Batch> {
+        let mut batch = Batch {
+            txn: Txn {
+                when: vec![When {
+                    key: GRANT.into(),
+                    stamp: self.grant_stamp,
+                }],
+                apply: Vec::new(),
+            },
+            chunks: Vec::new(),
+            finished: Vec::new(),
+        };
+        let mut guarded: BTreeSet<JobId> = BTreeSet::new();
+        let mut guard_job = |batch: &mut Batch, id: &JobId, entry: &JobEntry| {
+            if guarded.insert(id.clone()) {
+                batch.txn.when.push(When {
+                    key: job_key(id),
+                    stamp: entry.record.stamp,
+                });
+            }
+        };
+        let mut bytes = 0;
+        // Completed jobs: their record alone says it, their chunks can go.
+        for id in self.finished.clone() {
+            if batch.txn.apply.len() >= most_ops {
+                break;
+            }
+            let Some(entry) = view
+                .job(&id)
+                .filter(|e| e.record.value.phase == Phase::Live)
+            else {
+                self.finished.remove(&id);
+                continue;
+            };
+            let record = JobRecord {
+                phase: Phase::Done,
+                spec: None,
+                ..entry.record.value.clone()
+            };
+            guard_job(&mut batch, &id, entry);
+            batch
+                .txn
+                .apply
+                .push(Change::write(job_key(&id), &record, None));
+            batch.finished.push((id.clone(), record));
+            bytes += 300;
+            self.finished.remove(&id);
+        }
+        let done: BTreeSet<JobId> = batch.finished.iter().map(|(id, _)| id.clone()).collect();
+        for entry in self.dirty.clone() {
+            if batch.txn.apply.len() >= most_ops || bytes > TXN_BYTES {
+                break;
+            }
+            let (_, id, chunk) = &entry;
+            self.dirty.remove(&entry);
+            let Some(job) = view.job(id) else { continue };
+            let held = job.chunks.get(chunk);
+            let over = job.record.value.phase != Phase::Live || done.contains(id);
+            let record = self.snapshot(id, *chunk);
+            let keep = record.filter(|r| !over || !r.claims.is_empty());
+            let stamp = held.map_or(Revision(0), |h| h.stamp);
+            let change = match &keep {
+                Some(record) if held.is_some_and(|h| h.value == *record) => continue,
+                Some(record) => Change::write(chunk_key(id, *chunk), record, None),
+                None if held.is_none() => continue,
+                None => Change::Delete {
+                    delete: chunk_key(id, *chunk),
+                },
+            };
+            bytes += 200 + keep.as_ref().map_or(0, |r| 64 * r.claims.len());
+            guard_job(&mut batch, id, job);
+            batch.txn.when.push(When {
+                key: chunk_key(id, *chunk),
+                stamp,
+            });
+            batch.txn.apply.push(change);
+            batch.chunks.push((id.clone(), *chunk, keep));
+        }
+        (!batch.txn.apply.is_empty()).then_some(batch)
+    }
+
+    /// A transaction was carried out.
+    pub fn committed(&mut self, batch: Batch, revision: Revision, view: &mut View, now: Time) {
+        for (id, chunk, record) in batch.chunks {
+            match record {
+                Some(record) => {
+                    self.confirm(&id, chunk, &record, now);
+                    view.put_chunk(
+                        &id,
+                        chunk,
+                        Versioned {
+                            stamp: revision,
+                            value: record,
+                        },
+                    );
+                }
+                None => view.drop_chunk(&id, chunk, revision),
+            }
+        }
+        let finished: Vec<JobId> = batch.finished.iter().map(|(id, _)| id.clone()).collect();
+        for (id, record) in batch.finished {
+            tracing::info!(job = %id, "done");
+            view.put_job(
+                &id,
+                Versioned {
+                    stamp: revision,
+                    value: record,
+                },
+            );
+        }
+        for id in finished {
+            self.forget_job(view, &id);
+        }
+    }
+
+    fn confirm(&mut self, id: &JobId, chunk: u32, record: &ChunkRecord, now: Time) {
+        let Some(job) = self.board.jobs.get_mut(id) else {
+            return;
+        };
+        let from = chunk * job.tasks.chunk_size();
+        for (place, attempt, _) in &record.claims {
+            if let Some(claim) = job.tasks.claim_mut(from + place) {
+                if claim.attempt == *attempt {
+                    claim.committed = true;
+                }
+            }
+        }
+        self.settle_stopped(id, now);
+    }
+
+    /// A transaction was not carried out, or already had been in an earlier
+    /// try; the view is newer than it. False if the grant is no longer ours.
+    pub fn conflicted(&mut self, batch: Batch, view: &View, now: Time) -> bool {
+        for (id, chunk, record) in batch.chunks {
+            let held = view
+                .job(&id)
+                .and_then(|e| e.chunks.get(&chunk))
+                .map(|c| &c.value);
+            match (&record, held) {
+                (Some(ours), Some(held)) if ours == held => self.confirm(&id, chunk, ours, now),
+                _ => {
+                    self.dirty.insert((record.is_none(), id, chunk));
+                }
+            }
+        }
+        for (id, _) in batch.finished {
+            let live = view
+                .job(&id)
+                .is_some_and(|e| e.record.value.phase == Phase::Live);
+            let done = self.board.jobs.get(&id).is_some_and(|j| j.tasks.all_done());
+            if live && done {
+                self.finished.insert(id);
+            } else {
+                self.forget_job(view, &id);
+            }
+        }
+        view.grant.stamp == self.grant_stamp
+    }
+
+    // ---- placing --------------------------------------------------------
+
+    fn rule(&self) -> DelayRule {
+        DelayRule {
+            fetches: self.cfg.tuning.delay_fetches,
+            max_s: self.cfg.tuning.delay_max_s,
+        }
+    }
+
+    /// Walks one machine, after its report.
+    pub fn walk(&mut self, id: &MachineId, now: Time) {
+        let rule = self.rule();
+        for launch in self.board.walk(id, rule, now) {
+            tracing::debug!(task = %launch.task, machine = %id, cached = launch.cached, "claim");
+            self.touch(&launch.task);
+        }
+    }
+
+    /// Walks all machines if something changed that a report won't show:
+    /// work arrived, or waits passed.
+    pub fn walk_machines(&mut self, now: Time) {
+        self.walk_all = false;
+        for id in self.board.offer_order() {
+            self.walk(&id, now);
+        }
+        for job in self.board.jobs.values_mut() {
+            if !job.wants(now) {
+                job.blocked_since = None;
+            } else if job.blocked_since.is_none() {
+                job.blocked_since = Some(now);
+            }
+        }
+    }
+
+    /// Regular work: walk, preempt, tend the fleet.
+    pub fn tick(&mut self, now: Time) {
+        let ids: Vec<MachineId> = self.links.keys().cloned().collect();
+        for id in ids {
+            self.refresh_machine(&id, now);
+        }
+        self.walk_machines(now);
+        if self.cfg.tuning.preempt && now.since(self.started) > 3.0 {
+            let patience = |p: Priority| match p {
+                Priority::Critical | Priority::High => PREEMPT_URGENT_S,
+                Priority::Normal | Priority::Idle => PREEMPT_NORMAL_S,
+            };
+            for task in self.board.preempt(patience, now) {
+                tracing::info!(task = %task, "preempted");
+                self.settle_stopped(&task.job, now);
+            }
+        }
+    }
+
+    // ---- the fleet ------------------------------------------------------
+
+    /// The machine list arrived: learn of machines, and of those that are gone.
+    pub fn listed(&mut self, list: &[Listed], now: Time) {
+        let names: BTreeSet<&MachineId> = list.iter().map(|m| &m.uid).collect();
+        for m in list {
+            self.missing.remove(&m.uid);
+            if self.links.contains_key(&m.uid) {
+                if m.phase == MachinePhase::Failed {
+                    // It stopped by itself. That proves nothing about its
+                    // tasks; the answer to deleting it will.
+                    self.give_back(&m.uid);
+                }
+                continue;
+            }
+            if m.phase == MachinePhase::Running {
+                if let Some(addr) = m.addr {
+                    // Up, and perhaps running tasks that a record claims: ask it.
+                    self.link(&m.uid, addr, &m.build, &m.rack, m.loaners, now);
+                    continue;
+                }
+            }
+            self.coming.entry(m.uid.clone()).or_insert(Coming {
+                kind: m.build.clone(),
+                zone: m.rack.clone(),
+                spot: m.loaners,
+                since: Time(now.0 - m.held_s),
+            });
+            if m.phase == MachinePhase::Failed {
+                self.give_back(&m.uid);
+            }
+        }
+        // A machine that was heard of before and is missing from several
+        // lists in a row is probably gone; deleting it proves that.
+        let known: Vec<MachineId> = self
+            .links
+            .keys()
+            .chain(self.coming.keys())
+            .cloned()
+            .collect();
+        for id in known {
+            if names.contains(&id) {
+                continue;
+            }
+            let heard = self.links.get(&id).map(|l| l.last_heard);
+            let silent = heard.is_none_or(|t| now.since(t) > self.cfg.report_s * 2.0);
+            let fresh = self
+                .coming
+                .get(&id)
+                .is_some_and(|c| now.since(c.since) < 3.0 * self.cfg.list_lag_s + 5.0);
+            if silent && !fresh {
+                let count = self.missing.entry(id.clone()).or_insert(0);
+                *count += 1;
+                if *count >= 2 {
+                    self.give_back(&id);
+                }
+            }
+        }
+        // Claims can name machines that neither list nor report shows.
+        let mut ghosts: BTreeSet<MachineId> = BTreeSet::new();
+        if now.since(self.started) > 3.0 * self.cfg.list_lag_s + 2.0 * self.cfg.report_s {
+            for job in self.board.jobs.values() {
+                for claim in job.tasks.claims().values() {
+                    if !self.links.contains_key(&claim.machine) && !names.contains(&claim.machine) {
+                        ghosts.insert(claim.machine.clone());
+                    }
+                }
+            }
+        }
+        for id in ghosts {
+            self.give_back(&id);
+        }
+    }
+
+    fn give_back(&mut self, id: &MachineId) {
+        match self.links.get_mut(id) {
+            Some(link) => link.deleting = true,
+            None => {
+                self.coming.entry(id.clone()).or_insert(Coming {
+                    kind: TypeName::from(""),
+                    zone: Zone::from(""),
+                    spot: false,
+                    since: Time(f64::NEG_INFINITY),
+                });
+                self.missing.insert(id.clone(), u32::MAX / 2);
+            }
+        }
+    }
+
+    /// Machines to delete now, and machines to rent.
+    pub fn fleet(&mut self, now: Time) -> (Vec<MachineId>, Vec<Rental>) {
+        self.last_fleet = now;
+        let heard = self
+            .links
+            .values()
+            .filter(|l| now.since(l.last_heard) < 2.5 * self.cfg.report_s)
+            .count();
+        // If most are silent it is this controller that can't hear.
+        let hearing =
+            heard * 2 > self.links.len() && now.since(self.started) > self.cfg.tuning.silent_s;
+        let mut gone = Vec::new();
+        for (id, link) in &mut self.links {
+            let empty = self
+                .board
+                .machines
+                .get(id)
+                .is_none_or(|m| m.claims.is_empty());
+            if link.leaving && empty && link.tasks.values().all(|(p, _)| *p == TaskPhase::Ended) {
+                link.deleting = true;
+            }
+            if hearing && now.since(link.last_heard) > self.cfg.tuning.silent_s {
+                link.deleting = true;
+            }
+            if link.deleting {
+                gone.push(id.clone());
+            }
+        }
+        let types = &self.types;
+        for (id, c) in &self.coming {
+            let boot = types.get(&c.kind).map_or(30.0, |t| t.boot_s);
+            let stuck = now.since(c.since) > 2.5 * boot + 10.0;
+            let missing = self.missing.get(id).is_some_and(|n| *n >= 2);
+            if stuck || missing {
+                gone.push(id.clone());
+            }
+        }
+        let coming: Vec<fleet::Coming> = self
+            .coming
+            .iter()
+            .filter(|(id, _)| !gone.contains(id))
+            .filter_map(|(_, c)| {
+                Some(fleet::Coming {
+                    kind: types.get(&c.kind)?.clone(),
+                    spot: c.spot,
+                    zone: c.zone.clone(),
+                })
+            })
+            .collect();
+        let mut offered: Vec<Rc<MachineType>> = types.values().cloned().collect();
+        offered.sort_by(|a, b| a.name.cmp(&b.name));
+        let refused = &self.refused;
+        let open = |kind: &TypeName, zone: &Zone, spot: bool| {
+            refused
+                .get(&(kind.clone(), zone.clone(), spot))
+                .is_none_or(|until| now >= *until)
+        };
+        let settled = now.since(self.started) > 2.0 * self.cfg.report_s;
+        let plan = if settled && self.renting == 0 {
+            fleet::plan(&self.board, &offered, &coming, &open, &self.cfg.tuning, now)
+        } else {
+            fleet::Plan::default()
+        };
+        for id in plan.give_back {
+            if let Some(link) = self.links.get_mut(&id) {
+                link.leaving = true;
+            }
+            self.refresh_machine(&id, now);
+        }
+        let mut rentals = Vec::new();
+        for want in plan.rent {
+            self.rentals += 1;
+            self.renting += 1;
+            rentals.push(Rental {
+                // Unique: the grant's number was written before, and this
+                // owner counts its own requests.
+                hire: format!("r-{}-{}", self.grant, self.rentals),
+                build: want.kind,
+                rack: want.zone,
+                loaners: want.spot,
+                number: want.count,
+            });
+        }
+        (gone, rentals)
+    }
+
+    /// A rental's outcome: the machines, or none if there is no capacity or
+    /// the call failed.
+    pub fn rented(&mut self, rental: &Rental, machines: Result<Vec<MachineId>, bool>, now: Time) {
+        self.renting = self.renting.saturating_sub(1);
+        let key = (rental.build.clone(), rental.rack.clone(), rental.loaners);
+        let short = |got: usize| got < rental.number as usize;
+        match machines {
+            Ok(machines) => {
+                if short(machines.len()) {
+                    self.refused.insert(key, now.after(10.0));
+                }
+                for id in machines {
+                    if !self.links.contains_key(&id) {
+                        self.coming.insert(
+                            id,
+                            Coming {
+                                kind: rental.build.clone(),
+                                zone: rental.rack.clone(),
+                                spot: rental.loaners,
+                                since: now,
+                            },
+                        );
+                    }
+                }
+            }
+            Err(no_capacity) => {
+                self.refused
+                    .insert(key, now.after(if no_capacity { 10.0 } else { 3.0 }));
+            }
+        }
+    }
+
+    /// Machines were deleted: they and their tasks are gone.
+    pub fn deleted(&mut self, machines: &[MachineId], now: Time) {
+        for id in machines {
+            let mut tasks: Vec<TaskId> = Vec::new();
+            for (job_id, job) in &self.board.jobs {
+                for (&index, claim) in job.tasks.claims() {
+                    if claim.machine == *id {
+                        tasks.push(TaskId {
+                            job: job_id.clone(),
+                            index,
+                        });
+                    }
+                }
+            }
+            for task in tasks {
+                tracing::info!(task = %task, machine = %id, "gone with its machine");
+                self.release(&task, now);
+            }
+            self.links.remove(id);
+            self.coming.remove(id);
+            self.missing.remove(id);
+            self.board.machines.remove(id);
+        }
+    }
+}
+
+fn claim_stops(job: &Job, index: u32) -> bool {
+    job.tasks
+        .claims()
+        .get(&index)
+        .is_some_and(|c| c.stop.is_some())
+}
+
+fn recorded_claim(view: &View, task: &TaskId, attempt: Attempt) -> bool {
+    view.job(&task.job).is_some_and(|entry| {
+        let size = entry.record.value.chunk.max(1);
+        entry.chunks.get(&(task.index / size)).is_some_and(|c| {
+            c.value
+                .claims
+                .iter()
+                .any(|(place, a, _)| *place == task.index % size && *a == attempt)
+        })
+    })
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,52 @@
+//! A cluster scheduler: users submit jobs over HTTP; controllers place them on
+//! machines that they rent, by delay scheduling, and keep their truth in a
+//! small state service. See `docs/design.md`.
+
+pub mod api;
+pub mod cloud;
+pub mod config;
+pub mod control;
+pub mod fleet;
+pub mod http;
+pub mod peer;
+pub mod sched;
+pub mod state;
+pub mod types;
+pub mod worker;
+
+use std::rc::Rc;
+
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+use crate::config::Config;
+use crate::control::Node;
+
+/// Runs one controller until `stop` resolves.
+pub async fn run(
+    config: Config,
+    stop: impl std::future::Future<Output = ()>,
+) -> std::io::Result<()> {
+    let cfg = Rc::new(config);
+    let users = TcpListener::bind(cfg.bind).await?;
+    let peers = TcpListener::bind(cfg.peer_bind).await?;
+    // All routines belong to this set and end with it.
+    let routines = LocalSet::new();
+    routines
+        .run_until(async {
+            let outbox = Rc::new(peer::Outbox::default());
+            let node = Node::new(cfg.clone(), outbox.clone());
+            node.start();
+            for other in &cfg.others {
+                tokio::task::spawn_local(peer::tell(other.address, outbox.clone()));
+            }
+            let told = node.clone();
+            let heard: Rc<dyn Fn(types::Revision)> = Rc::new(move |revision| told.hinted(revision));
+            tokio::task::spawn_local(peer::listen(peers, 4 * cfg.others.len() + 8, heard));
+            tokio::task::spawn_local(api::serve(node, users, cfg.max_sockets * 3 / 4));
+            tracing::info!(node = %cfg.node, zone = %cfg.zone, bind = %cfg.bind, "serving");
+            stop.await;
+        })
+        .await;
+    Ok(())
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,437 @@
+//! The state service: its client and the records kept in it.
+
+pub mod record;
+pub mod view;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use tokio::time::{sleep, Instant};
+
+use crate::http::{CallError, Limits, Pool};
+use crate::types::{LeaseId, Revision};
+
+/// A change within a transaction.
+#[derive(Clone, Debug, Serialize)]
+#[serde(untagged)]
+pub enum Change {
+    /// Writes a value.
+    Write {
+        /// Key.
+        write: String,
+        /// Value.
+        value: Box<RawValue>,
+        /// The lease that it goes away with.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        ticket: Option<LeaseId>,
+    },
+    /// Deletes a key.
+    Delete {
+        /// Key.
+        delete: String,
+    },
+}
+
+impl Change {
+    /// Writes `value` at `key`.
+    pub fn write<T: Serialize>(key: String, value: &T, ticket: Option<LeaseId>) -> Self {
+        // Our records have string keys and finite numbers: they always serialize.
+        let value =
+            serde_json::value::to_raw_value(value).unwrap_or_else(|_| RawValue::NULL.to_owned());
+        Self::Write {
+            write: key,
+            value,
+            ticket,
+        }
+    }
+}
+
+/// A condition: the key has this version (0: it does not exist).
+#[derive(Clone, Debug, Serialize, PartialEq, Eq)]
+pub struct When {
+    /// Key.
+    pub key: String,
+    /// Version.
+    pub stamp: Revision,
+}
+
+/// A transaction.
+#[derive(Clone, Debug, Serialize, Default)]
+pub struct Txn {
+    /// Conditions.
+    pub when: Vec<When>,
+    /// Changes.
+    pub apply: Vec<Change>,
+}
+
+/// A transaction's outcome.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Carried out, as this revision.
+    Done(Revision),
+    /// A condition failed; the service's revision was this.
+    Failed(Revision),
+}
+
+/// Why the state service gave no answer of use.
+#[derive(Debug, thiserror::Error)]
+pub enum StateError {
+    /// Certainly not carried out: refused, out of budget, or no connection.
+    #[error("not carried out: {0}")]
+    Refused(String),
+    /// May have been carried out, or may still be.
+    #[error("unknown outcome: {0}")]
+    Unknown(String),
+    /// The lease has ended.
+    #[error("the lease has ended")]
+    LeaseEnded,
+    /// The watch is too old; everything has to be read again.
+    #[error("too old to follow")]
+    TooOld,
+}
+
+/// One change seen by following.
+#[derive(Debug, Deserialize)]
+pub struct Event {
+    /// The key, if written.
+    pub write: Option<String>,
+    /// The key, if deleted.
+    pub delete: Option<String>,
+    /// The value, if written.
+    pub value: Option<Box<RawValue>>,
+    /// The revision.
+    pub stamp: Revision,
+}
+
+/// All changes up to a revision.
+#[derive(Debug, Deserialize)]
+pub struct Events {
+    /// The revision.
+    pub ledger: Revision,
+    /// The changes.
+    #[serde(default)]
+    pub events: Vec<Event>,
+}
+
+/// A key and its value.
+#[derive(Debug, Deserialize)]
+pub struct Item {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Box<RawValue>,
+    /// Version.
+    pub stamp: Revision,
+}
+
+#[derive(Debug, Deserialize)]
+struct Page {
+    items: Vec<Item>,
+    #[serde(default)]
+    truncated: bool,
+    ledger: Revision,
+}
+
+#[derive(Deserialize)]
+struct LedgerBody {
+    ledger: Revision,
+}
+
+#[derive(Deserialize)]
+struct LeaseBody {
+    ticket: LeaseId,
+}
+
+/// This controller's share of what all may ask of a service: a bucket that
+/// refills steadily and holds one second's worth.
+pub struct Budget {
+    rate: Cell<f64>,
+    level: Cell<f64>,
+    filled: Cell<Instant>,
+}
+
+impl Budget {
+    /// `rate` per second.
+    pub fn new(rate: f64) -> Self {
+        Self {
+            rate: Cell::new(rate),
+            level: Cell::new(rate),
+            filled: Cell::new(Instant::now()),
+        }
+    }
+    /// Changes the rate.
+    pub fn set_rate(&self, rate: f64) {
+        self.refill();
+        self.rate.set(rate);
+    }
+    fn refill(&self) {
+        let now = Instant::now();
+        let gained = now.duration_since(self.filled.get()).as_secs_f64() * self.rate.get();
+        self.filled.set(now);
+        self.level
+            .set((self.level.get() + gained).min(self.rate.get().max(1.0)));
+    }
+    /// Takes `n` at once, even beyond what is there: for what must go first.
+    pub fn force(&self, n: f64) {
+        self.refill();
+        self.level.set(self.level.get() - n);
+    }
+    /// Takes `n` if there is enough; else tells how long that would take.
+    pub fn take(&self, n: f64) -> Result<(), Duration> {
+        self.refill();
+        // More than a second's worth at once is allowed on a full bucket.
+        let needed = n.min(self.rate.get().max(1.0));
+        if self.level.get() + 1e-9 >= needed {
+            self.level.set(self.level.get() - n);
+            Ok(())
+        } else {
+            Err(Duration::from_secs_f64(
+                (needed - self.level.get()) / self.rate.get(),
+            ))
+        }
+    }
+    /// Takes `n`, waiting at most `patience` for it.
+    pub async fn wait(&self, n: f64, patience: Duration) -> bool {
+        let end = Instant::now() + patience;
+        loop {
+            match self.take(n) {
+                Ok(()) => return true,
+                Err(pause) if Instant::now() + pause <= end => {
+                    sleep(pause.max(Duration::from_millis(2))).await;
+                }
+                Err(_) => return false,
+            }
+        }
+    }
+}
+
+/// How urgent a request is, when the budget is short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// Renewals and claims: goes at once and leaves the others the rest.
+    First,
+    /// Waits for the budget, this long at most.
+    Within(Duration),
+}
+
+/// Client of the state service.
+pub struct StateClient {
+    pool: Pool,
+    /// Requests.
+    pub requests: Budget,
+    /// Changes.
+    pub writes: Budget,
+    last_ok: Cell<Instant>,
+    last_error: RefCell<Option<Instant>>,
+}
+
+const CONNECT: Duration = Duration::from_millis(800);
+
+impl StateClient {
+    /// For the service at `address`.
+    pub fn new(address: std::net::SocketAddr, rps: f64, write_rps: f64) -> Rc<Self> {
+        Rc::new(Self {
+            pool: Pool::new(address),
+            requests: Budget::new(rps),
+            writes: Budget::new(write_rps),
+            last_ok: Cell::new(Instant::now()),
+            last_error: RefCell::new(None),
+        })
+    }
+
+    /// Whether the last call failed, and since then none has succeeded.
+    pub fn troubled(&self) -> bool {
+        self.last_error
+            .borrow()
+            .is_some_and(|e| e > self.last_ok.get())
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        urgency: Urgency,
+        answer: Duration,
+    ) -> Result<(u16, Bytes), StateError> {
+        match urgency {
+            Urgency::First => self.requests.force(1.0),
+            Urgency::Within(patience) => {
+                if !self.requests.wait(1.0, patience).await {
+                    return Err(StateError::Refused("over this controller's share".into()));
+                }
+            }
+        }
+        let limits = Limits {
+            connect: CONNECT,
+            answer,
+        };
+        let result = match self.pool.call(method, path, body, limits).await {
+            Ok(a) => match a.status.as_u16() {
+                429 => Err(StateError::Refused("too many requests".into())),
+                503 => Err(StateError::Refused("unavailable".into())),
+                status => Ok((status, a.body)),
+            },
+            Err(CallError::NotSent(e)) => Err(StateError::Refused(e)),
+            Err(CallError::Unknown(e)) => Err(StateError::Unknown(e)),
+        };
+        match &result {
+            Ok(_) => self.last_ok.set(Instant::now()),
+            Err(error) => {
+                *self.last_error.borrow_mut() = Some(Instant::now());
+                tracing::debug!(path, %error, "state call");
+            }
+        }
+        result
+    }
+
+    /// Carries out a transaction.
+    pub async fn txn(&self, txn: &Txn, urgency: Urgency) -> Result<Outcome, StateError> {
+        let cost = txn.apply.len() as f64;
+        match urgency {
+            Urgency::First => self.writes.force(cost),
+            Urgency::Within(patience) => {
+                if !self.writes.wait(cost, patience).await {
+                    return Err(StateError::Refused("over this controller's share".into()));
+                }
+            }
+        }
+        let body = serde_json::to_vec(txn).map_err(|e| StateError::Refused(e.to_string()))?;
+        let (status, body) = self
+            .call(
+                Method::POST,
+                "/txn",
+                body.into(),
+                urgency,
+                Duration::from_millis(1500),
+            )
+            .await?;
+        let ledger = || {
+            serde_json::from_slice::<LedgerBody>(&body)
+                .map(|l| l.ledger)
+                .map_err(|e| StateError::Unknown(format!("malformed answer: {e}")))
+        };
+        match status {
+            200 => Ok(Outcome::Done(ledger()?)),
+            409 => Ok(Outcome::Failed(ledger()?)),
+            400 if String::from_utf8_lossy(&body).contains("no such lease") => {
+                Err(StateError::LeaseEnded)
+            }
+            _ => Err(StateError::Refused(format!(
+                "status {status}: {}",
+                String::from_utf8_lossy(&body)
+                    .chars()
+                    .take(200)
+                    .collect::<String>()
+            ))),
+        }
+    }
+
+    /// Changes under [`record::ROOT`] after `since`, waiting up to `wait` for one.
+    pub async fn follow(
+        &self,
+        since: Revision,
+        wait: Duration,
+        urgency: Urgency,
+    ) -> Result<Events, StateError> {
+        let path = format!(
+            "/follow?under={}&since={since}&block_ms={}",
+            record::ROOT,
+            wait.as_millis()
+        );
+        let (status, body) = self
+            .call(
+                Method::GET,
+                &path,
+                Bytes::new(),
+                urgency,
+                wait + Duration::from_millis(1500),
+            )
+            .await?;
+        match status {
+            200 => serde_json::from_slice(&body)
+                .map_err(|e| StateError::Refused(format!("malformed answer: {e}"))),
+            410 => Err(StateError::TooOld),
+            _ => Err(StateError::Refused(format!("status {status}"))),
+        }
+    }
+
+    /// All keys under [`record::ROOT`], with a revision from which following
+    /// misses nothing.
+    pub async fn read_all(&self) -> Result<(Revision, Vec<Item>), StateError> {
+        let mut all: Vec<Item> = Vec::new();
+        let mut first: Option<Revision> = None;
+        loop {
+            let since = all
+                .last()
+                .map_or(String::new(), |i| format!("&since={}", i.key));
+            let path = format!("/keys?under={}{since}&most=1000", record::ROOT);
+            let (status, body) = self
+                .call(
+                    Method::GET,
+                    &path,
+                    Bytes::new(),
+                    Urgency::Within(Duration::from_secs(5)),
+                    Duration::from_secs(3),
+                )
+                .await?;
+            if status != 200 {
+                return Err(StateError::Refused(format!("status {status}")));
+            }
+            let page: Page = serde_json::from_slice(&body)
+                .map_err(|e| StateError::Refused(format!("malformed answer: {e}")))?;
+            // Pages are of different moments: changes after the first one are
+            // followed again, which does no harm.
+            let ledger = *first.get_or_insert(page.ledger);
+            let more = page.truncated && !page.items.is_empty();
+            all.extend(page.items);
+            if !more {
+                return Ok((ledger, all));
+            }
+        }
+    }
+
+    /// A new lease.
+    pub async fn lease(&self, life: Duration) -> Result<LeaseId, StateError> {
+        let body = format!("{{\"life_ms\":{}}}", life.as_millis());
+        let (status, body) = self
+            .call(
+                Method::POST,
+                "/leases",
+                body.into(),
+                Urgency::First,
+                Duration::from_secs(1),
+            )
+            .await?;
+        if status != 200 {
+            return Err(StateError::Refused(format!("status {status}")));
+        }
+        serde_json::from_slice::<LeaseBody>(&body)
+            .map(|l| l.ticket)
+            .map_err(|e| StateError::Refused(format!("malformed answer: {e}")))
+    }
+
+    /// Renews a lease.
+    pub async fn renew(&self, lease: LeaseId) -> Result<(), StateError> {
+        let path = format!("/leases/{lease}/renew");
+        let (status, _) = self
+            .call(
+                Method::POST,
+                &path,
+                Bytes::new(),
+                Urgency::First,
+                Duration::from_millis(800),
+            )
+            .await?;
+        match status {
+            200 => Ok(()),
+            404 => Err(StateError::LeaseEnded),
+            _ => Err(StateError::Refused(format!("status {status}"))),
+        }
+    }
+}
--- /dev/null
+++ b/src/state/record.rs
@@ -0,0 +1,136 @@
+//! What the controllers keep in the state service.
+//!
+//! | key | value | written by |
+//! | --- | --- | --- |
+//! | `h/leader` | [`LeaderRecord`], attached to a lease | whoever becomes leader |
+//! | `h/grant` | [`GrantRecord`] | whoever becomes leader |
+//! | `h/job/ID` | [`JobRecord`] | any controller accepts and cancels; the block's owner completes |
+//! | `h/task/ID/N` | [`ChunkRecord`], tasks N·chunk and on | the block's owner |
+
+use serde::{Deserialize, Serialize};
+
+use crate::types::{Attempt, JobId, JobSpec, MachineId, NodeId, Term};
+
+/// Prefix of all keys.
+pub const ROOT: &str = "h/";
+/// Key of the leader's record.
+pub const LEADER: &str = "h/leader";
+/// Key of the block grant.
+pub const GRANT: &str = "h/grant";
+
+/// Key of a job.
+pub fn job_key(job: &JobId) -> String {
+    format!("h/job/{job}")
+}
+
+/// Key of a chunk of a job's tasks; padded, so that keys sort by number.
+pub fn chunk_key(job: &JobId, chunk: u32) -> String {
+    format!("h/task/{job}/{chunk:06}")
+}
+
+/// What a key holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Key {
+    /// The leader.
+    Leader,
+    /// The grant.
+    Grant,
+    /// A job.
+    Job(JobId),
+    /// A chunk of tasks.
+    Chunk(JobId, u32),
+}
+
+impl Key {
+    /// Reads a key; none if it is not one of ours.
+    pub fn parse(text: &str) -> Option<Self> {
+        match text {
+            LEADER => return Some(Self::Leader),
+            GRANT => return Some(Self::Grant),
+            _ => {}
+        }
+        let rest = text.strip_prefix(ROOT)?;
+        if let Some(job) = rest.strip_prefix("job/") {
+            return Some(Self::Job(JobId::from(job)));
+        }
+        let (job, chunk) = rest.strip_prefix("task/")?.rsplit_once('/')?;
+        Some(Self::Chunk(JobId::from(job), chunk.parse().ok()?))
+    }
+}
+
+/// The present leader; the key goes away with the leader's lease.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    /// Who.
+    pub node: NodeId,
+    /// Its process: a restarted controller is not the leader that it was.
+    pub run: u64,
+    /// Rises with each leader.
+    pub term: Term,
+}
+
+/// The block of machines, granted to one controller.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct GrantRecord {
+    /// To whom.
+    pub owner: Option<NodeId>,
+    /// By the leader of this term.
+    pub term: Term,
+    /// Rises with each grant; tokens are made from it.
+    pub number: u64,
+}
+
+/// A job's phase, as far as it is recorded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// Accepted, not over.
+    #[serde(rename = "l")]
+    Live,
+    /// All tasks done. Final.
+    #[serde(rename = "d")]
+    Done,
+    /// Cancelled by its user. Final.
+    #[serde(rename = "c")]
+    Cancelled,
+}
+
+/// A job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Its phase.
+    #[serde(rename = "p")]
+    pub phase: Phase,
+    /// Number of tasks.
+    #[serde(rename = "n")]
+    pub tasks: u32,
+    /// Tasks in a chunk, fixed when the job was accepted.
+    #[serde(rename = "k")]
+    pub chunk: u32,
+    /// When it was accepted, in milliseconds of the time of day.
+    #[serde(rename = "t")]
+    pub accepted_ms: u64,
+    /// The job itself. Kept once cancelled, for what its tasks still take of
+    /// the team's limit; dropped once done.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<JobSpec>,
+}
+
+/// Claims and results of up to 64 tasks.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ChunkRecord {
+    /// The next attempt number.
+    #[serde(rename = "a")]
+    pub next_attempt: u64,
+    /// Done tasks, one bit each.
+    #[serde(rename = "d")]
+    pub done: u64,
+    /// Claims: the task's place in the chunk, the attempt, the machine.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub claims: Vec<(u32, Attempt, MachineId)>,
+}
+
+/// Tasks that fit into a chunk when values have at most `value_bytes`.
+pub fn chunk_size(value_bytes: usize) -> u32 {
+    // A claim takes about 30 bytes; machine names may be longer than usual.
+    (value_bytes.saturating_sub(128) / 40).clamp(1, 64) as u32
+}
--- /dev/null
+++ b/src/state/view.rs
@@ -0,0 +1,217 @@
+//! This controller's copy of what the state service holds.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
+
+use super::record::{ChunkRecord, GrantRecord, JobRecord, Key, LeaderRecord, Phase};
+use super::{Events, Item};
+use crate::types::{JobId, Revision};
+
+/// A value and its version.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Versioned<T> {
+    /// Version; 0: the key does not exist.
+    pub stamp: Revision,
+    /// Value.
+    pub value: T,
+}
+
+/// A job and its tasks, as recorded.
+#[derive(Clone, Debug)]
+pub struct JobEntry {
+    /// The job's record.
+    pub record: Versioned<JobRecord>,
+    /// Its chunks; one that is absent has no progress.
+    pub chunks: BTreeMap<u32, Versioned<ChunkRecord>>,
+}
+
+/// What users see of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Summary {
+    /// Phase in the record.
+    pub phase: Phase,
+    /// Done tasks.
+    pub done: u32,
+    /// Claimed tasks.
+    pub running: u32,
+}
+
+/// The copy.
+#[derive(Default)]
+pub struct View {
+    /// Everything up to this revision is here.
+    pub ledger: Revision,
+    /// Whether everything was read once.
+    pub loaded: bool,
+    /// The leader.
+    pub leader: Versioned<Option<LeaderRecord>>,
+    /// The grant.
+    pub grant: Versioned<GrantRecord>,
+    jobs: HashMap<JobId, JobEntry>,
+    orphans: HashMap<JobId, BTreeMap<u32, Versioned<ChunkRecord>>>,
+    changed: Vec<JobId>,
+}
+
+fn parse<T: DeserializeOwned>(key: &str, value: &RawValue) -> Option<T> {
+    serde_json::from_str(value.get())
+        .map_err(|error| tracing::error!(key, %error, "malformed record"))
+        .ok()
+}
+
+impl View {
+    /// A job.
+    pub fn job(&self, id: &JobId) -> Option<&JobEntry> {
+        self.jobs.get(id)
+    }
+    /// All jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = (&JobId, &JobEntry)> {
+        self.jobs.iter()
+    }
+    /// The jobs that changed since the last call.
+    pub fn take_changed(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.changed)
+    }
+    /// What users see of a job.
+    pub fn summary(&self, id: &JobId) -> Option<Summary> {
+        let entry = self.jobs.get(id)?;
+        let record = &entry.record.value;
+        let mut summary = Summary {
+            phase: record.phase,
+            done: 0,
+            running: 0,
+        };
+        match record.phase {
+            Phase::Done => summary.done = record.tasks,
+            Phase::Live | Phase::Cancelled => {
+                for chunk in entry.chunks.values() {
+                    summary.done += chunk.value.done.count_ones();
+                    summary.running += chunk.value.claims.len() as u32;
+                }
+            }
+        }
+        Some(summary)
+    }
+
+    /// Replaces everything by what was read.
+    pub fn replace(&mut self, ledger: Revision, items: Vec<Item>) {
+        let known: Vec<JobId> = self.jobs.keys().cloned().collect();
+        *self = Self {
+            ledger,
+            loaded: true,
+            ..Self::default()
+        };
+        self.changed = known;
+        for item in items {
+            self.write(&item.key, &item.value, item.stamp);
+        }
+    }
+
+    /// Takes in what following brought, asked for from `since`. Answers may
+    /// overtake each other, so an older one changes nothing.
+    pub fn apply(&mut self, since: Revision, events: Events) {
+        if since > self.ledger || events.ledger <= self.ledger {
+            return;
+        }
+        for event in &events.events {
+            if event.stamp <= self.ledger {
+                continue;
+            }
+            match (&event.write, &event.delete, &event.value) {
+                (Some(key), _, Some(value)) => self.write(key, value, event.stamp),
+                (_, Some(key), _) => self.delete(key, event.stamp),
+                _ => tracing::error!(stamp = %event.stamp, "malformed event"),
+            }
+        }
+        self.ledger = events.ledger;
+    }
+
+    fn write(&mut self, key: &str, value: &RawValue, stamp: Revision) {
+        match Key::parse(key) {
+            Some(Key::Leader) if stamp > self.leader.stamp => {
+                self.leader = Versioned {
+                    stamp,
+                    value: parse(key, value),
+                };
+            }
+            Some(Key::Grant) if stamp > self.grant.stamp => {
+                if let Some(value) = parse(key, value) {
+                    self.grant = Versioned { stamp, value };
+                }
+            }
+            Some(Key::Job(id)) => {
+                if let Some(record) = parse(key, value) {
+                    self.put_job(
+                        &id,
+                        Versioned {
+                            stamp,
+                            value: record,
+                        },
+                    );
+                }
+            }
+            Some(Key::Chunk(id, chunk)) => {
+                if let Some(record) = parse(key, value) {
+                    self.put_chunk(
+                        &id,
+                        chunk,
+                        Versioned {
+                            stamp,
+                            value: record,
+                        },
+                    );
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in a job's record unless a newer one is here.
+    pub fn put_job(&mut self, id: &JobId, record: Versioned<JobRecord>) {
+        match self.jobs.get_mut(id) {
+            Some(entry) if entry.record.stamp >= record.stamp => return,
+            Some(entry) => entry.record = record,
+            None => {
+                let chunks = self.orphans.remove(id).unwrap_or_default();
+                self.jobs.insert(id.clone(), JobEntry { record, chunks });
+            }
+        }
+        self.changed.push(id.clone());
+    }
+
+    /// Takes in a chunk unless a newer one is here.
+    pub fn put_chunk(&mut self, id: &JobId, chunk: u32, record: Versioned<ChunkRecord>) {
+        // While everything is read in pages, a chunk can come before its job.
+        let chunks = match self.jobs.get_mut(id) {
+            Some(entry) => &mut entry.chunks,
+            None => self.orphans.entry(id.clone()).or_default(),
+        };
+        let held = chunks.entry(chunk).or_default();
+        if record.stamp > held.stamp {
+            *held = record;
+            self.changed.push(id.clone());
+        }
+    }
+
+    /// A chunk was deleted.
+    pub fn drop_chunk(&mut self, id: &JobId, chunk: u32, stamp: Revision) {
+        if let Some(entry) = self.jobs.get_mut(id) {
+            if entry.chunks.get(&chunk).is_some_and(|c| c.stamp < stamp) {
+                entry.chunks.remove(&chunk);
+                self.changed.push(id.clone());
+            }
+        }
+    }
+
+    fn delete(&mut self, key: &str, stamp: Revision) {
+        match Key::parse(key) {
+            Some(Key::Leader) if stamp > self.leader.stamp => {
+                self.leader = Versioned { stamp, value: None };
+            }
+            Some(Key::Chunk(id, chunk)) => self.drop_chunk(&id, chunk, stamp),
+            // Jobs and the grant are never deleted.
+            _ => {}
+        }
+    }
+}
