--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -631,10 +631,8 @@
         link.kill_sent.retain(|key, _| link.tasks.contains_key(key));
         for ((task, attempt), (phase, _)) in &link.tasks {
             let piece = task.to_string();
-            let claim = self
-                .board
-                .jobs
-                .get(&task.job)
+            let job = self.board.jobs.get(&task.job);
+            let claim = job
                 .and_then(|j| j.tasks.claims().get(&task.index))
                 .filter(|c| c.attempt == *attempt && c.machine == *id);
             if *phase == TaskPhase::Ended {
@@ -651,6 +649,9 @@
             let grace = match claim {
                 // Nobody claims it any more: it must not run on.
                 None => Some(0.0),
+                // Also when the cancellation was found in the record at a
+                // takeover, and no change of the job was ever seen.
+                Some(_) if job.is_some_and(|j| j.cancelled) => Some(0.0),
                 Some(claim) => claim.stop,
             };
             let Some(mercy_s) = grace else { continue };
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -97,7 +97,7 @@
     let mut counts: BTreeMap<(bool, TypeName, Zone), u32> = BTreeMap::new();
     for (spot, short) in [(false, firm_short), (true, flex_short)] {
         let mut left = short;
-        needs.sort_by(|a, b| b.each.cpu.cmp(&a.each.cpu));
+        needs.sort_by_key(|n| std::cmp::Reverse(n.each.cpu));
         let largest = needs.iter().find(|n| n.spot == spot);
         while left > 0 {
             let fits = |t: &MachineType, zone: &Zone| {
