--- a/src/config.rs
+++ b/src/config.rs
@@ -153,6 +153,8 @@
     pub teams: Vec<TeamConfig>,
     /// The shortest time that an aim allows a class to start in.
     pub start_aims: HashMap<Arc<str>, f64>,
+    /// The shortest time that an aim allows a class to finish in.
+    pub finish_aims: HashMap<Arc<str>, f64>,
     /// Usual time between a worker's reports.
     pub report_s: f64,
     /// A worker's lease.
@@ -190,7 +192,7 @@
     pub silent_s: f64,
     /// Seconds that a machine stays idle before it is given back.
     pub idle_s: f64,
-    /// CPUs kept free for work to come, as a share of those in use.
+    /// Room kept free for work to come: this many typical jobs of each class.
     pub headroom: f64,
     /// Whether lower priorities and borrowers are stopped for others.
     pub preempt: bool,
@@ -204,7 +206,7 @@
             leader_lease_s: 2.5,
             silent_s: 20.0,
             idle_s: 60.0,
-            headroom: 0.25,
+            headroom: 1.0,
             preempt: true,
         }
     }
@@ -312,13 +314,18 @@
             });
         }
         let mut start_aims: HashMap<Arc<str>, f64> = HashMap::new();
+        let mut finish_aims: HashMap<Arc<str>, f64> = HashMap::new();
         for aim in p.objectives {
-            if let ("wait", Some(class), Some(within)) =
-                (aim.kind.as_str(), aim.class, aim.within_s)
-            {
-                let least = start_aims.entry(Arc::from(class)).or_insert(within);
-                *least = least.min(within);
-            }
+            let (Some(class), Some(within)) = (aim.class, aim.within_s) else {
+                continue;
+            };
+            let aims = match aim.kind.as_str() {
+                "wait" => &mut start_aims,
+                "finished" => &mut finish_aims,
+                _ => continue,
+            };
+            let least = aims.entry(Arc::from(class)).or_insert(within);
+            *least = least.min(within);
         }
         if p.zones.is_empty() {
             return Err(field("params.zones", "no zone is named"));
@@ -347,6 +354,7 @@
             zones: p.zones.iter().map(|z| Zone::from(z.as_str())).collect(),
             teams,
             start_aims,
+            finish_aims,
             report_s: positive("params.workers.report_s", p.workers.report_s)?,
             lease_s: positive("params.workers.lease_s", p.workers.lease_s)?,
             cancel_s: positive("params.workers.cancel_s", p.workers.cancel_s)?,
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -1,7 +1,7 @@
 //! What the owner of the block knows and decides, without I/O: time, reports
 //! and outcomes come in, transactions, commands and cloud calls go out.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -72,6 +72,12 @@
     since: Time,
 }
 
+/// Jobs of one class that came of late.
+struct Arrivals {
+    spec: Rc<JobSpec>,
+    recent: VecDeque<(Time, u32)>,
+}
+
 /// A transaction under way, with what it records.
 #[derive(Debug)]
 pub struct Batch {
@@ -122,6 +128,7 @@
     rentals: u64,
     renting: u32,
     missing: BTreeMap<MachineId, u32>,
+    arrivals: BTreeMap<Rc<str>, Arrivals>,
     started: Time,
     /// Work arrived or room appeared: walk all machines.
     pub walk_all: bool,
@@ -130,6 +137,9 @@
 
 const PREEMPT_URGENT_S: f64 = 0.25;
 const PREEMPT_NORMAL_S: f64 = 1.0;
+/// For how long a job tells what may come.
+const RECENT_S: f64 = 180.0;
+const MOST_ARRIVALS: usize = 200;
 const KILL_AGAIN_S: f64 = 2.0;
 const TXN_BYTES: usize = 48 << 10;
 
@@ -174,6 +184,7 @@
             rentals: 0,
             renting: 0,
             missing: BTreeMap::new(),
+            arrivals: BTreeMap::new(),
             started: now,
             walk_all: true,
             last_fleet: now,
@@ -224,8 +235,11 @@
                 }
             }
         }
+        let spec = Rc::new(spec.clone());
+        self.arrived(&spec, Time(now.0 - age));
+        let class = spec.class.clone();
         let job = Job {
-            spec: Rc::new(spec.clone()),
+            spec,
             team,
             submitted: Time(now.0 - age),
             cancelled: record.phase == Phase::Cancelled,
@@ -234,6 +248,7 @@
             avoid: BTreeMap::new(),
             hold_until: Time(0.0),
             failures: 0,
+            start_within: self.cfg.start_aims.get(&class).copied(),
             blocked_since: None,
         };
         let all_done = job.tasks.all_done();
@@ -262,6 +277,58 @@
         self.walk_all = true;
     }
 
+    fn arrived(&mut self, spec: &Rc<JobSpec>, at: Time) {
+        let class = Rc::from(&*spec.class);
+        let arrivals = self.arrivals.entry(class).or_insert_with(|| Arrivals {
+            spec: spec.clone(),
+            recent: VecDeque::new(),
+        });
+        arrivals.spec = spec.clone();
+        arrivals.recent.push_back((at, spec.tasks));
+        if arrivals.recent.len() > MOST_ARRIVALS {
+            arrivals.recent.pop_front();
+        }
+    }
+
+    /// Room to keep for each class that came of late: a typical job of it.
+    fn expected(&mut self, now: Time) -> Vec<fleet::Expected> {
+        for a in self.arrivals.values_mut() {
+            a.recent.retain(|(t, _)| now.since(*t) < RECENT_S);
+        }
+        self.arrivals.retain(|_, a| !a.recent.is_empty());
+        self.board.shapes = self.arrivals.values().map(|a| a.spec.each).collect();
+        let headroom = self.cfg.tuning.headroom;
+        self.arrivals
+            .values()
+            .map(|a| {
+                let sum: u32 = a.recent.iter().map(|(_, n)| (*n).min(1000)).sum();
+                let mean = f64::from(sum) / a.recent.len() as f64;
+                fleet::Expected {
+                    spec: a.spec.clone(),
+                    tasks: (mean * headroom * self.haste(&a.spec)).ceil() as u32,
+                }
+            })
+            .collect()
+    }
+
+    /// How much a class depends on room that is there already: what a new
+    /// machine takes to boot, against the time that its aims leave.
+    fn haste(&self, spec: &JobSpec) -> f64 {
+        let boot = self
+            .types
+            .values()
+            .map(|t| t.boot_s)
+            .fold(f64::INFINITY, f64::min);
+        let start = self.cfg.start_aims.get(&spec.class).copied();
+        let finish = self.cfg.finish_aims.get(&spec.class).copied();
+        let finish = finish
+            .into_iter()
+            .chain(spec.deadline_s)
+            .fold(f64::INFINITY, f64::min);
+        let slack = start.unwrap_or(f64::INFINITY).min(finish - spec.estimate_s);
+        (boot / slack.max(1.0)).clamp(0.2, 2.0)
+    }
+
     /// Jobs changed in the state service: new ones, and cancelled ones.
     pub fn jobs_changed(&mut self, view: &View, changed: &[JobId], now: Time, wall_ms: u64) {
         for id in changed {
@@ -1024,7 +1091,8 @@
         }
         self.walk_machines(now);
         if self.cfg.tuning.preempt && now.since(self.started) > 3.0 {
-            let patience = |p: Priority| match p {
+            let patience = |job: &Job| match job.spec.priority {
+                _ if job.start_within.is_some() => 0.0,
                 Priority::Critical | Priority::High => PREEMPT_URGENT_S,
                 Priority::Normal | Priority::Idle => PREEMPT_NORMAL_S,
             };
@@ -1175,19 +1243,46 @@
             .collect();
         let mut offered: Vec<Rc<MachineType>> = types.values().cloned().collect();
         offered.sort_by(|a, b| a.name.cmp(&b.name));
+        let settled = now.since(self.started) > 2.0 * self.cfg.report_s;
+        if !settled || self.renting > 0 {
+            return (gone, Vec::new());
+        }
+        let expected = self.expected(now);
         let refused = &self.refused;
         let open = |kind: &TypeName, zone: &Zone, spot: bool| {
             refused
                 .get(&(kind.clone(), zone.clone(), spot))
                 .is_none_or(|until| now >= *until)
         };
-        let settled = now.since(self.started) > 2.0 * self.cfg.report_s;
-        let plan = if settled && self.renting == 0 {
-            fleet::plan(&self.board, &offered, &coming, &open, &self.cfg.tuning, now)
-        } else {
-            fleet::Plan::default()
+        let input = fleet::Input {
+            board: &self.board,
+            types: &offered,
+            coming: &coming,
+            expected: &expected,
+            open: &open,
+            tuning: &self.cfg.tuning,
         };
-        for id in plan.give_back {
+        let plan = fleet::plan(&input, now);
+        // Only what had no use for long falls idle on purpose: a machine with
+        // a warm cache is worth more than a new one.
+        let idle_s = self.cfg.tuning.idle_s;
+        for (id, m) in &mut self.board.machines {
+            if plan.unused.contains(id) {
+                let since = *m.unused_since.get_or_insert(now);
+                m.retiring = now.since(since) > idle_s;
+            } else {
+                m.unused_since = None;
+                m.retiring = false;
+            }
+        }
+        let give_back: Vec<MachineId> = self
+            .board
+            .machines
+            .iter()
+            .filter(|(_, m)| m.retiring && m.claims.is_empty() && now.since(m.idle_since) > 2.0)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in give_back {
             if let Some(link) = self.links.get_mut(&id) {
                 link.leaving = true;
             }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,11 +1,15 @@
 //! Which machines to rent and which to give back, without I/O or clock.
+//!
+//! The plan packs what runs, what waits and a headroom for what may come into
+//! the machines that there are; what finds no room there is rented, the
+//! cheapest first, and machines that nothing was packed into may go.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use crate::config::Tuning;
 use crate::sched::Board;
-use crate::types::{Amount, MachineId, MachineType, Time, TypeName, Zone};
+use crate::types::{Amount, JobSpec, MachineId, MachineType, Time, TypeName, Zone};
 
 /// A machine on its way.
 #[derive(Clone, Debug)]
@@ -36,190 +40,280 @@
 pub struct Plan {
     /// Machines to rent.
     pub rent: Vec<Want>,
-    /// Idle machines to give back.
-    pub give_back: Vec<MachineId>,
+    /// Machines that nothing was packed into.
+    pub unused: BTreeSet<MachineId>,
 }
 
-/// Work of one sort that waits or may come, and what could take it.
-struct Need {
-    each: Amount,
-    cpu: i64,
+/// Work that may come: `tasks` tasks like those of `spec`.
+#[derive(Clone, Debug)]
+pub struct Expected {
+    /// A job of its sort.
+    pub spec: Rc<JobSpec>,
+    /// How many tasks to keep room for.
+    pub tasks: u32,
+}
+
+/// What the plan is made from.
+pub struct Input<'a> {
+    /// Jobs and machines.
+    pub board: &'a Board,
+    /// What the cloud offers.
+    pub types: &'a [Rc<MachineType>],
+    /// Machines on their way.
+    pub coming: &'a [Coming],
+    /// Work that may come.
+    pub expected: &'a [Expected],
+    /// Whether the cloud has not just refused such a machine.
+    pub open: &'a dyn Fn(&TypeName, &Zone, bool) -> bool,
+    /// The operators' settings.
+    pub tuning: &'a Tuning,
+}
+
+struct Room {
+    id: Option<MachineId>,
+    kind: Rc<MachineType>,
+    zone: Zone,
     spot: bool,
-    zone: Option<Zone>,
-    types: Option<Vec<TypeName>>,
+    free: Amount,
+    /// Something that can't be moved off, or was packed here.
+    used: bool,
 }
 
-/// Compares the work that waits, and headroom for what may come, with the
-/// free room and the machines on their way. `open` tells whether the cloud
-/// has not just refused such a machine.
-pub fn plan(
-    board: &Board,
-    types: &[Rc<MachineType>],
-    coming: &[Coming],
-    open: &dyn Fn(&TypeName, &Zone, bool) -> bool,
-    tuning: &Tuning,
-    now: Time,
-) -> Plan {
-    let mut plan = Plan::default();
-    let mut needs: Vec<Need> = Vec::new();
-    let mut used = [0_i64; 2];
-    let mut waiting = [0_i64; 2];
-    for job in board.jobs.values().filter(|j| !j.cancelled) {
-        let sort = usize::from(job.spec.spot);
-        used[sort] += job.spec.each.cpu * job.tasks.claims().len() as i64;
-        if !job.wants(now) {
-            continue;
-        }
-        // What the team's limit forbids is not waiting for machines.
-        let team = &board.teams[job.team];
-        let room = (team.limit - team.used).cpu.max(0) / job.spec.each.cpu.max(1);
-        let tasks = i64::from(job.tasks.pending()).min(room);
-        waiting[sort] += job.spec.each.cpu * tasks;
-        needs.push(Need {
-            each: job.spec.each,
-            cpu: job.spec.each.cpu * tasks,
-            spot: job.spec.spot,
-            zone: job.spec.zone.clone(),
-            types: job.spec.types.clone(),
-        });
-    }
-    let mut free = [0_i64; 2];
-    for m in board.machines.values().filter(|m| m.usable) {
-        free[usize::from(m.spot)] += m.free().cpu.max(0);
+struct Item {
+    spec: Rc<JobSpec>,
+    tasks: u32,
+    /// For room that is only kept: where its tasks were packed, to spread them.
+    expected: bool,
+}
+
+impl Room {
+    fn takes(&self, spec: &JobSpec) -> bool {
+        spec.each.fits(self.free)
+            && (spec.spot || !self.spot)
+            && spec.zone.as_ref().is_none_or(|z| *z == self.zone)
+            && spec
+                .types
+                .as_ref()
+                .is_none_or(|t| t.contains(&self.kind.name))
     }
-    for c in coming {
-        free[usize::from(c.spot)] += c.kind.total.cpu;
+
+    /// Lower is better: spot machines for what may use them, then machines
+    /// that stay anyway, then the tightest fit.
+    fn rank(&self, spec: &JobSpec) -> (bool, bool, i64) {
+        (
+            spec.spot && !self.spot,
+            !self.used,
+            self.free.cpu - spec.each.cpu,
+        )
     }
-    // Headroom: a share of what runs, for each sort of machine.
-    let head = |sort: usize| (used[sort] as f64 * tuning.headroom) as i64;
-    let firm_short = waiting[0] + head(0) - free[0];
-    let flex_short = waiting[1] + head(1) - free[1] - (-firm_short).max(0);
-    let mut counts: BTreeMap<(bool, TypeName, Zone), u32> = BTreeMap::new();
-    for (spot, short) in [(false, firm_short), (true, flex_short)] {
-        let mut left = short;
-        needs.sort_by_key(|n| std::cmp::Reverse(n.each.cpu));
-        let largest = needs.iter().find(|n| n.spot == spot);
-        while left > 0 {
-            let fits = |t: &MachineType, zone: &Zone| {
-                largest.is_none_or(|n| {
-                    n.cpu <= 0
-                        || (n.each.fits(t.total)
-                            && n.zone.as_ref().is_none_or(|z| z == zone)
-                            && n.types.as_ref().is_none_or(|l| l.contains(&t.name)))
-                })
-            };
-            let mut best: Option<(f64, &Rc<MachineType>, &Zone, bool)> = None;
-            for t in types {
-                for zone in &t.zones {
-                    for kind in [true, false] {
-                        if (kind && !spot)
-                            || !fits(t, zone)
-                            || !open(&t.name, zone, kind)
-                            || t.total.cpu <= 0
-                        {
-                            continue;
-                        }
-                        let price = if kind { t.spot_price } else { t.price };
-                        // Cheapest by CPU; among equals the zone with the
-                        // fewest, so that services can spread.
-                        let here = board
-                            .machines
-                            .values()
-                            .filter(|m| m.zone == *zone)
-                            .map(|m| m.kind.total.cpu)
-                            .chain(
-                                coming
-                                    .iter()
-                                    .filter(|c| c.zone == *zone)
-                                    .map(|c| c.kind.total.cpu),
-                            )
-                            .sum::<i64>()
-                            + counts
-                                .iter()
-                                .filter(|((_, _, z), _)| z == zone)
-                                .map(|((_, name, _), n)| {
-                                    i64::from(*n)
-                                        * types
-                                            .iter()
-                                            .find(|t| t.name == *name)
-                                            .map_or(0, |t| t.total.cpu)
-                                })
-                                .sum::<i64>();
-                        let score =
-                            price / t.total.cpu as f64 * (1.0 + 1e-6 * here as f64 / 1000.0);
-                        if best.as_ref().is_none_or(|(s, ..)| score < *s) {
-                            best = Some((score, t, zone, kind));
-                        }
+}
+
+struct Packing<'a> {
+    input: &'a Input<'a>,
+    rooms: Vec<Room>,
+    rent: BTreeMap<(bool, TypeName, Zone), u32>,
+}
+
+impl Packing<'_> {
+    fn cheapest(
+        &self,
+        spec: &JobSpec,
+        left_cpu: i64,
+        barred: &dyn Fn(&Zone) -> bool,
+    ) -> Option<Room> {
+        let mut best: Option<(f64, Room)> = None;
+        for kind in self.input.types.iter().filter(|t| t.total.cpu > 0) {
+            for zone in kind.zones.iter().filter(|z| !barred(z)) {
+                for spot in [true, false] {
+                    let room = Room {
+                        id: None,
+                        kind: kind.clone(),
+                        zone: zone.clone(),
+                        spot,
+                        free: kind.total,
+                        used: true,
+                    };
+                    let asked = self
+                        .rent
+                        .get(&(spot, kind.name.clone(), zone.clone()))
+                        .copied()
+                        .unwrap_or(0);
+                    if !room.takes(spec)
+                        || asked >= 50
+                        || !(self.input.open)(&kind.name, zone, spot)
+                    {
+                        continue;
                     }
+                    let price = if spot { kind.spot_price } else { kind.price };
+                    // By what of the machine will be of use now; among equals
+                    // the zone with the fewest machines, so that work spreads.
+                    let useful = kind.total.cpu.min(left_cpu.max(spec.each.cpu)).max(1);
+                    let crowd = self.rooms.iter().filter(|r| r.zone == *zone).count();
+                    let score = price / useful as f64 * (1.0 + 1e-4 * crowd as f64);
+                    if best.as_ref().is_none_or(|(s, _)| score < *s) {
+                        best = Some((score, room));
+                    }
+                }
+            }
+        }
+        best.map(|(_, room)| room)
+    }
+
+    fn pack(&mut self, item: &Item) {
+        let spec = &item.spec;
+        let mut zones: BTreeMap<Zone, u32> = BTreeMap::new();
+        let most = if spec.spread {
+            item.tasks.div_ceil(2)
+        } else {
+            item.tasks
+        };
+        for done in 0..item.tasks {
+            let barred = |z: &Zone| zones.get(z).is_some_and(|n| *n >= most);
+            let left_cpu = spec.each.cpu * i64::from(item.tasks - done);
+            let fitting = self
+                .rooms
+                .iter_mut()
+                .filter(|r| r.takes(spec) && !barred(&r.zone))
+                .min_by_key(|r| r.rank(spec));
+            // An ordinary machine that nothing else holds is dear for work
+            // that may use spot machines: rather rent one of those.
+            let keep = fitting
+                .as_ref()
+                .is_some_and(|r| !spec.spot || r.spot || r.used);
+            let mut zone = fitting.as_ref().map(|r| r.zone.clone());
+            if !keep {
+                let rented = self
+                    .cheapest(spec, left_cpu, &barred)
+                    .filter(|r| r.spot || zone.is_none());
+                if let Some(mut room) = rented {
+                    zone = Some(room.zone.clone());
+                    *self
+                        .rent
+                        .entry((room.spot, room.kind.name.clone(), room.zone.clone()))
+                        .or_insert(0) += 1;
+                    room.free -= spec.each;
+                    self.rooms.push(room);
+                    *zones
+                        .entry(zone.clone().unwrap_or_else(|| Zone::from("")))
+                        .or_insert(0) += 1;
+                    continue;
                 }
             }
-            let Some((_, t, zone, kind)) = best else {
+            let chosen = self
+                .rooms
+                .iter_mut()
+                .filter(|r| zone.as_ref() == Some(&r.zone) && r.takes(spec))
+                .min_by_key(|r| r.rank(spec));
+            let Some(room) = chosen else {
+                if item.expected {
+                    continue;
+                }
                 break;
             };
-            let n = counts
-                .entry((kind, t.name.clone(), zone.clone()))
-                .or_insert(0);
-            if *n >= 50 {
-                break;
-            }
-            *n += 1;
-            left -= t.total.cpu;
+            room.free -= spec.each;
+            room.used = true;
+            *zones.entry(room.zone.clone()).or_insert(0) += 1;
         }
     }
-    plan.rent = counts
-        .into_iter()
-        .map(|((spot, kind, zone), count)| Want {
-            kind,
-            zone,
-            spot,
-            count,
-        })
-        .collect();
-    if plan.rent.is_empty() {
-        give_back(board, &mut plan, firm_short, flex_short, tuning, now);
-    }
-    plan
 }
 
-/// Gives back machines that have been idle for long and are not part of the
-/// headroom, the dearest first.
-fn give_back(
-    board: &Board,
-    plan: &mut Plan,
-    firm_short: i64,
-    flex_short: i64,
-    tuning: &Tuning,
-    now: Time,
-) {
-    let mut firm_spare = -firm_short;
-    let mut flex_spare = -flex_short;
-    let mut idle: Vec<_> = board
-        .machines
+/// Makes the plan.
+pub fn plan(input: &Input, now: Time) -> Plan {
+    let board = input.board;
+    let mut rooms: Vec<Room> = Vec::new();
+    for (id, m) in board.machines.iter().filter(|(_, m)| m.usable) {
+        rooms.push(Room {
+            id: Some(id.clone()),
+            kind: m.kind.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+            free: m.kind.total,
+            used: false,
+        });
+    }
+    let place: BTreeMap<MachineId, usize> = rooms
         .iter()
-        .filter(|(_, m)| m.usable && m.claims.is_empty() && now.since(m.idle_since) > tuning.idle_s)
+        .enumerate()
+        .filter_map(|(i, r)| Some((r.id.clone()?, i)))
         .collect();
-    let price = |m: &crate::sched::Machine| {
-        (if m.spot {
-            m.kind.spot_price
-        } else {
-            m.kind.price
-        }) / m.kind.total.cpu.max(1) as f64
-    };
-    idle.sort_by(|(a_id, a), (b_id, b)| price(b).total_cmp(&price(a)).then(a_id.cmp(b_id)));
-    for (id, m) in idle {
-        let cpu = m.kind.total.cpu;
-        // Ordinary machines also take what could run on spot ones.
-        let spare = if m.spot {
-            flex_spare
-        } else {
-            firm_spare.min(flex_spare)
-        };
-        if spare >= cpu {
-            plan.give_back.push(id.clone());
-            flex_spare -= cpu;
-            if !m.spot {
-                firm_spare -= cpu;
+    let mut items: Vec<Item> = Vec::new();
+    for job in board.jobs.values() {
+        let mut movable = 0;
+        for claim in job.tasks.claims().values() {
+            let Some(room) = place.get(&claim.machine).map(|&i| &mut rooms[i]) else {
+                continue;
+            };
+            if job.spec.spot && !room.spot {
+                // On an ordinary machine now, but spot machines would do.
+                movable += 1;
+            } else {
+                room.free -= job.spec.each;
+                room.used = true;
             }
         }
+        let mut tasks = movable;
+        if job.wants(now) {
+            // What the team's limit forbids is not waiting for machines.
+            let team = &board.teams[job.team];
+            let room = (team.limit - team.used).cpu.max(0) / job.spec.each.cpu.max(1);
+            tasks += job
+                .tasks
+                .pending()
+                .min(u32::try_from(room).unwrap_or(u32::MAX));
+        }
+        if tasks > 0 {
+            items.push(Item {
+                spec: job.spec.clone(),
+                tasks,
+                expected: false,
+            });
+        }
+    }
+    for c in input.coming {
+        rooms.push(Room {
+            id: None,
+            kind: c.kind.clone(),
+            zone: c.zone.clone(),
+            spot: c.spot,
+            free: c.kind.total,
+            used: true,
+        });
+    }
+    for e in input.expected.iter().filter(|e| e.tasks > 0) {
+        items.push(Item {
+            spec: e.spec.clone(),
+            tasks: e.tasks,
+            expected: true,
+        });
     }
+    // What only ordinary machines can take goes first, then the largest.
+    items.sort_by_key(|i| (i.spec.spot, i.expected, std::cmp::Reverse(i.spec.each.cpu)));
+    let mut packing = Packing {
+        input,
+        rooms,
+        rent: BTreeMap::new(),
+    };
+    for item in &items {
+        packing.pack(item);
+    }
+    let mut plan = Plan {
+        rent: packing
+            .rent
+            .into_iter()
+            .map(|((spot, kind, zone), count)| Want {
+                kind,
+                zone,
+                spot,
+                count,
+            })
+            .collect(),
+        ..Plan::default()
+    };
+    plan.unused = packing
+        .rooms
+        .into_iter()
+        .filter(|r| !r.used)
+        .filter_map(|r| r.id)
+        .collect();
+    plan
 }
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -13,6 +13,17 @@
     Zone,
 };
 
+/// How many seconds of fetching it is worth to leave an ordinary machine to
+/// those who can't use spot ones.
+const ORDINARY_S: f64 = 3.0;
+/// How many CPU-seconds may be wasted to start a job in time that its users
+/// wait for.
+const LATE_START: f64 = 200.0;
+/// The same for a machine that should fall idle.
+const RETIRING_S: f64 = 3.0;
+/// The same for a large machine that others' tasks need.
+const SCARCE_S: f64 = 8.0;
+
 /// How far the start command of a claim has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sent {
@@ -189,6 +200,8 @@
     pub hold_until: Time,
     /// Failures in a row.
     pub failures: u32,
+    /// How soon its users expect it to start, if an aim says so.
+    pub start_within: Option<f64>,
     /// Since when it has had pending tasks that found no place.
     pub blocked_since: Option<Time>,
 }
@@ -256,6 +269,10 @@
     pub used: Amount,
     /// Its images.
     pub cache: Cache,
+    /// Since when the fleet's plans have had no use for it.
+    pub unused_since: Option<Time>,
+    /// Should fall idle: its work has a cheaper place.
+    pub retiring: bool,
     /// Room that is being made for a job, until a time.
     pub reserved: Option<(JobId, Time)>,
     /// Since when it has no claim.
@@ -273,6 +290,8 @@
             claims: BTreeSet::new(),
             used: Amount::default(),
             cache: Cache::default(),
+            unused_since: None,
+            retiring: false,
             reserved: None,
             idle_since: now,
         }
@@ -319,6 +338,8 @@
     pub jobs: BTreeMap<JobId, Job>,
     /// Machines.
     pub machines: BTreeMap<MachineId, Machine>,
+    /// Sizes of tasks seen of late.
+    pub shapes: Vec<Amount>,
     /// When the last walk was, for the jobs' waits.
     pub last_walk: Time,
 }
@@ -508,6 +529,54 @@
             && self.limit_allows(job)
     }
 
+    /// What placing a job on a machine costs, in seconds: its image's fetch,
+    /// and for taking what others need more.
+    fn place_cost(&self, job: &Job, machine: &Machine) -> f64 {
+        let mut cost = 0.0;
+        if !machine.cache.has(&job.spec.image) {
+            cost += job.spec.image_gb / machine.kind.fetch_gb_per_s.max(1e-3);
+        }
+        if job.spec.spot && !machine.spot {
+            cost += ORDINARY_S;
+        }
+        if machine.retiring {
+            cost += RETIRING_S;
+        }
+        // Large machines are left to tasks that fit no smaller one.
+        let scarce = self.shapes.iter().any(|s| {
+            s.fits(machine.kind.total)
+                && self
+                    .machines
+                    .values()
+                    .any(|m| m.usable && !s.fits(m.kind.total) && job.spec.each.fits(m.kind.total))
+        });
+        if scarce && !self.shapes_need(&job.spec.each, machine) {
+            cost += SCARCE_S;
+        }
+        cost
+    }
+
+    /// Whether tasks of this size fit no smaller machine than this one.
+    fn shapes_need(&self, each: &Amount, machine: &Machine) -> bool {
+        !self.machines.values().any(|m| {
+            m.usable && m.kind.total.cpu < machine.kind.total.cpu && each.fits(m.kind.total)
+        })
+    }
+
+    /// Whether another machine with room suits a job clearly better now.
+    fn better_elsewhere(&self, id: &JobId, job: &Job, m_id: &MachineId, now: Time) -> bool {
+        let Some(machine) = self.machines.get(m_id) else {
+            return false;
+        };
+        let cost = self.place_cost(job, machine);
+        cost > 0.5
+            && self.machines.iter().any(|(other, m)| {
+                other != m_id
+                    && self.may_place(id, job, other, m, now)
+                    && self.place_cost(job, m) + 0.5 < cost
+            })
+    }
+
     fn cached_somewhere(&self, spec: &JobSpec) -> bool {
         self.machines
             .values()
@@ -566,6 +635,9 @@
             if !self.may_place(&id, job, m_id, machine, now) {
                 continue;
             }
+            if self.better_elsewhere(&id, job, m_id, now) {
+                continue;
+            }
             let cached = machine.cache.has(&job.spec.image);
             if cached
                 || job.delay.anywhere
@@ -690,14 +762,14 @@
     /// seconds, in the allowed cases only: for a higher priority, or to give a
     /// team its guarantee out of what another team runs beyond its own.
     /// Reserves the room. Live services are never chosen.
-    pub fn preempt(&mut self, patience: impl Fn(Priority) -> f64, now: Time) -> Vec<TaskId> {
+    pub fn preempt(&mut self, patience: impl Fn(&Job) -> f64, now: Time) -> Vec<TaskId> {
         let mut stops = Vec::new();
         for id in self.order(now) {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
             let waited = job.blocked_since.map_or(0.0, |t| now.since(t));
-            if waited < patience(job.spec.priority) || !self.limit_allows(job) {
+            if waited < patience(job) || !self.limit_allows(job) {
                 continue;
             }
             // One machine at a time for each job: the next round sees the rest.
@@ -791,6 +863,9 @@
             if !machine.cache.has(&job.spec.image) {
                 let fetch = job.spec.image_gb / machine.kind.fetch_gb_per_s.max(1e-3);
                 cost += fetch * job.spec.each.cpu as f64 / 1000.0;
+                if job.start_within.is_some_and(|s| fetch > 0.8 * s) {
+                    cost += LATE_START;
+                }
             }
             if best.as_ref().is_none_or(|(c, _, _)| cost < *c) {
                 best = Some((cost, m_id.clone(), victims));
