--- a/src/config.rs
+++ b/src/config.rs
@@ -205,7 +205,7 @@
             delay_max_s: 5.0,
             leader_lease_s: 2.5,
             silent_s: 20.0,
-            idle_s: 60.0,
+            idle_s: 50.0,
             headroom: 1.0,
             preempt: true,
         }
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -133,6 +133,7 @@
     /// Work arrived or room appeared: walk all machines.
     pub walk_all: bool,
     last_fleet: Time,
+    last_plan: Time,
 }
 
 const PREEMPT_URGENT_S: f64 = 0.25;
@@ -140,6 +141,9 @@
 /// For how long a job tells what may come.
 const RECENT_S: f64 = 180.0;
 const MOST_ARRIVALS: usize = 200;
+/// A machine may go once plans had no use for it for this share of the time.
+const UNUSED_SHARE: f64 = 0.6;
+const FLEET_LOG_S: f64 = 10.0;
 const KILL_AGAIN_S: f64 = 2.0;
 const TXN_BYTES: usize = 48 << 10;
 
@@ -188,6 +192,7 @@
             started: now,
             walk_all: true,
             last_fleet: now,
+            last_plan: now,
         };
         let mut jobs: Vec<(&JobId, &JobEntry)> = view.jobs().collect();
         jobs.sort_by(|a, b| a.0.cmp(b.0));
@@ -314,19 +319,26 @@
     /// How much a class depends on room that is there already: what a new
     /// machine takes to boot, against the time that its aims leave.
     fn haste(&self, spec: &JobSpec) -> f64 {
-        let boot = self
-            .types
+        (self.boot_s() / self.slack(spec).max(1.0)).clamp(0.2, 2.0)
+    }
+
+    /// The shortest usual boot.
+    fn boot_s(&self) -> f64 {
+        self.types
             .values()
             .map(|t| t.boot_s)
-            .fold(f64::INFINITY, f64::min);
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// How long a job of this sort may wait before it misses an aim.
+    fn slack(&self, spec: &JobSpec) -> f64 {
         let start = self.cfg.start_aims.get(&spec.class).copied();
         let finish = self.cfg.finish_aims.get(&spec.class).copied();
         let finish = finish
             .into_iter()
             .chain(spec.deadline_s)
             .fold(f64::INFINITY, f64::min);
-        let slack = start.unwrap_or(f64::INFINITY).min(finish - spec.estimate_s);
-        (boot / slack.max(1.0)).clamp(0.2, 2.0)
+        start.unwrap_or(f64::INFINITY).min(finish - spec.estimate_s)
     }
 
     /// Jobs changed in the state service: new ones, and cancelled ones.
@@ -1192,9 +1204,43 @@
         }
     }
 
+    /// What is used and free, for the log.
+    fn log_fleet(&self) {
+        let mut sums = [[0_i64; 3]; 2];
+        for m in self.board.machines.values() {
+            let sum = &mut sums[usize::from(m.spot)];
+            sum[0] += 1;
+            sum[1] += m.kind.total.cpu / 1000;
+            sum[2] += m.used.cpu / 1000;
+        }
+        let pending: u32 = self
+            .board
+            .jobs
+            .values()
+            .filter(|j| !j.cancelled)
+            .map(|j| j.tasks.pending())
+            .sum();
+        let retiring = self.board.machines.values().filter(|m| m.retiring).count();
+        tracing::info!(
+            ordinary = sums[0][0],
+            cpus = sums[0][1],
+            used = sums[0][2],
+            spot = sums[1][0],
+            spot_cpus = sums[1][1],
+            spot_used = sums[1][2],
+            coming = self.coming.len(),
+            retiring,
+            pending,
+            "fleet"
+        );
+    }
+
     /// Machines to delete now, and machines to rent.
     pub fn fleet(&mut self, now: Time) -> (Vec<MachineId>, Vec<Rental>) {
-        self.last_fleet = now;
+        if now.since(self.last_fleet) >= FLEET_LOG_S {
+            self.last_fleet = now;
+            self.log_fleet();
+        }
         let heard = self
             .links
             .values()
@@ -1254,7 +1300,17 @@
                 .get(&(kind.clone(), zone.clone(), spot))
                 .is_none_or(|until| now >= *until)
         };
+        let patience = |spec: &JobSpec| {
+            let slack = self.slack(spec);
+            let boot = self.boot_s();
+            if slack > boot {
+                (slack / 2.0).min(boot)
+            } else {
+                0.0
+            }
+        };
         let input = fleet::Input {
+            patience: &patience,
             board: &self.board,
             types: &offered,
             coming: &coming,
@@ -1265,15 +1321,13 @@
         let plan = fleet::plan(&input, now);
         // Only what had no use for long falls idle on purpose: a machine with
         // a warm cache is worth more than a new one.
-        let idle_s = self.cfg.tuning.idle_s;
+        let share = 1.0 - (-now.since(self.last_plan) / self.cfg.tuning.idle_s.max(1.0)).exp();
+        self.last_plan = now;
         for (id, m) in &mut self.board.machines {
-            if plan.unused.contains(id) {
-                let since = *m.unused_since.get_or_insert(now);
-                m.retiring = now.since(since) > idle_s;
-            } else {
-                m.unused_since = None;
-                m.retiring = false;
-            }
+            m.kept = plan.kept.get(id).copied().unwrap_or_default();
+            let unused = f64::from(u8::from(plan.unused.contains(id)));
+            m.unused += (unused - m.unused) * share;
+            m.retiring = unused > 0.0 && m.unused > UNUSED_SHARE;
         }
         let give_back: Vec<MachineId> = self
             .board
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -8,8 +8,8 @@
 use std::rc::Rc;
 
 use crate::config::Tuning;
-use crate::sched::Board;
-use crate::types::{Amount, JobSpec, MachineId, MachineType, Time, TypeName, Zone};
+use crate::sched::{Board, Progress};
+use crate::types::{Amount, JobSpec, Kind, MachineId, MachineType, Time, TypeName, Zone};
 
 /// A machine on its way.
 #[derive(Clone, Debug)]
@@ -42,6 +42,8 @@
     pub rent: Vec<Want>,
     /// Machines that nothing was packed into.
     pub unused: BTreeSet<MachineId>,
+    /// Room on ordinary machines for work to come that can't use spot ones.
+    pub kept: BTreeMap<MachineId, Amount>,
 }
 
 /// Work that may come: `tasks` tasks like those of `spec`.
@@ -63,6 +65,9 @@
     pub coming: &'a [Coming],
     /// Work that may come.
     pub expected: &'a [Expected],
+    /// How long a job's tasks may wait for others to end, rather than for a
+    /// new machine to boot.
+    pub patience: &'a dyn Fn(&JobSpec) -> f64,
     /// Whether the cloud has not just refused such a machine.
     pub open: &'a dyn Fn(&TypeName, &Zone, bool) -> bool,
     /// The operators' settings.
@@ -75,6 +80,9 @@
     zone: Zone,
     spot: bool,
     free: Amount,
+    /// When running tasks should end, in seconds from now, and what they free.
+    ends: Vec<(f64, Amount)>,
+    kept: Amount,
     /// Something that can't be moved off, or was packed here.
     used: bool,
 }
@@ -88,7 +96,16 @@
 
 impl Room {
     fn takes(&self, spec: &JobSpec) -> bool {
-        spec.each.fits(self.free)
+        self.takes_within(spec, 0.0)
+    }
+
+    /// Whether there is room now, or should be within `wait` seconds.
+    fn takes_within(&self, spec: &JobSpec, wait: f64) -> bool {
+        let mut free = self.free;
+        for (_, amount) in self.ends.iter().filter(|(t, _)| *t <= wait) {
+            free += *amount;
+        }
+        spec.each.fits(free)
             && (spec.spot || !self.spot)
             && spec.zone.as_ref().is_none_or(|z| *z == self.zone)
             && spec
@@ -131,6 +148,8 @@
                         zone: zone.clone(),
                         spot,
                         free: kind.total,
+                        ends: Vec::new(),
+                        kept: Amount::default(),
                         used: true,
                     };
                     let asked = self
@@ -167,13 +186,20 @@
         } else {
             item.tasks
         };
+        // What is only expected needs its room at once; what waits can take
+        // the room of tasks that end soon.
+        let wait = if item.expected {
+            0.0
+        } else {
+            (self.input.patience)(spec)
+        };
         for done in 0..item.tasks {
             let barred = |z: &Zone| zones.get(z).is_some_and(|n| *n >= most);
             let left_cpu = spec.each.cpu * i64::from(item.tasks - done);
             let fitting = self
                 .rooms
                 .iter_mut()
-                .filter(|r| r.takes(spec) && !barred(&r.zone))
+                .filter(|r| r.takes_within(spec, wait) && !barred(&r.zone))
                 .min_by_key(|r| r.rank(spec));
             // An ordinary machine that nothing else holds is dear for work
             // that may use spot machines: rather rent one of those.
@@ -202,7 +228,7 @@
             let chosen = self
                 .rooms
                 .iter_mut()
-                .filter(|r| zone.as_ref() == Some(&r.zone) && r.takes(spec))
+                .filter(|r| zone.as_ref() == Some(&r.zone) && r.takes_within(spec, wait))
                 .min_by_key(|r| r.rank(spec));
             let Some(room) = chosen else {
                 if item.expected {
@@ -212,6 +238,9 @@
             };
             room.free -= spec.each;
             room.used = true;
+            if item.expected && !spec.spot {
+                room.kept += spec.each;
+            }
             *zones.entry(room.zone.clone()).or_insert(0) += 1;
         }
     }
@@ -228,6 +257,8 @@
             zone: m.zone.clone(),
             spot: m.spot,
             free: m.kind.total,
+            ends: Vec::new(),
+            kept: Amount::default(),
             used: false,
         });
     }
@@ -249,6 +280,10 @@
             } else {
                 room.free -= job.spec.each;
                 room.used = true;
+                if let (Kind::Array, Progress::Running(since)) = (job.spec.kind, claim.progress) {
+                    let left = (job.spec.estimate_s - now.since(since)).max(2.0);
+                    room.ends.push((left, job.spec.each));
+                }
             }
         }
         let mut tasks = movable;
@@ -276,6 +311,8 @@
             zone: c.zone.clone(),
             spot: c.spot,
             free: c.kind.total,
+            ends: Vec::new(),
+            kept: Amount::default(),
             used: true,
         });
     }
@@ -309,11 +346,16 @@
             .collect(),
         ..Plan::default()
     };
-    plan.unused = packing
-        .rooms
-        .into_iter()
-        .filter(|r| !r.used)
-        .filter_map(|r| r.id)
-        .collect();
+    for room in packing.rooms {
+        match room.id {
+            Some(id) if !room.used => {
+                plan.unused.insert(id);
+            }
+            Some(id) if room.kept != Amount::default() => {
+                plan.kept.insert(id, room.kept);
+            }
+            _ => {}
+        }
+    }
     plan
 }
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -269,8 +269,10 @@
     pub used: Amount,
     /// Its images.
     pub cache: Cache,
-    /// Since when the fleet's plans have had no use for it.
-    pub unused_since: Option<Time>,
+    /// Room kept for work that can't use spot machines.
+    pub kept: Amount,
+    /// For which share of the time of late the fleet's plans had no use for it.
+    pub unused: f64,
     /// Should fall idle: its work has a cheaper place.
     pub retiring: bool,
     /// Room that is being made for a job, until a time.
@@ -290,7 +292,8 @@
             claims: BTreeSet::new(),
             used: Amount::default(),
             cache: Cache::default(),
-            unused_since: None,
+            kept: Amount::default(),
+            unused: 0.0,
             retiring: false,
             reserved: None,
             idle_since: now,
@@ -500,17 +503,18 @@
     }
 
     fn room_for(&self, id: &JobId, machine: &Machine, now: Time) -> Amount {
-        match &machine.reserved {
-            Some((other, until)) if other != id && now < *until => {
-                let held = self
-                    .jobs
-                    .get(other)
-                    .filter(|j| j.wants(now))
-                    .map_or(Amount::default(), |j| j.spec.each);
-                machine.free() - held
+        let mut free = machine.free();
+        if let Some((other, until)) = &machine.reserved {
+            if other != id && now < *until {
+                if let Some(job) = self.jobs.get(other).filter(|j| j.wants(now)) {
+                    free -= job.spec.each;
+                }
             }
-            _ => machine.free(),
         }
+        if self.jobs.get(id).is_some_and(|j| j.spec.spot) {
+            free -= machine.kept;
+        }
+        free
     }
 
     fn may_place(
