--- a/src/config.rs
+++ b/src/config.rs
@@ -194,6 +194,8 @@
     pub idle_s: f64,
     /// Room kept free for work to come: this many typical jobs of each class.
     pub headroom: f64,
+    /// Machines are kept for this part of what all teams are guaranteed.
+    pub floor: f64,
     /// Whether lower priorities and borrowers are stopped for others.
     pub preempt: bool,
 }
@@ -207,6 +209,7 @@
             silent_s: 20.0,
             idle_s: 50.0,
             headroom: 1.0,
+            floor: 1.25,
             preempt: true,
         }
     }
@@ -245,6 +248,7 @@
                 "machine.silent.s" => t.silent_s = number(key, value, 5.0, 600.0)?,
                 "fleet.idle.s" => t.idle_s = number(key, value, 0.0, 86_400.0)?,
                 "fleet.headroom" => t.headroom = number(key, value, 0.0, 10.0)?,
+                "fleet.floor" => t.floor = number(key, value, 0.0, 10.0)?,
                 "preempt" => {
                     t.preempt = value
                         .trim()
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -13,8 +13,8 @@
 use crate::state::view::{JobEntry, Versioned, View};
 use crate::state::{Change, Txn, When};
 use crate::types::{
-    Attempt, JobId, JobSpec, Kind, MachineId, MachineType, Priority, Revision, Seq, Session,
-    TaskId, Time, Token, TypeName, Zone,
+    Attempt, JobId, JobSpec, Kind, MachineId, MachineType, Revision, Seq, Session, TaskId, Time,
+    Token, TypeName, Zone,
 };
 use crate::worker::{Command, Orders, Reply, Report, ReportedTask, TaskPhase, Why};
 
@@ -129,6 +129,8 @@
     renting: u32,
     missing: BTreeMap<MachineId, u32>,
     arrivals: BTreeMap<Rc<str>, Arrivals>,
+    /// Deleted machines that a late list may still show.
+    deleted: BTreeMap<MachineId, Time>,
     started: Time,
     /// Work arrived or room appeared: walk all machines.
     pub walk_all: bool,
@@ -136,8 +138,8 @@
     last_plan: Time,
 }
 
-const PREEMPT_URGENT_S: f64 = 0.25;
-const PREEMPT_NORMAL_S: f64 = 1.0;
+/// How long work within a guarantee waits before others' is stopped for it.
+const PREEMPT_GUARANTEE_S: f64 = 1.0;
 /// For how long a job tells what may come.
 const RECENT_S: f64 = 180.0;
 const MOST_ARRIVALS: usize = 200;
@@ -189,6 +191,7 @@
             renting: 0,
             missing: BTreeMap::new(),
             arrivals: BTreeMap::new(),
+            deleted: BTreeMap::new(),
             started: now,
             walk_all: true,
             last_fleet: now,
@@ -242,7 +245,9 @@
         }
         let spec = Rc::new(spec.clone());
         self.arrived(&spec, Time(now.0 - age));
+        tracing::debug!(job = %id, class = %spec.class, team = %spec.team, tasks = spec.tasks, image = %spec.image.as_str(), "job");
         let class = spec.class.clone();
+        let patience_s = (0.3 * self.slack(&spec)).clamp(1.0, 30.0);
         let job = Job {
             spec,
             team,
@@ -253,6 +258,7 @@
             avoid: BTreeMap::new(),
             hold_until: Time(0.0),
             failures: 0,
+            patience_s,
             start_within: self.cfg.start_aims.get(&class).copied(),
             blocked_since: None,
         };
@@ -409,7 +415,7 @@
             self.release(&task, now);
         }
         for task in stop {
-            self.board.stop(&task);
+            self.board.stop(&task, false);
         }
     }
 
@@ -554,7 +560,7 @@
             if unsent {
                 self.release(&task, now);
             } else {
-                self.board.stop(&task);
+                self.board.stop(&task, false);
             }
         }
     }
@@ -1103,10 +1109,14 @@
         }
         self.walk_machines(now);
         if self.cfg.tuning.preempt && now.since(self.started) > 3.0 {
-            let patience = |job: &Job| match job.spec.priority {
-                _ if job.start_within.is_some() => 0.0,
-                Priority::Critical | Priority::High => PREEMPT_URGENT_S,
-                Priority::Normal | Priority::Idle => PREEMPT_NORMAL_S,
+            let patience = |job: &Job, within_guarantee: bool| {
+                if job.start_within.is_some() {
+                    0.0
+                } else if within_guarantee {
+                    PREEMPT_GUARANTEE_S
+                } else {
+                    job.patience_s
+                }
             };
             for task in self.board.preempt(patience, now) {
                 tracing::info!(task = %task, "preempted");
@@ -1120,7 +1130,14 @@
     /// The machine list arrived: learn of machines, and of those that are gone.
     pub fn listed(&mut self, list: &[Listed], now: Time) {
         let names: BTreeSet<&MachineId> = list.iter().map(|m| &m.uid).collect();
+        let late = 4.0 * self.cfg.list_lag_s + 10.0;
+        self.deleted.retain(|_, at| now.since(*at) < late);
         for m in list {
+            // The list is late: a machine that is gone must not come back as
+            // one to be asked, or waited for.
+            if self.deleted.contains_key(&m.uid) {
+                continue;
+            }
             self.missing.remove(&m.uid);
             if self.links.contains_key(&m.uid) {
                 if m.phase == MachinePhase::Failed {
@@ -1329,6 +1346,26 @@
             m.unused += (unused - m.unused) * share;
             m.retiring = unused > 0.0 && m.unused > UNUSED_SHARE;
         }
+        // What the teams are guaranteed stays there, the cheapest part of it.
+        let mut left = self.board.capacity().cpu;
+        let floor = self.board.guaranteed().cpu as f64 * self.cfg.tuning.floor;
+        let mut retiring: Vec<(f64, MachineId)> = self
+            .board
+            .machines
+            .iter()
+            .filter(|(_, m)| m.retiring)
+            .map(|(id, m)| (-m.price_per_cpu(), id.clone()))
+            .collect();
+        retiring.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+        for (_, id) in retiring {
+            if let Some(m) = self.board.machines.get_mut(&id) {
+                if ((left - m.kind.total.cpu) as f64) < floor {
+                    m.retiring = false;
+                } else {
+                    left -= m.kind.total.cpu;
+                }
+            }
+        }
         let give_back: Vec<MachineId> = self
             .board
             .machines
@@ -1409,6 +1446,7 @@
                 tracing::info!(task = %task, machine = %id, "gone with its machine");
                 self.release(&task, now);
             }
+            self.deleted.insert(id.clone(), now);
             self.links.remove(id);
             self.coming.remove(id);
             self.missing.remove(id);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -132,6 +132,12 @@
 }
 
 impl Packing<'_> {
+    /// Whether the machines offer less than all teams are guaranteed.
+    fn below_guarantee(&self) -> bool {
+        let sum: i64 = self.rooms.iter().map(|r| r.kind.total.cpu).sum();
+        sum < self.input.board.guaranteed().cpu
+    }
+
     fn cheapest(
         &self,
         spec: &JobSpec,
@@ -163,6 +169,10 @@
                     {
                         continue;
                     }
+                    if spec.spot && !spot && !self.below_guarantee() {
+                        // Dear: only for what the teams were promised.
+                        continue;
+                    }
                     let price = if spot { kind.spot_price } else { kind.price };
                     // By what of the machine will be of use now; among equals
                     // the zone with the fewest machines, so that work spreads.
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -19,6 +19,12 @@
 /// How many CPU-seconds may be wasted to start a job in time that its users
 /// wait for.
 const LATE_START: f64 = 200.0;
+/// On how many machines room is made for one job at a time.
+const MOST_ROOMS: u32 = 8;
+/// For how long room stays reserved for the job that it was made for.
+const RESERVED_S: f64 = 10.0;
+/// What a stopped task loses besides its work.
+const REQUEUE_S: f64 = 3.0;
 /// The same for a machine that should fall idle.
 const RETIRING_S: f64 = 3.0;
 /// The same for a large machine that others' tasks need.
@@ -202,6 +208,8 @@
     pub failures: u32,
     /// How soon its users expect it to start, if an aim says so.
     pub start_within: Option<f64>,
+    /// How long it may wait before that endangers its aims.
+    pub patience_s: f64,
     /// Since when it has had pending tasks that found no place.
     pub blocked_since: Option<Time>,
 }
@@ -299,6 +307,15 @@
             idle_since: now,
         }
     }
+    /// Price an hour of a thousandth of a CPU.
+    pub fn price_per_cpu(&self) -> f64 {
+        let price = if self.spot {
+            self.kind.spot_price
+        } else {
+            self.kind.price
+        };
+        price / self.kind.total.cpu.max(1) as f64
+    }
     /// What is free.
     pub fn free(&self) -> Amount {
         self.kind.total - self.used
@@ -411,6 +428,15 @@
         sum
     }
 
+    /// What all teams together are guaranteed.
+    pub fn guaranteed(&self) -> Amount {
+        let mut sum = Amount::default();
+        for team in &self.teams {
+            sum += team.guarantee;
+        }
+        sum
+    }
+
     /// Every team's standing now.
     pub fn standings(&self, now: Time) -> Vec<Standing> {
         let capacity = self.capacity();
@@ -567,6 +593,22 @@
         })
     }
 
+    /// Whether another job waits that fits only machines as large as this one,
+    /// while this one fits smaller ones and has not waited for long.
+    fn left_to_others(&self, id: &JobId, job: &Job, machine: &Machine, now: Time) -> bool {
+        let waited = job.blocked_since.map_or(0.0, |t| now.since(t));
+        job.start_within.is_none()
+            && waited < job.patience_s
+            && !self.shapes_need(&job.spec.each, machine)
+            && self.jobs.iter().any(|(other_id, other)| {
+                other_id != id
+                    && other.wants(now)
+                    && Self::suits(&other.spec, machine)
+                    && self.shapes_need(&other.spec.each, machine)
+                    && self.limit_allows(other)
+            })
+    }
+
     /// Whether another machine with room suits a job clearly better now.
     fn better_elsewhere(&self, id: &JobId, job: &Job, m_id: &MachineId, now: Time) -> bool {
         let Some(machine) = self.machines.get(m_id) else {
@@ -639,7 +681,9 @@
             if !self.may_place(&id, job, m_id, machine, now) {
                 continue;
             }
-            if self.better_elsewhere(&id, job, m_id, now) {
+            if self.left_to_others(&id, job, machine, now)
+                || self.better_elsewhere(&id, job, m_id, now)
+            {
                 continue;
             }
             let cached = machine.cache.has(&job.spec.image);
@@ -697,12 +741,13 @@
         job.tasks.claims.insert(task.index, claim);
     }
 
-    /// Marks a claimed task to be stopped, with time to save if that is of use.
-    pub fn stop(&mut self, task: &TaskId) {
+    /// Marks a claimed task to be stopped, with time to save if that is of use
+    /// and there is no hurry.
+    pub fn stop(&mut self, task: &TaskId, hurry: bool) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let saves = job.spec.checkpoint_s > 0.0 && !job.cancelled;
+        let saves = job.spec.checkpoint_s > 0.0 && !job.cancelled && !hurry;
         let grace = if saves { job.spec.save_s + 1.0 } else { 0.0 };
         if let Some(claim) = job.tasks.claims.get_mut(&task.index) {
             if claim.stop.is_none_or(|g| grace < g) {
@@ -759,24 +804,27 @@
         } else {
             ran
         };
-        lost * job.spec.each.cpu as f64 / 1000.0
+        (lost + REQUEUE_S) * job.spec.each.cpu as f64 / 1000.0
     }
 
     /// Chooses tasks to stop for jobs that found no place for `patience`
-    /// seconds, in the allowed cases only: for a higher priority, or to give a
+    /// seconds (by job, and whether its team's guarantee covers it), in the allowed cases only: for a higher priority, or to give a
     /// team its guarantee out of what another team runs beyond its own.
     /// Reserves the room. Live services are never chosen.
-    pub fn preempt(&mut self, patience: impl Fn(&Job) -> f64, now: Time) -> Vec<TaskId> {
+    pub fn preempt(&mut self, patience: impl Fn(&Job, bool) -> f64, now: Time) -> Vec<TaskId> {
         let mut stops = Vec::new();
         for id in self.order(now) {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
             let waited = job.blocked_since.map_or(0.0, |t| now.since(t));
-            if waited < patience(job) || !self.limit_allows(job) {
+            let team = &self.teams[job.team];
+            let within = (team.used + job.spec.each).fits_team(team.guarantee);
+            if waited < patience(job, within) {
                 continue;
             }
-            // One machine at a time for each job: the next round sees the rest.
+            let hurry = job.start_within.is_some();
+            let wanted = job.tasks.pending().min(MOST_ROOMS);
             let reserved = self
                 .machines
                 .values()
@@ -786,15 +834,16 @@
                         .is_some_and(|(j, until)| *j == id && now < *until)
                 })
                 .count() as u32;
-            if reserved >= job.tasks.pending().min(8) {
-                continue;
-            }
-            if let Some((m_id, victims)) = self.make_room(&id, job, now) {
+            for _ in reserved..wanted {
+                let Some(job) = self.jobs.get(&id) else { break };
+                let Some((m_id, victims)) = self.make_room(&id, job, now) else {
+                    break;
+                };
                 for task in &victims {
-                    self.stop(task);
+                    self.stop(task, hurry);
                 }
                 if let Some(m) = self.machines.get_mut(&m_id) {
-                    m.reserved = Some((id, now.after(10.0)));
+                    m.reserved = Some((id.clone(), now.after(RESERVED_S)));
                 }
                 stops.extend(victims);
             }
@@ -802,9 +851,27 @@
         stops
     }
 
+    /// What a team's tasks take that are being stopped.
+    fn leaving(&self, team: usize) -> Amount {
+        let mut sum = Amount::default();
+        for job in self.jobs.values().filter(|j| j.team == team) {
+            let stopped = job
+                .tasks
+                .claims()
+                .values()
+                .filter(|c| c.stop.is_some())
+                .count();
+            sum += job.spec.each.times(stopped as i64);
+        }
+        sum
+    }
+
     fn make_room(&self, id: &JobId, job: &Job, now: Time) -> Option<(MachineId, Vec<TaskId>)> {
         let team = &self.teams[job.team];
         let within_guarantee = (team.used + job.spec.each).fits_team(team.guarantee);
+        // At the team's limit only the team's own work can make room.
+        let over = team.used - self.leaving(job.team) + job.spec.each;
+        let limited = !over.fits_team(team.limit);
         let mut best: Option<(f64, MachineId, Vec<TaskId>)> = None;
         for (m_id, machine) in &self.machines {
             if !machine.usable
@@ -839,8 +906,9 @@
             candidates.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
             let mut victims = Vec::new();
             let mut cost = 0.0;
+            let mut used = over;
             for (priority, waste, task) in candidates {
-                if job.spec.each.fits(free) {
+                if job.spec.each.fits(free) && used.fits_team(team.limit) {
                     break;
                 }
                 let Some(other) = self.jobs.get(&task.job) else {
@@ -851,17 +919,28 @@
                 let borrowed = other.team != job.team && each.fits_team(left);
                 // A lower priority gives way, unless that would push a team
                 // below its guarantee for one that is beyond its own: the two
-                // would then take turns stopping each other.
+                // would then take turns stopping each other. Production has
+                // no such turns: nothing stops it.
                 let lower = priority < job.spec.priority
-                    && (within_guarantee || borrowed || other.team == job.team);
+                    && (job.spec.priority == Priority::Critical
+                        || within_guarantee
+                        || borrowed
+                        || other.team == job.team);
+                let own = other.team == job.team;
+                if limited && !own {
+                    continue;
+                }
                 if lower || (within_guarantee && borrowed) {
                     free += each;
+                    if own {
+                        used -= each;
+                    }
                     beyond[other.team] -= each;
                     cost += waste + 0.1;
                     victims.push(task.clone());
                 }
             }
-            if !job.spec.each.fits(free) {
+            if !job.spec.each.fits(free) || !used.fits_team(team.limit) {
                 continue;
             }
             if !machine.cache.has(&job.spec.image) {
