Model images as ready only once a task ran; preempt late, for starts early

Cause: a task stopped while fetching left its image modelled as cached, so later tasks waited for a fetch there.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -138,8 +138,10 @@
     last_plan: Time,
 }
 
-/// How long work within a guarantee waits before others' is stopped for it.
-const PREEMPT_GUARANTEE_S: f64 = 1.0;
+/// Part of its start aim after which room is made for a job.
+const PREEMPT_START: f64 = 0.15;
+/// The same for other jobs, as a multiple of their patience.
+const PREEMPT_SLACK: f64 = 2.0;
 /// For how long a job tells what may come.
 const RECENT_S: f64 = 180.0;
 const MOST_ARRIVALS: usize = 200;
@@ -589,12 +591,17 @@
                 }
                 Some((phase, _)) => {
                     claim.sent = Sent::Answered;
-                    claim.progress = match (phase, claim.progress) {
+                    let before = claim.progress;
+                    claim.progress = match (phase, before) {
                         (TaskPhase::Fetching, _) => Progress::Fetching,
                         (TaskPhase::Saving, _) => Progress::Saving,
                         (_, Progress::Running(since)) => Progress::Running(since),
                         _ => Progress::Running(now),
                     };
+                    let after = claim.progress;
+                    if matches!(after, Progress::Running(_)) && before != after {
+                        self.board.ran(&task);
+                    }
                 }
                 None => match claim.sent {
                     Sent::No => {}
@@ -1109,14 +1116,12 @@
         }
         self.walk_machines(now);
         if self.cfg.tuning.preempt && now.since(self.started) > 3.0 {
-            let patience = |job: &Job, within_guarantee: bool| {
-                if job.start_within.is_some() {
-                    0.0
-                } else if within_guarantee {
-                    PREEMPT_GUARANTEE_S
-                } else {
-                    job.patience_s
-                }
+            // Stopping costs more than it brings unless the wait is long for
+            // the job's own aims: whoever is stopped waits in turn, and its
+            // image may have to be fetched again.
+            let patience = |job: &Job| match job.start_within {
+                Some(within) => PREEMPT_START * within,
+                None => PREEMPT_SLACK * job.patience_s,
             };
             for task in self.board.preempt(patience, now) {
                 tracing::info!(task = %task, "preempted");
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -239,25 +239,47 @@
     pub used: Amount,
 }
 
+#[derive(Clone, Debug)]
+struct Cached {
+    image: Image,
+    gb: f64,
+    /// A task has run on it; until then it may still be on its way.
+    ready: bool,
+}
+
 /// Images on a machine, modelled: workers don't report them. Least recently
 /// used first.
 #[derive(Clone, Debug, Default)]
-pub struct Cache(Vec<(Image, f64)>);
+pub struct Cache(Vec<Cached>);
 
 impl Cache {
     /// Whether the image should be there.
     pub fn has(&self, image: &Image) -> bool {
-        self.0.iter().any(|(i, _)| i == image)
-    }
-    /// An image was used; the oldest ones leave if there is no room.
-    pub fn touch(&mut self, image: &Image, gb: f64, room: f64) {
-        self.0.retain(|(i, _)| i != image);
-        self.0.push((image.clone(), gb));
-        let mut total: f64 = self.0.iter().map(|(_, gb)| gb).sum();
+        self.0.iter().any(|c| c.image == *image && c.ready)
+    }
+    /// Whether the image is there or on its way.
+    pub fn expects(&self, image: &Image) -> bool {
+        self.0.iter().any(|c| c.image == *image)
+    }
+    /// An image is used; the oldest ones leave if there is no room. `ran`: a
+    /// task runs on it, so it is there.
+    pub fn touch(&mut self, image: &Image, gb: f64, room: f64, ran: bool) {
+        let ready = ran || self.has(image);
+        self.0.retain(|c| c.image != *image);
+        self.0.push(Cached {
+            image: image.clone(),
+            gb,
+            ready,
+        });
+        let mut total: f64 = self.0.iter().map(|c| c.gb).sum();
         while total > room && self.0.len() > 1 {
-            total -= self.0.remove(0).1;
+            total -= self.0.remove(0).gb;
         }
     }
+    /// No task waits for the image any more: a fetch under way is given up.
+    pub fn give_up(&mut self, image: &Image) {
+        self.0.retain(|c| c.image != *image || c.ready);
+    }
 }
 
 /// A machine as the scheduler sees it.
@@ -564,7 +586,12 @@
     fn place_cost(&self, job: &Job, machine: &Machine) -> f64 {
         let mut cost = 0.0;
         if !machine.cache.has(&job.spec.image) {
-            cost += job.spec.image_gb / machine.kind.fetch_gb_per_s.max(1e-3);
+            let fetch = job.spec.image_gb / machine.kind.fetch_gb_per_s.max(1e-3);
+            cost += if machine.cache.expects(&job.spec.image) {
+                fetch / 2.0
+            } else {
+                fetch
+            };
         }
         if job.spec.spot && !machine.spot {
             cost += ORDINARY_S;
@@ -733,7 +760,7 @@
             m.claims.insert(task.clone());
             m.used += each;
             m.cache
-                .touch(&job.spec.image, job.spec.image_gb, m.kind.cache_gb);
+                .touch(&job.spec.image, job.spec.image_gb, m.kind.cache_gb, false);
             if m.reserved.as_ref().is_some_and(|(j, _)| *j == task.job) {
                 m.reserved = None;
             }
@@ -763,10 +790,16 @@
         job.tasks.cursor = job.tasks.cursor.min(task.index);
         let each = job.spec.each;
         self.teams[job.team].used -= each;
+        let image = job.spec.image.clone();
+        let jobs = &self.jobs;
         if let Some(m) = self.machines.get_mut(&claim.machine) {
             if m.claims.remove(task) {
                 m.used -= each;
             }
+            let awaited = |t: &TaskId| jobs.get(&t.job).is_some_and(|j| j.spec.image == image);
+            if !m.claims.iter().any(awaited) {
+                m.cache.give_up(&image);
+            }
             if m.claims.is_empty() {
                 m.idle_since = now;
             }
@@ -774,6 +807,20 @@
         Some(claim)
     }
 
+    /// A claimed task was seen running, so its image is there.
+    pub fn ran(&mut self, task: &TaskId) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let Some(claim) = job.tasks.claims().get(&task.index) else {
+            return;
+        };
+        if let Some(m) = self.machines.get_mut(&claim.machine) {
+            m.cache
+                .touch(&job.spec.image, job.spec.image_gb, m.kind.cache_gb, true);
+        }
+    }
+
     /// A machine appears; claims found earlier on it are entered.
     pub fn add_machine(&mut self, id: MachineId, mut machine: Machine) {
         for (job_id, job) in &self.jobs {
@@ -784,9 +831,12 @@
                         index,
                     });
                     machine.used += job.spec.each;
-                    machine
-                        .cache
-                        .touch(&job.spec.image, job.spec.image_gb, machine.kind.cache_gb);
+                    machine.cache.touch(
+                        &job.spec.image,
+                        job.spec.image_gb,
+                        machine.kind.cache_gb,
+                        false,
+                    );
                 }
             }
         }
@@ -808,19 +858,17 @@
     }
 
     /// Chooses tasks to stop for jobs that found no place for `patience`
-    /// seconds (by job, and whether its team's guarantee covers it), in the allowed cases only: for a higher priority, or to give a
+    /// seconds, in the allowed cases only: for a higher priority, or to give a
     /// team its guarantee out of what another team runs beyond its own.
     /// Reserves the room. Live services are never chosen.
-    pub fn preempt(&mut self, patience: impl Fn(&Job, bool) -> f64, now: Time) -> Vec<TaskId> {
+    pub fn preempt(&mut self, patience: impl Fn(&Job) -> f64, now: Time) -> Vec<TaskId> {
         let mut stops = Vec::new();
         for id in self.order(now) {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
             let waited = job.blocked_since.map_or(0.0, |t| now.since(t));
-            let team = &self.teams[job.team];
-            let within = (team.used + job.spec.each).fits_team(team.guarantee);
-            if waited < patience(job, within) {
+            if waited < patience(job) {
                 continue;
             }
             let hurry = job.start_within.is_some();
