--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,689 @@
+//! The block owner's core against stand-ins for the state service and the
+//! workers, with lost replies, late commands, takeovers and owners that do not
+//! know they are deposed. Every step checks the rules of the protocol.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{json, Value};
+use sorrelhinge::api::read_job;
+use sorrelhinge::config::Config;
+use sorrelhinge::control::core::{Batch, Core, Dispatch, Sent1, Source};
+use sorrelhinge::state::record::{job_key, GrantRecord, JobRecord, Phase, GRANT};
+use sorrelhinge::state::view::View;
+use sorrelhinge::state::{Outcome, Txn};
+use sorrelhinge::types::{
+    Amount, JobId, MachineId, MachineType, Revision, Term, Time, TypeName, Zone,
+};
+use sorrelhinge::worker::Report;
+
+const STEP_S: f64 = 0.5;
+const LEASE_S: f64 = 20.0;
+const CANCEL_S: f64 = 40.0;
+
+fn config() -> Rc<Config> {
+    let text = r#"
+        node = "n-0"
+        area = "za"
+        bind = "127.0.0.1:1"
+        peer_bind = "127.0.0.1:2"
+        [outside]
+        cloud = "127.0.0.1:3"
+        state = "127.0.0.1:4"
+        [params]
+        zones = ["za", "zb"]
+        [[params.teams]]
+        name = "red"
+        cpus = 6.0
+        cpus_max = 10.0
+        [[params.teams]]
+        name = "blue"
+        cpus = 4.0
+        cpus_max = 40.0
+        [params.workers]
+        report_s = 1.0
+        lease_s = 20.0
+        cancel_s = 40.0
+        [params.state]
+        rps = 100.0
+        write_rps = 100.0
+        value_kb = 1.0
+        txn_ops = 4
+        [params.cloud]
+        rps = 10.0
+        list_lag_s = 2.0
+    "#;
+    Rc::new(Config::parse(text).expect("valid settings"))
+}
+
+fn kinds() -> Vec<MachineType> {
+    vec![MachineType {
+        name: TypeName::from("t"),
+        total: Amount::new(4.0, 0.0, 16.0),
+        cache_gb: 8.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.3,
+        boot_s: 10.0,
+        zones: vec![Zone::from("za"), Zone::from("zb")],
+    }]
+}
+
+fn job_json(id: u32, rng: &mut StdRng) -> Value {
+    let service = rng.random_bool(0.2);
+    let pieces = if service {
+        rng.random_range(1..3)
+    } else {
+        rng.random_range(1..40)
+    };
+    json!({"uid": format!("run-{id:06}"), "jobclass": if service {"live"} else {"batch"},
+        "crew": if rng.random_bool(0.5) {"red"} else {"blue"},
+        "shape": if service {"standing"} else {"sweep"},
+        "rank": if service {"critical"} else if rng.random_bool(0.3) {"high"} else {"normal"},
+        "pieces": pieces, "cpus": f64::from(rng.random_range(1..4)), "cards": 0.0, "ram_gb": 1.0,
+        "bundle": format!("img-{}", rng.random_range(0..4)), "pull_gb": 1.0, "builds": null,
+        "rack": null, "together": !service && rng.random_bool(0.2), "spread": service,
+        "loaners": !service && rng.random_bool(0.7), "guess_s": 5.0, "mark_s": 0.0, "stash_s": 0.0,
+        "due_s": null})
+}
+
+/// The state service: conditional writes, versions, changes since.
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    keys: BTreeMap<String, (u64, Value)>,
+    log: Vec<Value>,
+}
+
+impl Store {
+    fn txn(&mut self, txn: &Value) -> Outcome {
+        let stamp = |k: &str| self.keys.get(k).map_or(0, |(s, _)| *s);
+        let met =
+            txn["when"].as_array().expect("conditions").iter().all(|w| {
+                stamp(w["key"].as_str().expect("key")) == w["stamp"].as_u64().expect("stamp")
+            });
+        if !met {
+            return Outcome::Failed(Revision(self.revision));
+        }
+        self.revision += 1;
+        let changes = txn["apply"].as_array().expect("changes");
+        assert!(changes.len() <= 4, "more changes than the settings allow");
+        for change in changes {
+            if let Some(key) = change["write"].as_str() {
+                assert!(
+                    change["value"].to_string().len() <= 1024,
+                    "value over the limit"
+                );
+                self.keys
+                    .insert(key.into(), (self.revision, change["value"].clone()));
+                self.log
+                    .push(json!({"write": key, "value": change["value"], "stamp": self.revision}));
+            } else if let Some(key) = change["delete"].as_str() {
+                self.keys.remove(key);
+                self.log
+                    .push(json!({"delete": key, "stamp": self.revision}));
+            }
+        }
+        Outcome::Done(Revision(self.revision))
+    }
+
+    fn write(&mut self, key: &str, value: Value) {
+        let stamp = self.keys.get(key).map_or(0, |(s, _)| *s);
+        let txn = json!({"when": [{"key": key, "stamp": stamp}], "apply": [{"write": key, "value": value}]});
+        assert!(matches!(self.txn(&txn), Outcome::Done(_)));
+    }
+
+    fn follow(&self, view: &mut View) {
+        let since = view.ledger;
+        let events: Vec<&Value> = self
+            .log
+            .iter()
+            .filter(|e| e["stamp"].as_u64() > Some(since.0))
+            .collect();
+        let events = json!({"ledger": self.revision, "events": events}).to_string();
+        view.apply(since, serde_json::from_str(&events).expect("events"));
+    }
+}
+
+struct Running {
+    attempt: u64,
+    phase: &'static str,
+    cause: Option<&'static str>,
+    left: f64,
+}
+
+/// A worker, as PROTOCOL describes it.
+struct Worker {
+    id: String,
+    zone: &'static str,
+    spot: bool,
+    session: u64,
+    tick: u64,
+    token: u64,
+    renewed: f64,
+    silent_until: f64,
+    tasks: BTreeMap<String, Running>,
+}
+
+impl Worker {
+    fn report(&mut self) -> Report {
+        self.tick += 1;
+        let pieces: Vec<Value> = self
+            .tasks
+            .iter()
+            .map(|(piece, r)| json!({"piece": piece, "try": r.attempt, "phase": r.phase, "cause": r.cause}))
+            .collect();
+        let report = json!({"box": self.id, "addr": "127.0.0.1:9", "build": "t", "rack": self.zone,
+            "loaners": self.spot, "shift": self.session, "tick": self.tick, "baton": self.token,
+            "warning_s": null, "pieces": pieces});
+        serde_json::from_value(report).expect("report")
+    }
+}
+
+/// An owner of the block, perhaps a former one.
+struct Owner {
+    core: Core,
+    view: View,
+    pending: Option<Batch>,
+}
+
+struct World {
+    rng: StdRng,
+    now: f64,
+    store: Store,
+    workers: Vec<Worker>,
+    jobs: BTreeMap<String, Value>,
+    cancelled: BTreeMap<String, f64>,
+    done_tasks: BTreeSet<String>,
+    owners: Vec<Owner>,
+    late: Vec<(f64, String, Value)>,
+    grants: u64,
+    started: usize,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let workers = (0..8)
+            .map(|i| Worker {
+                id: format!("vm-{i:06}"),
+                zone: if i % 2 == 0 { "za" } else { "zb" },
+                spot: i >= 4,
+                session: 1,
+                tick: 0,
+                token: 0,
+                renewed: 0.0,
+                silent_until: 0.0,
+                tasks: BTreeMap::new(),
+            })
+            .collect();
+        let mut world = Self {
+            rng: StdRng::seed_from_u64(seed),
+            now: 0.0,
+            store: Store::default(),
+            workers,
+            jobs: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+            done_tasks: BTreeSet::new(),
+            owners: Vec::new(),
+            late: Vec::new(),
+            grants: 0,
+            started: 0,
+        };
+        world.take_over();
+        world
+    }
+
+    fn take_over(&mut self) {
+        self.grants += 1;
+        let grant = GrantRecord {
+            owner: None,
+            term: Term(self.grants),
+            number: self.grants,
+        };
+        self.store
+            .write(GRANT, serde_json::to_value(&grant).expect("record"));
+        let mut view = View::default();
+        view.replace(Revision(0), Vec::new());
+        self.store.follow(&mut view);
+        view.take_changed();
+        let mut core = Core::load(
+            config(),
+            &view,
+            self.grants,
+            view.grant.stamp,
+            Time(self.now),
+            0,
+        );
+        core.set_types(&kinds());
+        self.owners.push(Owner {
+            core,
+            view,
+            pending: None,
+        });
+        if self.owners.len() > 2 {
+            self.owners.remove(0);
+        }
+    }
+
+    /// Carries out direct commands at a worker; none if it refuses them.
+    fn carry_out(&mut self, id: &str, orders: &Value) -> Option<Option<Report>> {
+        let at = self.workers.iter().position(|w| w.id == id)?;
+        let w = &self.workers[at];
+        if orders["baton"].as_u64()? < w.token || orders["shift"].as_u64()? != w.session {
+            return Some(None);
+        }
+        self.workers[at].token = orders["baton"].as_u64()?;
+        self.commands(at, &orders["orders"]);
+        Some(Some(self.workers[at].report()))
+    }
+
+    fn commands(&mut self, at: usize, orders: &Value) {
+        for order in orders.as_array().expect("orders") {
+            let piece = order["piece"].as_str().expect("piece").to_owned();
+            let attempt = order["try"].as_u64().expect("try");
+            match order["verb"].as_str().expect("verb") {
+                "start" => {
+                    if self.workers[at].tasks.contains_key(&piece) {
+                        continue;
+                    }
+                    self.check_start(at, &piece);
+                    let left = if piece_job(&self.jobs, &piece)["shape"] == "standing" {
+                        f64::INFINITY
+                    } else {
+                        self.rng.random_range(0.0..8.0)
+                    };
+                    let fails = self.rng.random_bool(0.02);
+                    let (phase, cause) = if fails {
+                        ("ended", Some("error"))
+                    } else {
+                        ("running", None)
+                    };
+                    self.workers[at].tasks.insert(
+                        piece,
+                        Running {
+                            attempt,
+                            phase,
+                            cause,
+                            left,
+                        },
+                    );
+                    self.started += 1;
+                }
+                "kill" => {
+                    if let Some(r) = self.workers[at].tasks.get_mut(&piece) {
+                        if r.attempt == attempt && r.phase != "ended" {
+                            r.phase = "ended";
+                            r.cause = Some("stopped");
+                        }
+                    }
+                }
+                _ => {
+                    let w = &mut self.workers[at];
+                    if w.tasks
+                        .get(&piece)
+                        .is_some_and(|r| r.attempt == attempt && r.phase == "ended")
+                    {
+                        w.tasks.remove(&piece);
+                    }
+                }
+            }
+        }
+    }
+
+    fn on_machines<'a>(&'a self) -> impl Iterator<Item = (&'a Worker, &'a String)> {
+        self.workers.iter().flat_map(|w| {
+            w.tasks
+                .iter()
+                .filter(|(_, r)| r.phase != "ended")
+                .map(move |(p, _)| (w, p))
+        })
+    }
+
+    /// The rules that a start can break.
+    fn check_start(&self, at: usize, piece: &str) {
+        let w = &self.workers[at];
+        for (other, p) in self.on_machines() {
+            assert!(
+                p != piece,
+                "ran_twice: {piece} on {} starts on {}",
+                other.id,
+                w.id
+            );
+        }
+        let id = piece.rsplit_once('/').expect("piece").0;
+        let job = piece_job(&self.jobs, piece);
+        assert!(
+            job["loaners"] == true || !w.spot,
+            "wrong_place: {piece} on spot"
+        );
+        let mut here = 0;
+        for (other, p) in self
+            .on_machines()
+            .filter(|(_, p)| p.rsplit_once('/').expect("piece").0 == id)
+        {
+            assert!(
+                job["together"] == false || other.zone == w.zone,
+                "wrong_place: {piece} and {p}"
+            );
+            here += u64::from(other.zone == w.zone);
+        }
+        let most = job["pieces"].as_u64().expect("pieces").div_ceil(2);
+        assert!(
+            job["spread"] == false || here < most,
+            "wrong_place: {piece} not spread"
+        );
+        if let Some(at) = self.cancelled.get(id) {
+            assert!(self.now - at <= CANCEL_S, "ran_cancelled: {piece} starts");
+        }
+    }
+
+    /// The rules that hold at any time.
+    fn check(&self) {
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        for (w, piece) in self.on_machines() {
+            let job = piece_job(&self.jobs, piece);
+            *used.entry(job["crew"].as_str().expect("crew")).or_default() +=
+                job["cpus"].as_f64().expect("cpus");
+            let id = piece.rsplit_once('/').expect("piece").0;
+            if let Some(at) = self.cancelled.get(id) {
+                assert!(
+                    self.now - at <= CANCEL_S,
+                    "ran_cancelled: {piece} on {}",
+                    w.id
+                );
+            }
+        }
+        assert!(
+            used.get("red").is_none_or(|u| *u <= 10.0),
+            "quota: {used:?}"
+        );
+        for (id, job) in &self.jobs {
+            let (_, record) = &self.store.keys[&job_key(&JobId::from(id.as_str()))];
+            let cancelled = self.cancelled.contains_key(id);
+            assert_eq!(record["p"] == "c", cancelled, "went_back: {id}");
+            if record["p"] == "d" {
+                let all = (0..job["pieces"].as_u64().expect("pieces"))
+                    .all(|i| self.done_tasks.contains(&format!("{id}/{i}")));
+                assert!(all, "not_done: {id}");
+            }
+        }
+    }
+
+    fn submit(&mut self) {
+        let id = self.jobs.len() as u32;
+        let value = job_json(id, &mut self.rng);
+        let spec = read_job(value.clone()).expect("a valid job");
+        let record = JobRecord {
+            phase: Phase::Live,
+            tasks: spec.tasks,
+            chunk: 8,
+            accepted_ms: 0,
+            spec: Some(spec),
+        };
+        let uid = value["uid"].as_str().expect("uid").to_owned();
+        self.store.write(
+            &format!("h/job/{uid}"),
+            serde_json::to_value(&record).expect("record"),
+        );
+        self.jobs.insert(uid, value);
+    }
+
+    fn cancel(&mut self) {
+        let at = self.rng.random_range(0..self.jobs.len().max(1));
+        let Some(id) = self.jobs.keys().nth(at).cloned() else {
+            return;
+        };
+        let key = job_key(&JobId::from(id.as_str()));
+        let mut record = self.store.keys[&key].1.clone();
+        if record["p"] == "l" {
+            record["p"] = json!("c");
+            self.store.write(&key, record);
+            self.cancelled.insert(id, self.now);
+        }
+    }
+
+    fn send(&mut self, owner: usize, send: Dispatch) {
+        let id = send.machine.as_str().to_owned();
+        let orders = serde_json::to_value(&send.orders).expect("orders");
+        let reachable = self
+            .workers
+            .iter()
+            .any(|w| w.id == id && w.silent_until <= self.now);
+        let luck = self.rng.random_range(0..100);
+        let outcome = if !reachable {
+            // A cut may hold the commands back, and deliver them much later.
+            if luck < 30 {
+                self.late
+                    .push((self.now + f64::from(luck), id.clone(), orders));
+                Sent1::Unknown
+            } else {
+                Sent1::NotSent
+            }
+        } else if luck < 5 {
+            Sent1::NotSent
+        } else if luck < 12 {
+            self.late
+                .push((self.now + f64::from(luck * 2), id.clone(), orders));
+            Sent1::Unknown
+        } else {
+            match self.carry_out(&id, &orders) {
+                None => Sent1::NotSent,
+                Some(_) if luck < 18 => Sent1::Unknown,
+                Some(Some(report)) => Sent1::Executed(Box::new(report)),
+                Some(None) => {
+                    let w = self
+                        .workers
+                        .iter_mut()
+                        .find(|w| w.id == id)
+                        .expect("worker");
+                    Sent1::Refused(Box::new(w.report()))
+                }
+            }
+        };
+        let now = Time(self.now);
+        self.owners[owner]
+            .core
+            .dispatched(&send.machine, outcome, now);
+    }
+
+    fn record(&mut self, owner: usize) {
+        let now = Time(self.now);
+        let o = &mut self.owners[owner];
+        let Some(batch) = o.pending.take().or_else(|| o.core.next_batch(&o.view, 4)) else {
+            return;
+        };
+        let txn = serde_json::to_value::<&Txn>(&batch.txn).expect("txn");
+        match self.rng.random_range(0..10) {
+            // Not carried out, or carried out with the answer lost.
+            0 => o.pending = Some(batch),
+            1 => {
+                self.store.txn(&txn);
+                o.pending = Some(batch);
+            }
+            _ => match self.store.txn(&txn) {
+                Outcome::Done(revision) => o.core.committed(batch, revision, &mut o.view, now),
+                Outcome::Failed(_) => {
+                    self.store.follow(&mut o.view);
+                    let changed = o.view.take_changed();
+                    o.core.jobs_changed(&o.view, &changed, now, 0);
+                    if !o.core.conflicted(batch, &o.view, now) {
+                        self.owners.remove(owner);
+                    }
+                }
+            },
+        }
+    }
+
+    fn beat(&mut self, at: usize) {
+        if self.workers[at].silent_until > self.now || self.owners.is_empty() {
+            return;
+        }
+        // Now and then a report still goes to an owner that was deposed.
+        let owner = if self.rng.random_bool(0.15) {
+            0
+        } else {
+            self.owners.len() - 1
+        };
+        let report = self.workers[at].report();
+        let sent = self.now;
+        let o = &mut self.owners[owner];
+        if !o.core.report(&report, Source::Beat, Time(self.now)) {
+            return;
+        }
+        o.core.walk(&report.machine, Time(self.now));
+        let reply = o.core.reply(&report.machine, &o.view, Time(self.now));
+        let reply = serde_json::to_value(&reply).expect("reply");
+        let baton = reply["baton"].as_u64().expect("baton");
+        if self.rng.random_bool(0.05) || baton < self.workers[at].token {
+            return;
+        }
+        self.workers[at].token = baton;
+        self.workers[at].renewed = sent;
+        self.commands(at, &reply["orders"]);
+    }
+
+    fn step(&mut self, submitting: bool) {
+        self.now += STEP_S;
+        if submitting && self.rng.random_bool(0.1) {
+            self.submit();
+        }
+        if self.rng.random_bool(0.02) {
+            self.cancel();
+        }
+        if self.rng.random_bool(0.01) || self.owners.is_empty() {
+            self.take_over();
+        }
+        let due: Vec<(f64, String, Value)> = self
+            .late
+            .iter()
+            .filter(|(t, ..)| *t <= self.now)
+            .cloned()
+            .collect();
+        self.late.retain(|(t, ..)| *t > self.now);
+        for (_, id, orders) in due {
+            self.carry_out(&id, &orders);
+        }
+        for at in 0..self.workers.len() {
+            let w = &mut self.workers[at];
+            for (piece, r) in &mut w.tasks {
+                r.left -= STEP_S;
+                if r.phase == "running" && r.left <= 0.0 {
+                    r.phase = "ended";
+                    r.cause = Some("done");
+                    self.done_tasks.insert(piece.clone());
+                }
+            }
+            if self.now - w.renewed > LEASE_S {
+                w.tasks.clear();
+                w.session += 1;
+                w.renewed = self.now;
+            }
+            if self.rng.random_bool(0.003) {
+                self.workers[at].silent_until = self.now + self.rng.random_range(1.0..30.0);
+            }
+            if self.rng.random_bool(0.5) {
+                self.beat(at);
+            }
+        }
+        for owner in (0..self.owners.len()).rev() {
+            let now = Time(self.now);
+            // A deposed owner may not have heard of anything for long.
+            if owner + 1 == self.owners.len() || self.rng.random_bool(0.1) {
+                let o = &mut self.owners[owner];
+                self.store.follow(&mut o.view);
+                let changed = o.view.take_changed();
+                o.core.jobs_changed(&o.view, &changed, now, 0);
+            }
+            self.owners[owner].core.tick(now);
+            for _ in 0..3 {
+                if owner < self.owners.len() {
+                    self.record(owner);
+                }
+            }
+            if owner < self.owners.len() {
+                let o = &mut self.owners[owner];
+                for send in o.core.dispatch(&o.view, now) {
+                    self.send(owner, send);
+                }
+            }
+        }
+        self.check();
+    }
+}
+
+fn piece_job<'a>(jobs: &'a BTreeMap<String, Value>, piece: &str) -> &'a Value {
+    &jobs[piece.rsplit_once('/').expect("piece").0]
+}
+
+#[test]
+fn rules_hold_through_losses_late_commands_and_takeovers() {
+    for seed in 0..30 {
+        let mut world = World::new(seed);
+        for _ in 0..500 {
+            world.step(true);
+        }
+        assert!(
+            world.started > 50,
+            "nothing_ran: seed {seed} started {}",
+            world.started
+        );
+    }
+}
+
+#[test]
+fn all_accepted_arrays_finish_once_the_troubles_allow() {
+    for seed in 100..106 {
+        let mut world = World::new(seed);
+        for _ in 0..200 {
+            world.step(true);
+        }
+        for _ in 0..3000 {
+            world.step(false);
+        }
+        for (id, job) in &world.jobs {
+            let (_, record) = &world.store.keys[&format!("h/job/{id}")];
+            let open = job["shape"] == "standing" && !world.cancelled.contains_key(id);
+            assert!(
+                open || record["p"] != "l",
+                "seed {seed}: {id} is still open: {job}"
+            );
+        }
+    }
+}
+
+/// A machine that never answers again keeps its claims until it is deleted:
+/// only that proves that its tasks are gone.
+#[test]
+fn a_silent_machine_keeps_its_claims_until_deleted() {
+    let mut world = World::new(7);
+    for _ in 0..60 {
+        world.step(true);
+    }
+    let (id, task) = world
+        .on_machines()
+        .map(|(w, p)| (w.id.clone(), p.clone()))
+        .next()
+        .expect("something runs");
+    let job = JobId::from(task.rsplit_once('/').expect("piece").0);
+    let claimed = |o: &Owner| {
+        o.core.board.jobs.get(&job).is_some_and(|j| {
+            j.tasks
+                .claims()
+                .values()
+                .any(|c| c.machine == MachineId::from(id.as_str()))
+        })
+    };
+    let owner = world.owners.last_mut().expect("an owner");
+    assert!(claimed(owner));
+    for s in 1..600 {
+        owner.core.listed(&[], Time(world.now + f64::from(s)));
+        owner.core.tick(Time(world.now + f64::from(s)));
+    }
+    assert!(claimed(owner), "the machine list proves nothing");
+    owner
+        .core
+        .deleted(&[MachineId::from(id.as_str())], Time(world.now + 700.0));
+    assert!(!claimed(owner));
+}
