--- a/src/config.rs
+++ b/src/config.rs
@@ -283,10 +283,24 @@
     /// Reads and checks the platform's settings.
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
         let raw: Raw = toml::from_str(text).map_err(|e| {
-            let line = e
+            // The line itself names the field; the message alone may not.
+            let at = e
                 .span()
-                .map_or(1, |span| 1 + text[..span.start].matches('\n').count());
-            ConfigError::Toml(PathBuf::new(), format!("line {line}: {}", e.message()))
+                .map_or(0, |span| text[..span.start].matches('\n').count());
+            let line: String = text
+                .lines()
+                .nth(at)
+                .unwrap_or("")
+                .trim()
+                .chars()
+                .take(80)
+                .collect();
+            let why = format!(
+                "line {} ({line}): {}",
+                at + 1,
+                e.message().replace('\n', " ")
+            );
+            ConfigError::Toml(PathBuf::new(), why)
         })?;
         let p = raw.params;
         let positive = |key: &str, value: f64| in_range(key, value, 1e-3, 1e9);
--- /dev/null
+++ b/tests/edges.rs
@@ -0,0 +1,231 @@
+//! What comes in from outside: settings, jobs, records, peer messages.
+
+use serde_json::{json, Value};
+use sorrelhinge::api::read_job;
+use sorrelhinge::config::{Config, Tuning};
+use sorrelhinge::peer::Hint;
+use sorrelhinge::state::record::{chunk_key, chunk_size, job_key, ChunkRecord, Key, Phase};
+use sorrelhinge::state::view::View;
+use sorrelhinge::types::{Attempt, JobId, MachineId, Revision, TaskId, Token};
+use zerocopy::IntoBytes;
+
+const SETTINGS: &str = r#"
+node = "n-0"
+area = "za"
+bind = "127.0.0.1:1"
+peer_bind = "127.0.0.1:2"
+later_field = [1, 2]
+[outside]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[params]
+zones = ["za"]
+[[params.teams]]
+name = "red"
+cpus = 6.0
+cpus_max = 10.0
+[[params.objectives]]
+kind = "wait"
+class = "live"
+within_s = 2.0
+[params.workers]
+report_s = 1.0
+lease_s = 20.0
+cancel_s = 40.0
+[params.state]
+rps = 100.0
+write_rps = 100.0
+value_kb = 4.0
+txn_ops = 4
+[params.cloud]
+rps = 10.0
+list_lag_s = 2.0
+"#;
+
+#[test]
+fn settings_ignore_unknown_fields_and_name_wrong_ones() {
+    let config = Config::parse(SETTINGS).expect("valid");
+    assert_eq!(config.start_aims.get("live"), Some(&2.0));
+    for (from, to, named) in [
+        ("rps = 100.0", "rps = -1.0", "params.state.rps"),
+        ("lease_s = 20.0", "", "lease_s"),
+        ("cpus = 6.0", "cpus = \"six\"", "cpus"),
+        ("txn_ops = 4", "txn_ops = 1", "params.state.txn_ops"),
+        ("zones = [\"za\"]", "zones = []", "params.zones"),
+        ("bind = \"127.0.0.1:1\"", "bind = \"nowhere\"", "bind"),
+    ] {
+        let error = Config::parse(&SETTINGS.replacen(from, to, 1))
+            .expect_err(to)
+            .to_string();
+        assert!(error.contains(named), "{error:?} does not name {named}");
+        assert!(!error.contains('\n'), "{error:?} has more than one line");
+    }
+}
+
+#[test]
+fn properties_refuse_unknown_keys_and_wrong_values() {
+    let read = Tuning::parse(b"# faster\nleader.lease.s = 4\npreempt=false\n").expect("valid");
+    assert_eq!((read.leader_lease_s, read.preempt), (4.0, false));
+    assert_eq!(Tuning::parse(b"").expect("empty"), Tuning::default());
+    for wrong in [
+        "leader.lease = 4",
+        "leader.lease.s = four",
+        "leader.lease.s = 0",
+        "preempt = maybe",
+    ] {
+        let error = Tuning::parse(wrong.as_bytes())
+            .expect_err(wrong)
+            .to_string();
+        assert!(
+            error.contains(wrong.split(' ').next().unwrap_or_default()),
+            "{error}"
+        );
+    }
+}
+
+fn job() -> Value {
+    json!({"uid": "run-000001", "jobclass": "c", "crew": "red", "shape": "sweep", "rank": "normal",
+        "pieces": 3, "cpus": 1.0, "cards": 0.0, "ram_gb": 1.0, "bundle": "i", "pull_gb": 1.0,
+        "together": false, "spread": false, "loaners": true, "guess_s": 1.0, "mark_s": 0.0,
+        "stash_s": 0.0, "unknown": {}})
+}
+
+#[test]
+fn jobs_are_read_strictly() {
+    assert!(
+        read_job(job()).is_ok(),
+        "null may be omitted, unknown fields are ignored"
+    );
+    for (field, wrong) in [
+        ("shape", json!("ensemble")),
+        ("shape", json!(4)),
+        ("rank", json!("urgent")),
+        ("pieces", json!(0)),
+        ("pieces", json!(100_001)),
+        ("pieces", json!(1.5)),
+        ("cpus", json!(-1.0)),
+        ("cpus", json!("1")),
+        ("ram_gb", json!(null)),
+        ("bundle", json!("")),
+        ("builds", json!([])),
+        ("builds", json!("g8")),
+        ("due_s", json!(-5.0)),
+        ("loaners", json!("yes")),
+    ] {
+        let mut value = job();
+        value[field] = wrong;
+        assert!(
+            read_job(value.clone()).is_err(),
+            "{field} = {}",
+            value[field]
+        );
+    }
+    for field in ["crew", "pieces", "cards", "spread", "guess_s"] {
+        let mut value = job();
+        value.as_object_mut().expect("object").remove(field);
+        assert!(read_job(value).is_err(), "{field} missing");
+    }
+}
+
+#[test]
+fn keys_and_tasks_read_back() {
+    let job = JobId::from("run-7");
+    assert_eq!(Key::parse(&job_key(&job)), Some(Key::Job(job.clone())));
+    assert_eq!(
+        Key::parse(&chunk_key(&job, 12)),
+        Some(Key::Chunk(job.clone(), 12))
+    );
+    assert_eq!(Key::parse("other/run-7"), None);
+    assert_eq!(TaskId::parse("run-7/3"), Some(TaskId { job, index: 3 }));
+    assert_eq!(TaskId::parse("run-7"), None);
+    assert_eq!(TaskId::parse("run-7/x"), None);
+}
+
+/// A chunk in which every task is claimed must stay within the value limit.
+#[test]
+fn full_chunks_fit_into_values() {
+    for bytes in [1024, 4096, 32_768] {
+        let size = chunk_size(bytes);
+        let claims = (0..size)
+            .map(|i| (i, Attempt(99_999), MachineId::from("vm-00000231")))
+            .collect();
+        let chunk = ChunkRecord {
+            next_attempt: 99_999,
+            done: u64::MAX,
+            claims,
+        };
+        let length = serde_json::to_string(&chunk).expect("record").len();
+        assert!(length <= bytes, "{size} tasks take {length} of {bytes}");
+    }
+}
+
+#[test]
+fn any_later_grant_is_above_all_raises_of_an_earlier_one() {
+    let mut token = Token::of_grant(3);
+    for _ in 0..1000 {
+        token = token.raised();
+    }
+    assert!(token < Token::of_grant(4));
+    assert_eq!(token.grant(), 3);
+}
+
+#[test]
+fn hints_of_another_version_or_length_are_dropped() {
+    let hint = Hint::new(Revision(77));
+    let bytes = hint.as_bytes().to_vec();
+    assert_eq!(
+        Hint::parse(&bytes).map(|h| h.revision()),
+        Some(Revision(77))
+    );
+    for at in 0..8 {
+        let mut other = bytes.clone();
+        other[at] ^= 1;
+        assert_eq!(Hint::parse(&other), None, "byte {at}");
+    }
+    assert_eq!(Hint::parse(&bytes[..bytes.len() - 1]), None);
+}
+
+fn events(value: Value) -> sorrelhinge::state::Events {
+    serde_json::from_value::<Value>(value)
+        .and_then(|v| serde_json::from_str(&v.to_string()))
+        .expect("events")
+}
+
+/// Answers of the state service may overtake each other: an older one must
+/// not take back what a newer one said, or a final state would change.
+#[test]
+fn the_view_never_goes_back() {
+    let record = |phase: &str| json!({"p": phase, "n": 1, "k": 8, "t": 0});
+    let event = |phase: &str, stamp: u64| json!({"write": "h/job/run-1", "value": record(phase), "stamp": stamp});
+    let id = JobId::from("run-1");
+    let phase = |view: &View| view.summary(&id).map(|s| s.phase);
+    let mut view = View::default();
+    view.replace(Revision(1), Vec::new());
+    view.apply(
+        Revision(1),
+        events(json!({"ledger": 9, "events": [event("l", 3), event("d", 8)]})),
+    );
+    assert_eq!(phase(&view), Some(Phase::Done));
+    view.apply(
+        Revision(1),
+        events(json!({"ledger": 4, "events": [event("l", 3)]})),
+    );
+    assert_eq!(
+        (phase(&view), view.ledger),
+        (Some(Phase::Done), Revision(9))
+    );
+    // One that starts after what is known would leave a gap.
+    view.apply(Revision(20), events(json!({"ledger": 30, "events": []})));
+    assert_eq!(view.ledger, Revision(9));
+    view.apply(
+        Revision(9),
+        events(
+            json!({"ledger": 12, "events": [{"write": "h/job/run-1", "value": 5, "stamp": 11}]}),
+        ),
+    );
+    assert_eq!(
+        phase(&view),
+        Some(Phase::Done),
+        "a malformed record changes nothing"
+    );
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -332,7 +332,7 @@
         }
     }
 
-    fn on_machines<'a>(&'a self) -> impl Iterator<Item = (&'a Worker, &'a String)> {
+    fn on_machines(&self) -> impl Iterator<Item = (&Worker, &String)> {
         self.workers.iter().flat_map(|w| {
             w.tasks
                 .iter()
