--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -164,6 +164,7 @@
     token: u64,
     renewed: f64,
     silent_until: f64,
+    warned: bool,
     tasks: BTreeMap<String, Running>,
 }
 
@@ -177,7 +178,7 @@
             .collect();
         let report = json!({"box": self.id, "addr": "127.0.0.1:9", "build": "t", "rack": self.zone,
             "loaners": self.spot, "shift": self.session, "tick": self.tick, "baton": self.token,
-            "warning_s": null, "pieces": pieces});
+            "warning_s": self.warned.then_some(9.0), "pieces": pieces});
         serde_json::from_value(report).expect("report")
     }
 }
@@ -201,6 +202,7 @@
     late: Vec<(f64, String, Value)>,
     grants: u64,
     started: usize,
+    rented: u64,
 }
 
 impl World {
@@ -215,6 +217,7 @@
                 token: 0,
                 renewed: 0.0,
                 silent_until: 0.0,
+                warned: false,
                 tasks: BTreeMap::new(),
             })
             .collect();
@@ -230,6 +233,7 @@
             late: Vec::new(),
             grants: 0,
             started: 0,
+            rented: 0,
         };
         world.take_over();
         world
@@ -544,6 +548,29 @@
         self.commands(at, &reply["orders"]);
     }
 
+    /// The cloud: machines that are given back are gone, with their tasks, and
+    /// another takes their place.
+    fn fleet(&mut self, owner: usize) {
+        let now = Time(self.now);
+        let (gone, rentals) = self.owners[owner].core.fleet(now);
+        for rental in rentals {
+            self.owners[owner].core.rented(&rental, Err(true), now);
+        }
+        for id in gone {
+            self.rented += 1;
+            if let Some(w) = self.workers.iter_mut().find(|w| w.id == id.as_str()) {
+                w.id = format!("vm-{:06}", 100 + self.rented);
+                w.tasks.clear();
+                w.session = 1;
+                w.tick = 0;
+                w.token = 0;
+                w.renewed = self.now;
+                w.warned = false;
+            }
+            self.owners[owner].core.deleted(&[id], now);
+        }
+    }
+
     fn step(&mut self, submitting: bool) {
         self.now += STEP_S;
         if submitting && self.rng.random_bool(0.1) {
@@ -583,6 +610,9 @@
             if self.rng.random_bool(0.003) {
                 self.workers[at].silent_until = self.now + self.rng.random_range(1.0..30.0);
             }
+            if self.workers[at].spot && self.rng.random_bool(0.004) {
+                self.workers[at].warned = true;
+            }
             if self.rng.random_bool(0.5) {
                 self.beat(at);
             }
@@ -597,6 +627,9 @@
                 o.core.jobs_changed(&o.view, &changed, now, 0);
             }
             self.owners[owner].core.tick(now);
+            if self.rng.random_bool(0.25) {
+                self.fleet(owner);
+            }
             for _ in 0..3 {
                 if owner < self.owners.len() {
                     self.record(owner);
