--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -316,9 +316,20 @@
             .map(|a| {
                 let sum: u32 = a.recent.iter().map(|(_, n)| (*n).min(1000)).sum();
                 let mean = f64::from(sum) / a.recent.len() as f64;
+                // Tasks that come while a machine boots, and how much that
+                // varies when they come in jobs.
+                let span = now.since(self.started).clamp(30.0, RECENT_S);
+                let boot = 1.5 * self.boot_s();
+                let come = f64::from(sum) / span * boot;
+                let burst = (come * mean).sqrt();
+                let tasks = match a.spec.kind {
+                    // Replicas stay: none makes room for the next.
+                    Kind::Service => come + burst,
+                    Kind::Array => 0.6 * burst * self.haste(&a.spec),
+                };
                 fleet::Expected {
                     spec: a.spec.clone(),
-                    tasks: (mean * headroom * self.haste(&a.spec)).ceil() as u32,
+                    tasks: (headroom * tasks).ceil() as u32,
                 }
             })
             .collect()
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -11,6 +11,7 @@
 use sorrelhinge::api::read_job;
 use sorrelhinge::config::Config;
 use sorrelhinge::control::core::{Batch, Core, Dispatch, Sent1, Source};
+use sorrelhinge::sched::Sent;
 use sorrelhinge::state::record::{job_key, GrantRecord, JobRecord, Phase, GRANT};
 use sorrelhinge::state::view::View;
 use sorrelhinge::state::{Outcome, Txn};
@@ -686,6 +687,93 @@
     }
 }
 
+/// A start that was not answered may be carried out minutes later. Until a
+/// report carries the raised token, its absence proves nothing.
+#[test]
+fn an_unanswered_start_is_settled_only_under_the_raised_token() {
+    let mut world = World::new(1);
+    let mut value = job_json(0, &mut world.rng);
+    for (field, to) in [
+        ("shape", "sweep"),
+        ("jobclass", "batch"),
+        ("rank", "normal"),
+    ] {
+        value[field] = json!(to);
+    }
+    value["pieces"] = json!(1);
+    let spec = read_job(value).expect("a valid job");
+    let record = JobRecord {
+        phase: Phase::Live,
+        tasks: 1,
+        chunk: 8,
+        accepted_ms: 0,
+        spec: Some(spec),
+    };
+    world.store.write(
+        "h/job/run-000000",
+        serde_json::to_value(&record).expect("record"),
+    );
+    let World {
+        store,
+        workers,
+        owners,
+        ..
+    } = &mut world;
+    let Owner { core, view, .. } = &mut owners[0];
+    store.follow(view);
+    let changed = view.take_changed();
+    core.jobs_changed(view, &changed, Time(1.0), 0);
+    for w in workers.iter_mut() {
+        core.report(&w.report(), Source::Beat, Time(1.0));
+        w.token = core
+            .reply(&MachineId::from(w.id.as_str()), view, Time(1.0))
+            .baton
+            .0;
+        core.report(&w.report(), Source::Beat, Time(1.5));
+    }
+    core.tick(Time(2.0));
+    assert!(
+        core.dispatch(view, Time(2.0)).is_empty(),
+        "nothing starts before it is recorded"
+    );
+    let batch = core.next_batch(view, 4).expect("a claim to record");
+    let Outcome::Done(revision) = store.txn(&serde_json::to_value(&batch.txn).expect("txn")) else {
+        panic!("the claim is refused");
+    };
+    core.committed(batch, revision, view, Time(2.0));
+    let sends = core.dispatch(view, Time(2.0));
+    assert_eq!(sends.len(), 1);
+    let id = sends[0].machine.clone();
+    core.dispatched(&id, Sent1::Unknown, Time(4.0));
+    let sent = |core: &Core| {
+        let job = core.board.jobs.values().next().expect("the job");
+        job.tasks.claims().values().next().map(|c| c.sent)
+    };
+    let w = workers
+        .iter_mut()
+        .find(|w| w.id == id.as_str())
+        .expect("the worker");
+    core.report(&w.report(), Source::Beat, Time(5.0));
+    assert_eq!(
+        sent(core),
+        Some(Sent::Flying),
+        "absent, but the start may still come"
+    );
+    let fence = core
+        .dispatch(view, Time(9.0))
+        .pop()
+        .expect("the raised token goes out");
+    assert!(fence.orders.baton.0 > w.token && fence.orders.orders.is_empty());
+    w.token = fence.orders.baton.0;
+    core.dispatched(&id, Sent1::NotSent, Time(9.0));
+    core.report(&w.report(), Source::Beat, Time(10.0));
+    assert_eq!(
+        sent(core),
+        Some(Sent::No),
+        "fenced and absent: it never started"
+    );
+}
+
 /// A machine that never answers again keeps its claims until it is deleted:
 /// only that proves that its tasks are gone.
 #[test]
