--- a/src/config.rs
+++ b/src/config.rs
@@ -209,7 +209,7 @@
             silent_s: 20.0,
             idle_s: 50.0,
             headroom: 1.0,
-            floor: 1.0,
+            floor: 0.7,
             preempt: true,
         }
     }
