Wait for a cached place for 0.05 of the fetch

Cause: jobs of many tasks waited anew after each cached launch, while machines without the image were free.

--- a/src/config.rs
+++ b/src/config.rs
@@ -203,7 +203,7 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            delay_fetches: 0.5,
+            delay_fetches: 0.05,
             delay_max_s: 5.0,
             leader_lease_s: 2.5,
             silent_s: 20.0,
