--- a/src/config.rs
+++ b/src/config.rs
@@ -208,7 +208,7 @@
             leader_lease_s: 2.5,
             silent_s: 20.0,
             idle_s: 50.0,
-            headroom: 1.0,
+            headroom: 0.5,
             floor: 0.7,
             preempt: true,
         }
