--- a/src/sched.rs
+++ b/src/sched.rs
@@ -28,7 +28,7 @@
 /// The same for a machine that should fall idle.
 const RETIRING_S: f64 = 3.0;
 /// The same for a large machine that others' tasks need.
-const SCARCE_S: f64 = 8.0;
+const SCARCE_S: f64 = 3.0;
 
 /// How far the start command of a claim has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
