A done job claims nothing at a takeover; stay healthy while nobody has the state service

Controllers turned unhealthy in an outage of the state service, so users found no node at all and waited seconds longer after it.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -215,7 +215,10 @@
     fn add_job(&mut self, id: &JobId, entry: &JobEntry, now: Time, wall_ms: u64) {
         let record = &entry.record.value;
         let over = record.phase != Phase::Live;
-        if over && entry.chunks.values().all(|c| c.value.claims.is_empty()) {
+        // A done job's tasks have all ended, whatever a chunk that was not
+        // deleted yet still claims.
+        let claimed = |c: &Versioned<ChunkRecord>| !c.value.claims.is_empty();
+        if record.phase == Phase::Done || over && !entry.chunks.values().any(claimed) {
             self.dirty
                 .extend(entry.chunks.keys().map(|&c| (true, id.clone(), c)));
             return;
@@ -1479,7 +1482,8 @@
 }
 
 fn recorded_claim(view: &View, task: &TaskId, attempt: Attempt) -> bool {
-    view.job(&task.job).is_some_and(|entry| {
+    let live = |entry: &&JobEntry| entry.record.value.phase != Phase::Done;
+    view.job(&task.job).filter(live).is_some_and(|entry| {
         let size = entry.record.value.chunk.max(1);
         entry.chunks.get(&(task.index / size)).is_some_and(|c| {
             c.value
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -61,12 +61,15 @@
     syncs_started: Cell<u64>,
     synced: watch::Sender<(u64, bool)>,
     fresh_at: Cell<Instant>,
+    newest_hint: Cell<Revision>,
     work: Notify,
     record: Notify,
     leader_changed: Notify,
     submissions: Cell<usize>,
 }
 
+/// Without news from the state service for this long, a controller is cut off.
+const STALE: Duration = Duration::from_secs(9);
 const SYNC_GAP: Duration = Duration::from_millis(20);
 const FOLLOW: Duration = Duration::from_secs(4);
 const TICK: Duration = Duration::from_millis(200);
@@ -103,6 +106,7 @@
             syncs_started: Cell::new(0),
             synced: watch::Sender::new((0, false)),
             fresh_at: Cell::new(Instant::now()),
+            newest_hint: Cell::new(Revision(0)),
             work: Notify::new(),
             record: Notify::new(),
             leader_changed: Notify::new(),
@@ -133,13 +137,19 @@
 
     // ---- the view -------------------------------------------------------
 
-    /// Whether requests can be taken.
+    /// Whether requests can be taken: not while the others are served by the
+    /// state service and this controller is not. While nobody is, users are
+    /// better told to come back than sent nowhere, and nothing has to be
+    /// marked healthy again once the outage is over.
     pub fn healthy(&self) -> bool {
-        self.view.borrow().loaded && self.fresh_at.get().elapsed() < Duration::from_secs(9)
+        let view = self.view.borrow();
+        let fresh = self.fresh_at.get().elapsed() < STALE;
+        view.loaded && (fresh || self.newest_hint.get() <= view.ledger)
     }
 
     /// A hint from another controller.
     pub fn hinted(&self, revision: Revision) {
+        self.newest_hint.set(self.newest_hint.get().max(revision));
         if revision > self.view.borrow().ledger {
             self.sync_wanted.notify_one();
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -774,6 +774,31 @@
     );
 }
 
+/// A new owner can find a done job whose chunk was not deleted yet: its tasks
+/// have ended, so it claims nothing, and the chunk goes.
+#[test]
+fn a_done_job_claims_nothing_at_a_takeover() {
+    let mut world = World::new(3);
+    world.store.write(
+        "h/job/run-000000",
+        json!({"p": "d", "n": 1, "k": 8, "t": 0}),
+    );
+    let chunk = json!({"a": 2, "d": 0, "c": [[0, 1, "vm-000001"]]});
+    world.store.write("h/task/run-000000/000000", chunk);
+    world.take_over();
+    let owner = world.owners.last_mut().expect("an owner");
+    assert!(owner.core.board.jobs.is_empty());
+    let batch = owner
+        .core
+        .next_batch(&owner.view, 4)
+        .expect("a chunk to delete");
+    let txn = serde_json::to_value(&batch.txn).expect("txn");
+    assert_eq!(
+        txn["apply"],
+        json!([{"delete": "h/task/run-000000/000000"}])
+    );
+}
+
 /// A machine that never answers again keeps its claims until it is deleted:
 /// only that proves that its tasks are gone.
 #[test]
