Rent ordinary machines for spot work once a queue has lasted

Cause, from inc-16f7 (level-bake within 50 s 0.27): a burst left 60 to 160 tasks waiting for minutes, spot machines were all rented, and ordinary ones were allowed only below the guarantees.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -90,8 +90,10 @@
 struct Item {
     spec: Rc<JobSpec>,
     tasks: u32,
-    /// For room that is only kept: where its tasks were packed, to spread them.
+    /// Room that is only kept.
     expected: bool,
+    /// It has waited so long already that its aims are in danger.
+    late: bool,
 }
 
 impl Room {
@@ -138,12 +140,8 @@
         sum < self.input.board.guaranteed().cpu
     }
 
-    fn cheapest(
-        &self,
-        spec: &JobSpec,
-        left_cpu: i64,
-        barred: &dyn Fn(&Zone) -> bool,
-    ) -> Option<Room> {
+    fn cheapest(&self, item: &Item, left_cpu: i64, barred: &dyn Fn(&Zone) -> bool) -> Option<Room> {
+        let spec = &item.spec;
         let mut best: Option<(f64, Room)> = None;
         for kind in self.input.types.iter().filter(|t| t.total.cpu > 0) {
             for zone in kind.zones.iter().filter(|z| !barred(z)) {
@@ -169,8 +167,9 @@
                     {
                         continue;
                     }
-                    if spec.spot && !spot && !self.below_guarantee() {
-                        // Dear: only for what the teams were promised.
+                    if spec.spot && !spot && !item.late && !self.below_guarantee() {
+                        // Dear: only for what the teams were promised, or for
+                        // a queue that spot machines have not kept short.
                         continue;
                     }
                     let price = if spot { kind.spot_price } else { kind.price };
@@ -219,7 +218,7 @@
             let mut zone = fitting.as_ref().map(|r| r.zone.clone());
             if !keep {
                 let rented = self
-                    .cheapest(spec, left_cpu, &barred)
+                    .cheapest(item, left_cpu, &barred)
                     .filter(|r| r.spot || zone.is_none());
                 if let Some(mut room) = rented {
                     zone = Some(room.zone.clone());
@@ -311,6 +310,7 @@
                 spec: job.spec.clone(),
                 tasks,
                 expected: false,
+                late: job.late(now),
             });
         }
     }
@@ -331,6 +331,7 @@
             spec: e.spec.clone(),
             tasks: e.tasks,
             expected: true,
+            late: false,
         });
     }
     // What only ordinary machines can take goes first, then the largest.
--- a/src/sched.rs
+++ b/src/sched.rs
@@ -19,6 +19,8 @@
 /// How many CPU-seconds may be wasted to start a job in time that its users
 /// wait for.
 const LATE_START: f64 = 200.0;
+/// As a multiple of a job's patience: it is late after this.
+const LATE: f64 = 3.5;
 /// On how many machines room is made for one job at a time.
 const MOST_ROOMS: u32 = 8;
 /// For how long room stays reserved for the job that it was made for.
@@ -219,6 +221,11 @@
     pub fn wants(&self, now: Time) -> bool {
         !self.cancelled && self.tasks.pending() > 0 && now >= self.hold_until
     }
+    /// Whether it has waited so long that its aims are in danger.
+    pub fn late(&self, now: Time) -> bool {
+        self.blocked_since
+            .is_some_and(|t| now.since(t) > LATE * self.patience_s)
+    }
     fn due(&self) -> f64 {
         self.spec
             .deadline_s
