--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -16,7 +16,7 @@
     Attempt, JobId, JobSpec, Kind, MachineId, MachineType, Revision, Seq, Session, TaskId, Time,
     Token, TypeName, Zone,
 };
-use crate::worker::{Command, Orders, Reply, Report, ReportedTask, TaskPhase, Why};
+use crate::worker::{Command, Orders, Reply, Report, ReportedTask, Sending, TaskPhase, Why};
 
 /// Where a report came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,19 +98,6 @@
     pub orders: Orders,
 }
 
-/// What became of direct commands.
-#[derive(Debug)]
-pub enum Sent1 {
-    /// Carried out.
-    Executed(Box<Report>),
-    /// Refused, with the reason in the report.
-    Refused(Box<Report>),
-    /// Never reached the worker.
-    NotSent,
-    /// May still be carried out.
-    Unknown,
-}
-
 /// The block owner's knowledge.
 pub struct Core {
     cfg: Rc<Config>,
@@ -835,7 +822,7 @@
     }
 
     /// What became of direct commands. False if we are deposed.
-    pub fn dispatched(&mut self, id: &MachineId, outcome: Sent1, now: Time) -> bool {
+    pub fn dispatched(&mut self, id: &MachineId, outcome: Sending, now: Time) -> bool {
         let flying: Vec<TaskId> = self
             .board
             .machines
@@ -861,7 +848,7 @@
             }
         };
         match outcome {
-            Sent1::Executed(report) => {
+            Sending::Executed(report) => {
                 link.direct_failures = 0;
                 link.direct_retry = now;
                 // The session that took the command may end right after it;
@@ -869,7 +856,7 @@
                 mark(Sent::Flying, Sent::Answered);
                 self.report(&report, Source::Direct, now)
             }
-            Sent1::Refused(report) => {
+            Sending::Refused(report) => {
                 link.direct_failures = 0;
                 // Not at once: a report that was overtaken leaves the session
                 // as it was.
@@ -880,8 +867,8 @@
                 }
                 self.report(&report, Source::Direct, now)
             }
-            Sent1::NotSent | Sent1::Unknown => {
-                if matches!(outcome, Sent1::NotSent) {
+            Sending::NotSent | Sending::Unknown => {
+                if matches!(outcome, Sending::NotSent) {
                     // Claims found at the takeover stay in doubt until a
                     // report carries our token.
                     if link.fenced() {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,7 +10,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
 
-use self::core::{Core, Sent1, Source};
+use self::core::{Core, Source};
 use crate::cloud::{CloudClient, CloudError};
 use crate::config::Config;
 use crate::peer::Outbox;
@@ -84,15 +84,9 @@
 impl Node {
     /// A controller that is not running yet.
     pub fn new(cfg: Rc<Config>, outbox: Rc<Outbox>) -> Rc<Self> {
-        let nodes = (cfg.others.len() + 1) as f64;
-        // Everyone gets an equal part at first; the leader gets half.
-        let state = StateClient::new(
-            cfg.state,
-            cfg.state_rps / nodes,
-            cfg.state_write_rps / nodes,
-        );
+        let state = StateClient::new(cfg.state, cfg.state_rps, cfg.state_write_rps);
         let cloud = CloudClient::new(cfg.cloud, cfg.cloud_rps * 0.8);
-        Rc::new(Self {
+        let node = Rc::new(Self {
             state,
             cloud,
             outbox,
@@ -112,7 +106,9 @@
             leader_changed: Notify::new(),
             submissions: Cell::new(0),
             cfg,
-        })
+        });
+        node.set_share(false);
+        node
     }
 
     /// The settings.
@@ -262,6 +258,7 @@
                 );
                 *core = None;
                 self.lease.set(None);
+                self.set_share(false);
             } else if !changed.is_empty() {
                 c.jobs_changed(&view, &changed, self.now(), wall_ms());
                 self.work.notify_one();
@@ -391,6 +388,8 @@
         self.work.notify_one();
     }
 
+    /// The leader gets half of what all may ask of the state service, the
+    /// others share the rest.
     fn set_share(&self, leading: bool) {
         let others = self.cfg.others.len() as f64;
         let part = match (leading, others > 0.0) {
@@ -431,11 +430,11 @@
             let node = self.clone();
             spawn_local(async move {
                 let outcome = match send_orders(send.addr, &send.orders).await {
-                    Sending::Executed(r) if r.machine == send.machine => Sent1::Executed(r),
-                    Sending::Refused(r) if r.machine == send.machine => Sent1::Refused(r),
                     // The address now belongs to another machine.
-                    Sending::Executed(_) | Sending::Refused(_) | Sending::NotSent => Sent1::NotSent,
-                    Sending::Unknown => Sent1::Unknown,
+                    Sending::Executed(r) | Sending::Refused(r) if r.machine != send.machine => {
+                        Sending::NotSent
+                    }
+                    outcome => outcome,
                 };
                 let now = node.now();
                 let mine = node
@@ -731,6 +730,17 @@
         Ok(result)
     }
 
+    /// A job's record was written by this controller: it and the others see it.
+    fn recorded(&self, id: &JobId, revision: Revision, record: JobRecord) {
+        let record = Versioned {
+            stamp: revision,
+            value: record,
+        };
+        self.view.borrow_mut().put_job(id, record);
+        self.outbox.announce(revision);
+        self.view_changed();
+    }
+
     async fn accept(&self, id: &JobId, spec: JobSpec) -> Submitted {
         let record = JobRecord {
             phase: Phase::Live,
@@ -752,15 +762,7 @@
             .await
         {
             Ok(Outcome::Done(revision)) => {
-                self.view.borrow_mut().put_job(
-                    id,
-                    Versioned {
-                        stamp: revision,
-                        value: record,
-                    },
-                );
-                self.outbox.announce(revision);
-                self.view_changed();
+                self.recorded(id, revision, record);
                 Submitted::Accepted
             }
             Ok(Outcome::Failed(_)) => match self.status(id).await {
@@ -809,15 +811,7 @@
             {
                 Ok(Outcome::Done(revision)) => {
                     tracing::info!(job = %id, "cancelled");
-                    self.view.borrow_mut().put_job(
-                        id,
-                        Versioned {
-                            stamp: revision,
-                            value: record,
-                        },
-                    );
-                    self.outbox.announce(revision);
-                    self.view_changed();
+                    self.recorded(id, revision, record);
                     return Some(Some(Phase::Cancelled));
                 }
                 // Done, or cancelled by another request, in the meantime.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -3,7 +3,7 @@
 pub mod record;
 pub mod view;
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -226,8 +226,6 @@
     pub requests: Budget,
     /// Changes.
     pub writes: Budget,
-    last_ok: Cell<Instant>,
-    last_error: RefCell<Option<Instant>>,
 }
 
 const CONNECT: Duration = Duration::from_millis(800);
@@ -239,18 +237,9 @@
             pool: Pool::new(address),
             requests: Budget::new(rps),
             writes: Budget::new(write_rps),
-            last_ok: Cell::new(Instant::now()),
-            last_error: RefCell::new(None),
         })
     }
 
-    /// Whether the last call failed, and since then none has succeeded.
-    pub fn troubled(&self) -> bool {
-        self.last_error
-            .borrow()
-            .is_some_and(|e| e > self.last_ok.get())
-    }
-
     async fn call(
         &self,
         method: Method,
@@ -280,12 +269,8 @@
             Err(CallError::NotSent(e)) => Err(StateError::Refused(e)),
             Err(CallError::Unknown(e)) => Err(StateError::Unknown(e)),
         };
-        match &result {
-            Ok(_) => self.last_ok.set(Instant::now()),
-            Err(error) => {
-                *self.last_error.borrow_mut() = Some(Instant::now());
-                tracing::debug!(path, %error, "state call");
-            }
+        if let Err(error) = &result {
+            tracing::debug!(path, %error, "state call");
         }
         result
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -10,7 +10,7 @@
 use serde_json::{json, Value};
 use sorrelhinge::api::read_job;
 use sorrelhinge::config::Config;
-use sorrelhinge::control::core::{Batch, Core, Dispatch, Sent1, Source};
+use sorrelhinge::control::core::{Batch, Core, Dispatch, Source};
 use sorrelhinge::sched::Sent;
 use sorrelhinge::state::record::{job_key, GrantRecord, JobRecord, Phase, GRANT};
 use sorrelhinge::state::view::View;
@@ -18,7 +18,7 @@
 use sorrelhinge::types::{
     Amount, JobId, MachineId, MachineType, Revision, Term, Time, TypeName, Zone,
 };
-use sorrelhinge::worker::Report;
+use sorrelhinge::worker::{Report, Sending};
 
 const STEP_S: f64 = 0.5;
 const LEASE_S: f64 = 20.0;
@@ -462,28 +462,28 @@
             if luck < 30 {
                 self.late
                     .push((self.now + f64::from(luck), id.clone(), orders));
-                Sent1::Unknown
+                Sending::Unknown
             } else {
-                Sent1::NotSent
+                Sending::NotSent
             }
         } else if luck < 5 {
-            Sent1::NotSent
+            Sending::NotSent
         } else if luck < 12 {
             self.late
                 .push((self.now + f64::from(luck * 2), id.clone(), orders));
-            Sent1::Unknown
+            Sending::Unknown
         } else {
             match self.carry_out(&id, &orders) {
-                None => Sent1::NotSent,
-                Some(_) if luck < 18 => Sent1::Unknown,
-                Some(Some(report)) => Sent1::Executed(Box::new(report)),
+                None => Sending::NotSent,
+                Some(_) if luck < 18 => Sending::Unknown,
+                Some(Some(report)) => Sending::Executed(Box::new(report)),
                 Some(None) => {
                     let w = self
                         .workers
                         .iter_mut()
                         .find(|w| w.id == id)
                         .expect("worker");
-                    Sent1::Refused(Box::new(w.report()))
+                    Sending::Refused(Box::new(w.report()))
                 }
             }
         };
@@ -744,7 +744,7 @@
     let sends = core.dispatch(view, Time(2.0));
     assert_eq!(sends.len(), 1);
     let id = sends[0].machine.clone();
-    core.dispatched(&id, Sent1::Unknown, Time(4.0));
+    core.dispatched(&id, Sending::Unknown, Time(4.0));
     let sent = |core: &Core| {
         let job = core.board.jobs.values().next().expect("the job");
         job.tasks.claims().values().next().map(|c| c.sent)
@@ -765,7 +765,7 @@
         .expect("the raised token goes out");
     assert!(fence.orders.baton.0 > w.token && fence.orders.orders.is_empty());
     w.token = fence.orders.baton.0;
-    core.dispatched(&id, Sent1::NotSent, Time(9.0));
+    core.dispatched(&id, Sending::NotSent, Time(9.0));
     core.report(&w.report(), Source::Beat, Time(10.0));
     assert_eq!(
         sent(core),
