--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -772,6 +772,33 @@
         Some(Sent::No),
         "fenced and absent: it never started"
     );
+
+    // Its result is forgotten at the worker only once it is recorded.
+    let sends = core.dispatch(view, Time(20.0));
+    assert_eq!(sends.len(), 1, "the same attempt is sent again");
+    let (phase, cause) = ("ended", Some("done"));
+    let ended = Running {
+        attempt: 1,
+        phase,
+        cause,
+        left: 0.0,
+    };
+    w.tasks.insert("run-000000/0".into(), ended);
+    core.dispatched(&id, Sending::Executed(Box::new(w.report())), Time(20.0));
+    assert!(
+        core.reply(&id, view, Time(20.0)).orders.is_empty(),
+        "not recorded yet"
+    );
+    let batch = core.next_batch(view, 4).expect("a result to record");
+    let Outcome::Done(revision) = store.txn(&serde_json::to_value(&batch.txn).expect("txn")) else {
+        panic!("the result is refused");
+    };
+    core.committed(batch, revision, view, Time(20.0));
+    assert_eq!(
+        core.reply(&id, view, Time(20.0)).orders.len(),
+        1,
+        "recorded: forget it"
+    );
 }
 
 /// A new owner can find a done job whose chunk was not deleted yet: its tasks
