--- a/src/config.rs
+++ b/src/config.rs
@@ -188,8 +188,10 @@
     pub delay_max_s: f64,
     /// Life of the leader's lease in the state service, in seconds.
     pub leader_lease_s: f64,
-    /// Seconds that a machine may be silent before it is given back.
-    pub silent_s: f64,
+    /// Seconds that a machine may be silent before it is given back; none: a
+    /// spot machine for 2.5 reports, at least 20 s, as it was most likely
+    /// taken; an ordinary one for as long as its tasks may run on unheard.
+    pub silent_s: Option<f64>,
     /// Seconds that a machine stays idle before it is given back.
     pub idle_s: f64,
     /// Room kept free for work to come: this many typical jobs of each class.
@@ -206,7 +208,7 @@
             delay_fetches: 0.05,
             delay_max_s: 5.0,
             leader_lease_s: 2.5,
-            silent_s: 20.0,
+            silent_s: None,
             idle_s: 50.0,
             headroom: 0.5,
             floor: 0.7,
@@ -245,7 +247,7 @@
                 "delay.fetches" => t.delay_fetches = number(key, value, 0.0, 100.0)?,
                 "delay.max.s" => t.delay_max_s = number(key, value, 0.0, 600.0)?,
                 "leader.lease.s" => t.leader_lease_s = number(key, value, 1.0, 60.0)?,
-                "machine.silent.s" => t.silent_s = number(key, value, 5.0, 600.0)?,
+                "machine.silent.s" => t.silent_s = Some(number(key, value, 5.0, 600.0)?),
                 "fleet.idle.s" => t.idle_s = number(key, value, 0.0, 86_400.0)?,
                 "fleet.headroom" => t.headroom = number(key, value, 0.0, 10.0)?,
                 "fleet.floor" => t.floor = number(key, value, 0.0, 10.0)?,
@@ -262,6 +264,18 @@
     }
 }
 
+impl Config {
+    /// Seconds that a machine may be silent before it is given back.
+    pub fn silent_s(&self, spot: bool) -> f64 {
+        let usual = if spot {
+            (2.5 * self.report_s).max(20.0)
+        } else {
+            self.lease_s + 2.0
+        };
+        self.tuning.silent_s.unwrap_or(usual)
+    }
+}
+
 fn read(path: &Path) -> Result<Vec<u8>, ConfigError> {
     std::fs::read(path).map_err(|e| ConfigError::Read(path.to_owned(), e))
 }
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -5,10 +5,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use super::pending::{ChunkId, Due, Pending};
 use crate::cloud::{Listed, MachinePhase, Rental};
 use crate::config::Config;
 use crate::fleet;
-use crate::sched::{Board, Claim, Delay, DelayRule, Job, Machine, Progress, Sent, Tasks, Team};
+use crate::sched::{
+    Board, Claim, Delay, DelayRule, Job, Launch, Machine, Progress, Sent, Tasks, Team,
+};
 use crate::state::record::{chunk_key, job_key, ChunkRecord, JobRecord, Phase, GRANT};
 use crate::state::view::{JobEntry, Versioned, View};
 use crate::state::{Change, Txn, When};
@@ -44,6 +47,8 @@
     /// Direct commands don't get through; next try at this time.
     direct_retry: Time,
     direct_failures: u32,
+    /// A direct command failed: no new tasks until a report comes.
+    doubted: bool,
     /// The cloud takes it, or it was chosen to go.
     leaving: bool,
     /// Being deleted: nothing may count on it again.
@@ -83,8 +88,10 @@
 pub struct Batch {
     /// The transaction.
     pub txn: Txn,
-    chunks: Vec<(JobId, u32, Option<ChunkRecord>)>,
-    finished: Vec<(JobId, JobRecord)>,
+    /// Chunks under keys of their own; none: deleted.
+    chunks: Vec<(ChunkId, Option<ChunkRecord>)>,
+    /// Jobs' own records: completed ones, and those that hold their claims.
+    jobs: Vec<(JobId, JobRecord)>,
 }
 
 /// Direct commands to send.
@@ -109,8 +116,14 @@
     types: HashMap<TypeName, Rc<MachineType>>,
     links: BTreeMap<MachineId, Link>,
     coming: BTreeMap<MachineId, Coming>,
-    dirty: BTreeSet<(bool, JobId, u32)>,
-    finished: BTreeSet<JobId>,
+    pending: Pending,
+    /// Machines that commands may have to go to.
+    active: BTreeSet<MachineId>,
+    /// Machines to try again at a time, in milliseconds.
+    retries: BTreeSet<(u64, MachineId)>,
+    /// Machines where room appeared.
+    touched: BTreeSet<MachineId>,
+    flying: usize,
     refused: HashMap<(TypeName, Zone, bool), Time>,
     rentals: u64,
     renting: u32,
@@ -123,6 +136,8 @@
     pub walk_all: bool,
     last_fleet: Time,
     last_plan: Time,
+    last_look: Time,
+    last_preempt: Time,
 }
 
 /// Part of its start aim after which room is made for a job.
@@ -131,12 +146,18 @@
 const PREEMPT_SLACK: f64 = 2.0;
 /// For how long a job tells what may come.
 const RECENT_S: f64 = 180.0;
-const MOST_ARRIVALS: usize = 200;
+const MOST_ARRIVALS: usize = 2000;
 /// A machine may go once plans had no use for it for this share of the time.
 const UNUSED_SHARE: f64 = 0.6;
 const FLEET_LOG_S: f64 = 10.0;
 const KILL_AGAIN_S: f64 = 2.0;
 const TXN_BYTES: usize = 48 << 10;
+/// Direct commands under way at a time.
+const MOST_FLYING: usize = 48;
+/// How often all machines are looked at for what only time changes.
+const LOOK_S: f64 = 1.0;
+/// How often room is made.
+const PREEMPT_EVERY_S: f64 = 0.4;
 
 impl Core {
     /// Takes up the grant: everything recorded is on the board, and every
@@ -163,18 +184,17 @@
             .collect();
         let mut core = Self {
             cfg,
-            board: Board {
-                teams,
-                last_walk: now,
-                ..Board::default()
-            },
+            board: Board::new(teams),
             grant,
             grant_stamp,
             types: HashMap::new(),
             links: BTreeMap::new(),
             coming: BTreeMap::new(),
-            dirty: BTreeSet::new(),
-            finished: BTreeSet::new(),
+            pending: Pending::default(),
+            active: BTreeSet::new(),
+            retries: BTreeSet::new(),
+            touched: BTreeSet::new(),
+            flying: 0,
             refused: HashMap::new(),
             rentals: 0,
             renting: 0,
@@ -185,6 +205,8 @@
             walk_all: true,
             last_fleet: now,
             last_plan: now,
+            last_look: now,
+            last_preempt: now,
         };
         let mut jobs: Vec<(&JobId, &JobEntry)> = view.jobs().collect();
         jobs.sort_by(|a, b| a.0.cmp(b.0));
@@ -204,10 +226,10 @@
         let over = record.phase != Phase::Live;
         // A done job's tasks have all ended, whatever a chunk that was not
         // deleted yet still claims.
-        let claimed = |c: &Versioned<ChunkRecord>| !c.value.claims.is_empty();
-        if record.phase == Phase::Done || over && !entry.chunks.values().any(claimed) {
-            self.dirty
-                .extend(entry.chunks.keys().map(|&c| (true, id.clone(), c)));
+        if record.phase == Phase::Done || over && !entry.claims_any() {
+            for &chunk in entry.chunks.keys() {
+                self.pending.useless((id.clone(), chunk), now);
+            }
             return;
         }
         let Some(spec) = &record.spec else {
@@ -221,21 +243,21 @@
         let age = wall_ms.saturating_sub(record.accepted_ms) as f64 / 1000.0;
         let mut tasks = Tasks::new(record.tasks, record.chunk);
         let mut claims = Vec::new();
-        for (&chunk, held) in &entry.chunks {
-            tasks.set_next_attempt(chunk, held.value.next_attempt);
+        for (chunk, held) in entry.all_chunks() {
+            tasks.set_next_attempt(chunk, held.next_attempt);
             for bit in 0..tasks.chunk_size() {
-                if held.value.done >> bit & 1 == 1 {
+                if held.done >> bit & 1 == 1 {
                     tasks.set_done(chunk * record.chunk + bit);
                 }
             }
-            for (place, attempt, machine) in &held.value.claims {
+            for (place, attempt, machine) in &held.claims {
                 let index = chunk * record.chunk + place;
                 if index < record.tasks {
                     claims.push((index, *attempt, machine.clone()));
                 }
             }
         }
-        let spec = Rc::new(spec.clone());
+        let spec = Rc::new((**spec).clone());
         self.arrived(&spec, Time(now.0 - age));
         tracing::debug!(job = %id, class = %spec.class, team = %spec.team, tasks = spec.tasks, image = %spec.image.as_str(), "job");
         let class = spec.class.clone();
@@ -255,7 +277,7 @@
             blocked_since: None,
         };
         let all_done = job.tasks.all_done();
-        self.board.jobs.insert(id.clone(), job);
+        self.board.add_job(id.clone(), job);
         for (index, attempt, machine) in claims {
             let claim = Claim {
                 attempt,
@@ -275,7 +297,7 @@
             );
         }
         if all_done && !over {
-            self.finished.insert(id.clone());
+            self.pending.finished(id.clone());
         }
         self.walk_all = true;
     }
@@ -354,7 +376,7 @@
     pub fn jobs_changed(&mut self, view: &View, changed: &[JobId], now: Time, wall_ms: u64) {
         for id in changed {
             let Some(entry) = view.job(id) else { continue };
-            match self.board.jobs.get_mut(id) {
+            match self.board.job(id) {
                 None => {
                     if entry.record.value.phase == Phase::Live {
                         self.add_job(id, entry, now, wall_ms);
@@ -362,46 +384,55 @@
                 }
                 Some(job) => {
                     if entry.record.value.phase == Phase::Cancelled && !job.cancelled {
-                        job.cancelled = true;
-                        self.finished.remove(id);
+                        self.board.edit_job(id, |job| job.cancelled = true);
+                        self.pending.not_finished(id);
                         self.settle_stopped(id, now);
                     }
                 }
             }
-            self.forget_job(view, id);
+            self.forget_job(view, id, now);
         }
     }
 
     /// Removes a job that is over and leaves nothing behind.
-    fn forget_job(&mut self, view: &View, id: &JobId) {
+    fn forget_job(&mut self, view: &View, id: &JobId, now: Time) {
         let over = view
             .job(id)
             .is_some_and(|e| e.record.value.phase != Phase::Live);
         if !over {
             return;
         }
-        if let Some(job) = self.board.jobs.get(id) {
-            if !job.tasks.claims().is_empty() {
-                return;
-            }
-            self.board.jobs.remove(id);
+        let Some(job) = self.board.job(id) else {
+            return;
+        };
+        if !job.tasks.claims().is_empty() {
+            return;
         }
         if let Some(entry) = view.job(id) {
-            self.dirty
-                .extend(entry.chunks.keys().map(|&c| (true, id.clone(), c)));
+            // The job's own record is not to claim anything for ever.
+            if entry.record.value.inline.is_some() && entry.claims_any() {
+                self.pending.released((id.clone(), 0), now);
+                return;
+            }
+            for &chunk in entry.chunks.keys() {
+                self.pending.useless((id.clone(), chunk), now);
+            }
         }
+        self.board.remove_job(id);
     }
 
     /// Drops claims of a cancelled job, or of tasks to be stopped, whose start
     /// was certainly never sent; the others are stopped.
     fn settle_stopped(&mut self, id: &JobId, now: Time) {
-        let Some(job) = self.board.jobs.get(id) else {
+        let Some(job) = self.board.job(id) else {
             return;
         };
         let cancelled = job.cancelled;
         let mut unsent = Vec::new();
         let mut stop = Vec::new();
         for (&index, claim) in job.tasks.claims() {
+            // Whatever is to happen there, its machine is told.
+            self.active.insert(claim.machine.clone());
             let task = TaskId {
                 job: id.clone(),
                 index,
@@ -422,22 +453,31 @@
         }
     }
 
-    fn touch(&mut self, task: &TaskId) {
-        let chunk = self
-            .board
-            .jobs
-            .get(&task.job)
-            .map_or(0, |j| j.tasks.chunk_of(task.index));
-        self.dirty.insert((false, task.job.clone(), chunk));
+    /// The chunk that a task is recorded in.
+    fn chunk_of(&self, task: &TaskId) -> ChunkId {
+        let job = self.board.job(&task.job);
+        let chunk = job.map_or(0, |j| j.tasks.chunk_of(task.index));
+        (task.job.clone(), chunk)
     }
 
     fn release(&mut self, task: &TaskId, now: Time) -> Option<Claim> {
         let claim = self.board.release(task, now)?;
-        self.touch(task);
-        self.walk_all = true;
+        self.pending.released(self.chunk_of(task), now);
+        self.touched.insert(claim.machine.clone());
         Some(claim)
     }
 
+    fn launched(&mut self, launches: Vec<Launch>) {
+        for launch in launches {
+            tracing::debug!(task = %launch.task, machine = %launch.machine, cached = launch.cached, "claim");
+            let hurry = self
+                .board
+                .job(&launch.task.job)
+                .is_some_and(|j| j.start_within.is_some());
+            self.pending.claimed(self.chunk_of(&launch.task), hurry);
+        }
+    }
+
     // ---- machines -------------------------------------------------------
 
     /// The cloud's machine types.
@@ -478,6 +518,7 @@
                 flying: false,
                 direct_retry: now,
                 direct_failures: 0,
+                doubted: false,
                 leaving: false,
                 deleting: false,
                 shunned_until: Time(0.0),
@@ -485,6 +526,7 @@
                 kill_sent: BTreeMap::new(),
             };
             self.links.insert(id.clone(), link);
+            self.active.insert(id.clone());
         }
         self.links.get_mut(id)
     }
@@ -514,6 +556,7 @@
         link.seq = report.tick;
         link.seen = link.seen.max(report.baton);
         link.last_heard = now;
+        link.doubted = false;
         if source == Source::Beat {
             link.direct_retry = Time(link.direct_retry.0.min(now.0 + 1.0));
         }
@@ -528,6 +571,7 @@
         if report.baton >= link.token {
             self.reconcile(&report.machine, source, now);
         }
+        self.active.insert(report.machine.clone());
         self.refresh_machine(&report.machine, now);
         true
     }
@@ -538,31 +582,32 @@
             return;
         };
         let usable = link.fenced()
+            && !link.doubted
             && !link.leaving
             && !link.deleting
             && now >= link.shunned_until
             && now.since(link.last_heard) < silence;
         let leaving = link.leaving || link.deleting;
-        let mut stop = Vec::new();
-        if let Some(m) = self.board.machines.get_mut(id) {
-            if usable && !m.usable {
-                self.walk_all = true;
-            }
-            m.usable = usable;
-            if leaving {
-                stop.extend(m.claims.iter().cloned());
-            }
+        let doubted = link.doubted;
+        let was = self.board.machines().get(id).map(|m| m.usable);
+        if was.is_some_and(|was| was != usable) {
+            self.board.edit_machine(id, |m| m.usable = usable);
+            self.touched.insert(id.clone());
         }
-        for task in stop {
+        if !leaving && !doubted {
+            return;
+        }
+        self.active.insert(id.clone());
+        for task in self.board.claims_on(id) {
             let unsent = self
                 .board
-                .jobs
-                .get(&task.job)
-                .and_then(|j| j.tasks.claims().get(&task.index))
+                .claim_of(&task)
                 .is_some_and(|c| c.sent == Sent::No);
             if unsent {
+                // It has a better place where commands get through.
                 self.release(&task, now);
-            } else {
+                self.walk_all = true;
+            } else if leaving {
                 self.board.stop(&task, false);
             }
         }
@@ -571,16 +616,15 @@
     /// Compares the claims on a machine with an authoritative report: one
     /// that carries the token which fences all earlier commands.
     fn reconcile(&mut self, id: &MachineId, source: Source, now: Time) {
-        let Some(machine) = self.board.machines.get(id) else {
+        if !self.board.machines().contains_key(id) {
             return;
-        };
-        let claims: Vec<TaskId> = machine.claims.iter().cloned().collect();
-        for task in claims {
-            let Some(job) = self.board.jobs.get_mut(&task.job) else {
+        }
+        for task in self.board.claims_on(id) {
+            let Some(job) = self.board.job(&task.job) else {
                 continue;
             };
-            let spec = job.spec.clone();
-            let Some(claim) = job.tasks.claim_mut(task.index) else {
+            let (spec, cancelled) = (job.spec.clone(), job.cancelled);
+            let Some(claim) = self.board.claim_mut(&task) else {
                 continue;
             };
             let Some(link) = self.links.get(id) else {
@@ -613,7 +657,7 @@
                     Sent::Flying if link.flying => {}
                     Sent::Flying | Sent::InReply => {
                         claim.sent = Sent::No;
-                        if job.cancelled || claim_stops(job, task.index) {
+                        if cancelled || claim.stop.is_some() {
                             self.release(&task, now);
                         }
                     }
@@ -628,18 +672,18 @@
 
     fn ended(&mut self, id: &MachineId, task: &TaskId, spec: &JobSpec, why: Why, now: Time) {
         self.release(task, now);
-        let Some(job) = self.board.jobs.get_mut(&task.job) else {
-            return;
-        };
-        if job.cancelled {
+        if self.board.job(&task.job).is_none_or(|j| j.cancelled) {
             return;
         }
         match why {
             Why::Done if spec.kind == Kind::Array => {
-                job.tasks.set_done(task.index);
-                job.failures = 0;
-                if job.tasks.all_done() {
-                    self.finished.insert(task.job.clone());
+                let all_done = self.board.edit_job(&task.job, |job| {
+                    job.tasks.set_done(task.index);
+                    job.failures = 0;
+                    job.tasks.all_done()
+                });
+                if all_done == Some(true) {
+                    self.pending.finished(task.job.clone());
                 }
                 if let Some(link) = self.links.get_mut(id) {
                     link.errors.clear();
@@ -647,15 +691,21 @@
             }
             Why::Error => self.failed(id, task, now),
             Why::Full | Why::InUse => {
-                job.avoid
-                    .insert(id.clone(), now.after(2.0 * self.cfg.report_s));
+                let until = now.after(2.0 * self.cfg.report_s);
+                self.board.edit_job(&task.job, |job| {
+                    job.avoid.insert(id.clone(), until);
+                });
             }
             Why::NoSuch => {
-                job.failures += 1;
-                job.hold_until = now.after(f64::from(job.failures).exp2().min(30.0));
+                self.board.edit_job(&task.job, |job| {
+                    job.failures += 1;
+                    job.hold_until = now.after(f64::from(job.failures).exp2().min(30.0));
+                });
             }
             Why::Done | Why::Stopped | Why::Other => {}
         }
+        // Its task may have a place elsewhere.
+        self.walk_all |= why != Why::Done;
         if why != Why::Done {
             tracing::info!(task = %task, machine = %id, ?why, "task ended");
         }
@@ -665,14 +715,17 @@
     /// that fails on several machines is itself mistaken, waits longer each
     /// time and is held against no machine.
     fn failed(&mut self, id: &MachineId, task: &TaskId, now: Time) {
-        let Some(job) = self.board.jobs.get_mut(&task.job) else {
-            return;
-        };
-        job.failures += 1;
-        job.avoid.insert(id.clone(), now.after(60.0));
-        let machines = job.avoid.values().filter(|t| now < **t).count();
-        if machines >= 3 {
-            job.hold_until = now.after(f64::from(job.failures.min(6)).exp2().min(40.0));
+        let mistaken = self.board.edit_job(&task.job, |job| {
+            job.failures += 1;
+            job.avoid.retain(|_, until| now < *until);
+            job.avoid.insert(id.clone(), now.after(60.0));
+            let mistaken = job.avoid.len() >= 3;
+            if mistaken {
+                job.hold_until = now.after(f64::from(job.failures.min(6)).exp2().min(40.0));
+            }
+            mistaken
+        });
+        if mistaken == Some(true) {
             for link in self.links.values_mut() {
                 if link.errors.remove(&task.job) && link.errors.is_empty() {
                     link.shunned_until = Time(0.0);
@@ -718,13 +771,13 @@
         if !link.fenced() {
             return orders;
         }
-        let Some(machine) = self.board.machines.get(id) else {
+        let Some(usable) = self.board.machines().get(id).map(|m| m.usable) else {
             return orders;
         };
         link.kill_sent.retain(|key, _| link.tasks.contains_key(key));
         for ((task, attempt), (phase, _)) in &link.tasks {
             let piece = task.to_string();
-            let job = self.board.jobs.get(&task.job);
+            let job = self.board.job(&task.job);
             let claim = job
                 .and_then(|j| j.tasks.claims().get(&task.index))
                 .filter(|c| c.attempt == *attempt && c.machine == *id);
@@ -763,16 +816,12 @@
                 });
             }
         }
-        if let (Some(sent), true) = (starts, machine.usable) {
-            let tasks: Vec<TaskId> = machine.claims.iter().cloned().collect();
-            for task in tasks {
-                let Some(job) = self.board.jobs.get_mut(&task.job) else {
-                    continue;
-                };
-                if job.cancelled {
+        if let (Some(sent), true) = (starts, usable) {
+            for task in self.board.claims_on(id) {
+                if self.board.job(&task.job).is_none_or(|j| j.cancelled) {
                     continue;
                 }
-                let Some(claim) = job.tasks.claim_mut(task.index) else {
+                let Some(claim) = self.board.claim_mut(&task) else {
                     continue;
                 };
                 if claim.committed && claim.sent == Sent::No && claim.stop.is_none() {
@@ -787,16 +836,27 @@
         orders
     }
 
-    /// Direct commands that should go out now.
+    /// Direct commands that should go out now, so many at a time that neither
+    /// sockets nor the processor are short for the reports that answer them.
     pub fn dispatch(&mut self, view: &View, now: Time) -> Vec<Dispatch> {
-        let ids: Vec<MachineId> = self
-            .links
-            .iter()
-            .filter(|(_, l)| !l.flying && !l.deleting && now >= l.direct_retry)
-            .map(|(id, _)| id.clone())
-            .collect();
         let mut out = Vec::new();
-        for id in ids {
+        let mut waiting = BTreeSet::new();
+        while self.flying < MOST_FLYING {
+            let Some(id) = self.active.pop_first() else {
+                break;
+            };
+            let Some(link) = self.links.get(&id) else {
+                continue;
+            };
+            if link.flying || link.deleting {
+                // The answer brings it back.
+                continue;
+            }
+            if now < link.direct_retry {
+                let at = (link.direct_retry.0 * 1000.0).ceil().max(0.0) as u64;
+                self.retries.insert((at, id));
+                continue;
+            }
             let orders = self.commands(&id, view, Some(Sent::Flying), now);
             let Some(link) = self.links.get_mut(&id) else {
                 continue;
@@ -805,9 +865,13 @@
             // Forgetting waits for the next report; a worker that does not
             // know our token is told at once.
             if forgets_only && link.fenced() {
+                if !link.kill_sent.is_empty() {
+                    waiting.insert(((now.after(KILL_AGAIN_S).0 * 1000.0) as u64, id));
+                }
                 continue;
             }
             link.flying = true;
+            self.flying += 1;
             out.push(Dispatch {
                 machine: id,
                 addr: link.addr,
@@ -818,32 +882,23 @@
                 },
             });
         }
+        self.retries.extend(waiting);
         out
     }
 
     /// What became of direct commands. False if we are deposed.
     pub fn dispatched(&mut self, id: &MachineId, outcome: Sending, now: Time) -> bool {
-        let flying: Vec<TaskId> = self
-            .board
-            .machines
-            .get(id)
-            .map(|m| m.claims.iter().cloned().collect())
-            .unwrap_or_default();
+        self.flying = self.flying.saturating_sub(1);
+        let claims = self.board.claims_on(id);
         let Some(link) = self.links.get_mut(id) else {
             return true;
         };
         link.flying = false;
+        self.active.insert(id.clone());
         let mut mark = |from: Sent, to: Sent| {
-            for task in &flying {
-                if let Some(c) = self
-                    .board
-                    .jobs
-                    .get_mut(&task.job)
-                    .and_then(|j| j.tasks.claim_mut(task.index))
-                {
-                    if c.sent == from {
-                        c.sent = to;
-                    }
+            for task in &claims {
+                if let Some(c) = self.board.claim_mut(task).filter(|c| c.sent == from) {
+                    c.sent = to;
                 }
             }
         };
@@ -881,6 +936,7 @@
                     link.token = link.token.raised();
                 }
                 link.direct_failures += 1;
+                link.doubted = true;
                 let pause = 0.25 * f64::from(link.direct_failures.min(5)).exp2();
                 link.direct_retry = now.after(pause);
                 tracing::info!(machine = %id, token = %link.token, "direct command failed");
@@ -892,13 +948,13 @@
 
     // ---- the record -----------------------------------------------------
 
-    /// Whether something is to be recorded.
-    pub fn has_dirty(&self) -> bool {
-        !self.dirty.is_empty() || !self.finished.is_empty()
+    /// Whether something is to be recorded that should not wait.
+    pub fn has_urgent(&self) -> bool {
+        self.pending.urgent()
     }
 
     fn snapshot(&self, id: &JobId, chunk: u32) -> Option<ChunkRecord> {
-        let job = self.board.jobs.get(id)?;
+        let job = self.board.job(id)?;
         let size = job.tasks.chunk_size();
         let from = chunk * size;
         let claims = job
@@ -915,8 +971,15 @@
     }
 
     /// The next transaction, if anything is to be recorded. Every one is
-    /// guarded by the grant, the jobs' records and the chunks.
-    pub fn next_batch(&mut self, view: &View, most_ops: usize) -> Option<Batch> {
+    /// guarded by the grant, the jobs' records and the chunks. `spare`: there
+    /// are more changes left than urgent ones need.
+    pub fn next_batch(
+        &mut self,
+        view: &View,
+        most_ops: usize,
+        spare: bool,
+        now: Time,
+    ) -> Option<Batch> {
         let mut batch = Batch {
             txn: Txn {
                 when: vec![When {
@@ -926,120 +989,135 @@
                 apply: Vec::new(),
             },
             chunks: Vec::new(),
-            finished: Vec::new(),
+            jobs: Vec::new(),
         };
         let mut guarded: BTreeSet<JobId> = BTreeSet::new();
-        let mut guard_job = |batch: &mut Batch, id: &JobId, entry: &JobEntry| {
-            if guarded.insert(id.clone()) {
-                batch.txn.when.push(When {
-                    key: job_key(id),
-                    stamp: entry.record.stamp,
-                });
-            }
-        };
+        let mut written: BTreeSet<JobId> = BTreeSet::new();
+        let mut again = Vec::new();
         let mut bytes = 0;
-        // Completed jobs: their record alone says it, their chunks can go.
-        for id in self.finished.clone() {
-            if batch.txn.apply.len() >= most_ops {
+        while batch.txn.apply.len() < most_ops && bytes <= TXN_BYTES {
+            let Some(due) = self.pending.take(spare, now) else {
                 break;
-            }
-            let Some(entry) = view
-                .job(&id)
-                .filter(|e| e.record.value.phase == Phase::Live)
-            else {
-                self.finished.remove(&id);
-                continue;
             };
-            let record = JobRecord {
-                phase: Phase::Done,
-                spec: None,
-                ..entry.record.value.clone()
+            let id = match &due {
+                Due::Finished(id) | Due::Chunk((id, _)) => id.clone(),
             };
-            guard_job(&mut batch, &id, entry);
-            batch
-                .txn
-                .apply
-                .push(Change::write(job_key(&id), &record, None));
-            batch.finished.push((id.clone(), record));
-            bytes += 300;
-            self.finished.remove(&id);
-        }
-        let done: BTreeSet<JobId> = batch.finished.iter().map(|(id, _)| id.clone()).collect();
-        for entry in self.dirty.clone() {
-            if batch.txn.apply.len() >= most_ops || bytes > TXN_BYTES {
-                break;
+            let Some(entry) = view.job(&id) else { continue };
+            let held = &entry.record.value;
+            if written.contains(&id) {
+                // Its record is in this transaction already.
+                again.push(due);
+                continue;
             }
-            let (_, id, chunk) = &entry;
-            self.dirty.remove(&entry);
-            let Some(job) = view.job(id) else { continue };
-            let held = job.chunks.get(chunk);
-            let over = job.record.value.phase != Phase::Live || done.contains(id);
-            let record = self.snapshot(id, *chunk);
-            let keep = record.filter(|r| !over || !r.claims.is_empty());
-            let stamp = held.map_or(Revision(0), |h| h.stamp);
-            let change = match &keep {
-                Some(record) if held.is_some_and(|h| h.value == *record) => continue,
-                Some(record) => Change::write(chunk_key(id, *chunk), record, None),
-                None if held.is_none() => continue,
-                None => Change::Delete {
-                    delete: chunk_key(id, *chunk),
-                },
+            let record = match &due {
+                Due::Finished(_) if held.phase != Phase::Live => continue,
+                // A completed job's record alone says it; its chunks can go.
+                Due::Finished(_) => Some(held.done()),
+                Due::Chunk((_, chunk)) if held.inline.is_some() => {
+                    let Some(inline) = self.snapshot(&id, *chunk) else {
+                        continue;
+                    };
+                    if held.inline.as_ref() == Some(&inline) || held.phase == Phase::Done {
+                        continue;
+                    }
+                    Some(JobRecord {
+                        inline: Some(inline),
+                        ..held.clone()
+                    })
+                }
+                Due::Chunk(_) => None,
             };
-            bytes += 200 + keep.as_ref().map_or(0, |r| 64 * r.claims.len());
-            guard_job(&mut batch, id, job);
-            batch.txn.when.push(When {
-                key: chunk_key(id, *chunk),
-                stamp,
-            });
+            let change = match (&record, due) {
+                (Some(record), _) => {
+                    bytes += 400 + record.inline.as_ref().map_or(0, |r| 40 * r.claims.len());
+                    Some(Change::write(job_key(&id), record, None))
+                }
+                (None, Due::Chunk((_, chunk))) => {
+                    let over = held.phase != Phase::Live;
+                    let held = entry.chunks.get(&chunk);
+                    let keep = self
+                        .snapshot(&id, chunk)
+                        .filter(|r| !over || !r.claims.is_empty());
+                    let change = match &keep {
+                        Some(record) if held.is_some_and(|h| h.value == *record) => None,
+                        Some(record) => Some(Change::write(chunk_key(&id, chunk), record, None)),
+                        None if held.is_none() => None,
+                        None => Some(Change::Delete {
+                            delete: chunk_key(&id, chunk),
+                        }),
+                    };
+                    if change.is_some() {
+                        bytes += 200 + keep.as_ref().map_or(0, |r| 40 * r.claims.len());
+                        batch.txn.when.push(When {
+                            key: chunk_key(&id, chunk),
+                            stamp: held.map_or(Revision(0), |h| h.stamp),
+                        });
+                        batch.chunks.push(((id.clone(), chunk), keep));
+                    }
+                    change
+                }
+                (None, Due::Finished(_)) => None,
+            };
+            let Some(change) = change else { continue };
             batch.txn.apply.push(change);
-            batch.chunks.push((id.clone(), *chunk, keep));
+            if guarded.insert(id.clone()) {
+                batch.txn.when.push(When {
+                    key: job_key(&id),
+                    stamp: entry.record.stamp,
+                });
+            }
+            if let Some(record) = record {
+                written.insert(id.clone());
+                batch.jobs.push((id, record));
+            }
+        }
+        for due in again {
+            match due {
+                Due::Finished(id) => self.pending.finished(id),
+                Due::Chunk(chunk) => self.pending.released(chunk, now),
+            }
         }
         (!batch.txn.apply.is_empty()).then_some(batch)
     }
 
     /// A transaction was carried out.
     pub fn committed(&mut self, batch: Batch, revision: Revision, view: &mut View, now: Time) {
-        for (id, chunk, record) in batch.chunks {
+        for ((id, chunk), record) in batch.chunks {
             match record {
-                Some(record) => {
-                    self.confirm(&id, chunk, &record, now);
-                    view.put_chunk(
-                        &id,
-                        chunk,
-                        Versioned {
-                            stamp: revision,
-                            value: record,
-                        },
-                    );
+                Some(value) => {
+                    self.confirm(&id, chunk, &value, now);
+                    let stamp = revision;
+                    view.put_chunk(&id, chunk, Versioned { stamp, value });
                 }
                 None => view.drop_chunk(&id, chunk, revision),
             }
         }
-        let finished: Vec<JobId> = batch.finished.iter().map(|(id, _)| id.clone()).collect();
-        for (id, record) in batch.finished {
-            tracing::info!(job = %id, "done");
-            view.put_job(
-                &id,
-                Versioned {
-                    stamp: revision,
-                    value: record,
-                },
-            );
-        }
-        for id in finished {
-            self.forget_job(view, &id);
+        for (id, value) in batch.jobs {
+            if value.phase == Phase::Done {
+                tracing::info!(job = %id, "done");
+            }
+            if let Some(inline) = &value.inline {
+                self.confirm(&id, 0, inline, now);
+            }
+            let stamp = revision;
+            view.put_job(&id, Versioned { stamp, value });
+            self.forget_job(view, &id, now);
         }
     }
 
     fn confirm(&mut self, id: &JobId, chunk: u32, record: &ChunkRecord, now: Time) {
-        let Some(job) = self.board.jobs.get_mut(id) else {
+        let Some(size) = self.board.job(id).map(|j| j.tasks.chunk_size()) else {
             return;
         };
-        let from = chunk * job.tasks.chunk_size();
-        for (place, attempt, _) in &record.claims {
-            if let Some(claim) = job.tasks.claim_mut(from + place) {
-                if claim.attempt == *attempt {
+        for (place, attempt, machine) in &record.claims {
+            let task = TaskId {
+                job: id.clone(),
+                index: chunk * size + place,
+            };
+            if let Some(claim) = self.board.claim_mut(&task) {
+                if claim.attempt == *attempt && !claim.committed {
                     claim.committed = true;
+                    self.active.insert(machine.clone());
                 }
             }
         }
@@ -1049,27 +1127,27 @@
     /// A transaction was not carried out, or already had been in an earlier
     /// try; the view is newer than it. False if the grant is no longer ours.
     pub fn conflicted(&mut self, batch: Batch, view: &View, now: Time) -> bool {
-        for (id, chunk, record) in batch.chunks {
-            let held = view
-                .job(&id)
-                .and_then(|e| e.chunks.get(&chunk))
-                .map(|c| &c.value);
-            match (&record, held) {
-                (Some(ours), Some(held)) if ours == held => self.confirm(&id, chunk, ours, now),
-                _ => {
-                    self.dirty.insert((record.is_none(), id, chunk));
-                }
+        let mut chunks = batch.chunks;
+        for (id, record) in batch.jobs {
+            if record.phase != Phase::Done {
+                chunks.push(((id, 0), record.inline));
+                continue;
             }
-        }
-        for (id, _) in batch.finished {
             let live = view
                 .job(&id)
                 .is_some_and(|e| e.record.value.phase == Phase::Live);
-            let done = self.board.jobs.get(&id).is_some_and(|j| j.tasks.all_done());
-            if live && done {
-                self.finished.insert(id);
+            if live && self.board.job(&id).is_some_and(|j| j.tasks.all_done()) {
+                self.pending.finished(id);
             } else {
-                self.forget_job(view, &id);
+                self.forget_job(view, &id, now);
+            }
+        }
+        for ((id, chunk), record) in chunks {
+            let held = view.job(&id).and_then(|e| e.chunk(chunk));
+            match (&record, held) {
+                (Some(ours), Some(held)) if ours == held => self.confirm(&id, chunk, ours, now),
+                (Some(_), _) => self.pending.claimed((id, chunk), false),
+                (None, _) => self.pending.useless((id, chunk), now),
             }
         }
         view.grant.stamp == self.grant_stamp
@@ -1086,37 +1164,40 @@
 
     /// Walks one machine, after its report.
     pub fn walk(&mut self, id: &MachineId, now: Time) {
-        let rule = self.rule();
-        for launch in self.board.walk(id, rule, now) {
-            tracing::debug!(task = %launch.task, machine = %id, cached = launch.cached, "claim");
-            self.touch(&launch.task);
-        }
+        let launches = self.board.walk(id, self.rule(), now);
+        self.launched(launches);
     }
 
-    /// Walks all machines if something changed that a report won't show:
-    /// work arrived, or waits passed.
-    pub fn walk_machines(&mut self, now: Time) {
-        self.walk_all = false;
-        for id in self.board.offer_order() {
+    /// Places what can be placed: on machines where room appeared, and
+    /// anywhere if work arrived or waits may have passed.
+    pub fn place(&mut self, now: Time) {
+        for id in std::mem::take(&mut self.touched) {
             self.walk(&id, now);
         }
-        for job in self.board.jobs.values_mut() {
-            if !job.wants(now) {
-                job.blocked_since = None;
-            } else if job.blocked_since.is_none() {
-                job.blocked_since = Some(now);
-            }
+        if std::mem::take(&mut self.walk_all) && self.board.has_work() {
+            let launches = self.board.place(self.rule(), now);
+            self.launched(launches);
         }
     }
 
-    /// Regular work: walk, preempt, tend the fleet.
+    /// Regular work: look at what only time changes, place, preempt.
     pub fn tick(&mut self, now: Time) {
-        let ids: Vec<MachineId> = self.links.keys().cloned().collect();
-        for id in ids {
-            self.refresh_machine(&id, now);
+        let due = ((now.0 * 1000.0) as u64 + 1, MachineId::from(""));
+        let later = self.retries.split_off(&due);
+        let retries = std::mem::replace(&mut self.retries, later);
+        self.active.extend(retries.into_iter().map(|(_, id)| id));
+        if now.since(self.last_look) >= LOOK_S {
+            self.last_look = now;
+            let ids: Vec<MachineId> = self.links.keys().cloned().collect();
+            for id in ids {
+                self.refresh_machine(&id, now);
+            }
         }
-        self.walk_machines(now);
-        if self.cfg.tuning.preempt && now.since(self.started) > 3.0 {
+        self.walk_all = true;
+        self.place(now);
+        let preempting = self.cfg.tuning.preempt && now.since(self.started) > 3.0;
+        if preempting && now.since(self.last_preempt) >= PREEMPT_EVERY_S {
+            self.last_preempt = now;
             // Stopping costs more than it brings unless the wait is long for
             // the job's own aims: whoever is stopped waits in turn, and its
             // image may have to be fetched again.
@@ -1197,19 +1278,17 @@
             }
         }
         // Claims can name machines that neither list nor report shows.
-        let mut ghosts: BTreeSet<MachineId> = BTreeSet::new();
         if now.since(self.started) > 3.0 * self.cfg.list_lag_s + 2.0 * self.cfg.report_s {
-            for job in self.board.jobs.values() {
-                for claim in job.tasks.claims().values() {
-                    if !self.links.contains_key(&claim.machine) && !names.contains(&claim.machine) {
-                        ghosts.insert(claim.machine.clone());
-                    }
-                }
+            let ghosts: Vec<MachineId> = self
+                .board
+                .unknown_machines()
+                .filter(|id| !names.contains(id))
+                .cloned()
+                .collect();
+            for id in ghosts {
+                self.give_back(&id);
             }
         }
-        for id in ghosts {
-            self.give_back(&id);
-        }
     }
 
     fn give_back(&mut self, id: &MachineId) {
@@ -1230,20 +1309,19 @@
     /// What is used and free, for the log.
     fn log_fleet(&self) {
         let mut sums = [[0_i64; 3]; 2];
-        for m in self.board.machines.values() {
+        for m in self.board.machines().values() {
             let sum = &mut sums[usize::from(m.spot)];
             sum[0] += 1;
             sum[1] += m.kind.total.cpu / 1000;
             sum[2] += m.used.cpu / 1000;
         }
-        let pending: u32 = self
+        let pending: u32 = self.board.wanting().map(|(_, j)| j.tasks.pending()).sum();
+        let retiring = self
             .board
-            .jobs
+            .machines()
             .values()
-            .filter(|j| !j.cancelled)
-            .map(|j| j.tasks.pending())
-            .sum();
-        let retiring = self.board.machines.values().filter(|m| m.retiring).count();
+            .filter(|m| m.retiring)
+            .count();
         tracing::info!(
             ordinary = sums[0][0],
             cpus = sums[0][1],
@@ -1271,18 +1349,16 @@
             .count();
         // If most are silent it is this controller that can't hear.
         let hearing =
-            heard * 2 > self.links.len() && now.since(self.started) > self.cfg.tuning.silent_s;
+            heard * 2 > self.links.len() && now.since(self.started) > self.cfg.silent_s(true);
         let mut gone = Vec::new();
         for (id, link) in &mut self.links {
-            let empty = self
-                .board
-                .machines
-                .get(id)
-                .is_none_or(|m| m.claims.is_empty());
+            let machine = self.board.machines().get(id);
+            let empty = machine.is_none_or(|m| m.claims.is_empty());
+            let spot = machine.is_some_and(|m| m.spot);
             if link.leaving && empty && link.tasks.values().all(|(p, _)| *p == TaskPhase::Ended) {
                 link.deleting = true;
             }
-            if hearing && now.since(link.last_heard) > self.cfg.tuning.silent_s {
+            if hearing && now.since(link.last_heard) > self.cfg.silent_s(spot) {
                 link.deleting = true;
             }
             if link.deleting {
@@ -1323,62 +1399,59 @@
                 .get(&(kind.clone(), zone.clone(), spot))
                 .is_none_or(|until| now >= *until)
         };
-        let patience = |spec: &JobSpec| {
-            let slack = self.slack(spec);
-            let boot = self.boot_s();
-            if slack > boot {
-                (slack / 2.0).min(boot)
-            } else {
-                0.0
-            }
-        };
+        let boot_s = self.boot_s();
+        let patient = |spec: &JobSpec| self.slack(spec) > boot_s;
         let input = fleet::Input {
-            patience: &patience,
+            patient: &patient,
+            boot_s,
             board: &self.board,
             types: &offered,
             coming: &coming,
             expected: &expected,
             open: &open,
-            tuning: &self.cfg.tuning,
         };
         let plan = fleet::plan(&input, now);
         // Only what had no use for long falls idle on purpose: a machine with
         // a warm cache is worth more than a new one.
         let share = 1.0 - (-now.since(self.last_plan) / self.cfg.tuning.idle_s.max(1.0)).exp();
         self.last_plan = now;
-        for (id, m) in &mut self.board.machines {
-            m.kept = plan.kept.get(id).copied().unwrap_or_default();
-            let unused = f64::from(u8::from(plan.unused.contains(id)));
-            m.unused += (unused - m.unused) * share;
-            m.retiring = unused > 0.0 && m.unused > UNUSED_SHARE;
-        }
         // What the teams are guaranteed stays there, the cheapest part of it.
         let mut left = self.board.capacity().cpu;
         let floor = self.board.guaranteed().cpu as f64 * self.cfg.tuning.floor;
-        let mut retiring: Vec<(f64, MachineId)> = self
-            .board
-            .machines
-            .iter()
-            .filter(|(_, m)| m.retiring)
-            .map(|(id, m)| (-m.price_per_cpu(), id.clone()))
-            .collect();
+        let mut retiring: Vec<(f64, MachineId)> = Vec::new();
+        let mut unused: Vec<(MachineId, f64)> = Vec::new();
+        for (id, m) in self.board.machines() {
+            let now_unused = f64::from(u8::from(plan.unused.contains(id)));
+            let part = m.unused + (now_unused - m.unused) * share;
+            if now_unused > 0.0 && part > UNUSED_SHARE {
+                retiring.push((-m.price_per_cpu(), id.clone()));
+            }
+            unused.push((id.clone(), part));
+        }
         retiring.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+        let mut going: BTreeSet<MachineId> = BTreeSet::new();
         for (_, id) in retiring {
-            if let Some(m) = self.board.machines.get_mut(&id) {
-                if ((left - m.kind.total.cpu) as f64) < floor {
-                    m.retiring = false;
-                } else {
-                    left -= m.kind.total.cpu;
-                }
+            let Some(m) = self.board.machines().get(&id) else {
+                continue;
+            };
+            if (left - m.kind.total.cpu) as f64 >= floor {
+                left -= m.kind.total.cpu;
+                going.insert(id);
             }
         }
-        let give_back: Vec<MachineId> = self
-            .board
-            .machines
-            .iter()
-            .filter(|(_, m)| m.retiring && m.claims.is_empty() && now.since(m.idle_since) > 2.0)
-            .map(|(id, _)| id.clone())
-            .collect();
+        let mut give_back: Vec<MachineId> = Vec::new();
+        for (id, part) in unused {
+            let kept = plan.kept.get(&id).copied().unwrap_or_default();
+            let retiring = going.contains(&id);
+            self.board.edit_machine(&id, |m| {
+                m.unused = part;
+                m.kept = kept;
+                m.retiring = retiring;
+                if retiring && m.claims.is_empty() && now.since(m.idle_since) > 2.0 {
+                    give_back.push(id.clone());
+                }
+            });
+        }
         for id in give_back {
             if let Some(link) = self.links.get_mut(&id) {
                 link.leaving = true;
@@ -1437,44 +1510,26 @@
     /// Machines were deleted: they and their tasks are gone.
     pub fn deleted(&mut self, machines: &[MachineId], now: Time) {
         for id in machines {
-            let mut tasks: Vec<TaskId> = Vec::new();
-            for (job_id, job) in &self.board.jobs {
-                for (&index, claim) in job.tasks.claims() {
-                    if claim.machine == *id {
-                        tasks.push(TaskId {
-                            job: job_id.clone(),
-                            index,
-                        });
-                    }
-                }
-            }
-            for task in tasks {
+            for task in self.board.claims_on(id) {
                 tracing::info!(task = %task, machine = %id, "gone with its machine");
                 self.release(&task, now);
             }
+            self.walk_all = true;
             self.deleted.insert(id.clone(), now);
             self.links.remove(id);
             self.coming.remove(id);
             self.missing.remove(id);
-            self.board.machines.remove(id);
+            self.board.remove_machine(id);
         }
     }
 }
 
-fn claim_stops(job: &Job, index: u32) -> bool {
-    job.tasks
-        .claims()
-        .get(&index)
-        .is_some_and(|c| c.stop.is_some())
-}
-
 fn recorded_claim(view: &View, task: &TaskId, attempt: Attempt) -> bool {
     let live = |entry: &&JobEntry| entry.record.value.phase != Phase::Done;
     view.job(&task.job).filter(live).is_some_and(|entry| {
         let size = entry.record.value.chunk.max(1);
-        entry.chunks.get(&(task.index / size)).is_some_and(|c| {
-            c.value
-                .claims
+        entry.chunk(task.index / size).is_some_and(|c| {
+            c.claims
                 .iter()
                 .any(|(place, a, _)| *place == task.index % size && *a == attempt)
         })
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Leadership, the block, claims and recovery: the only writer of truth.
 
 pub mod core;
+pub mod pending;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -14,9 +15,7 @@
 use crate::cloud::{CloudClient, CloudError};
 use crate::config::Config;
 use crate::peer::Outbox;
-use crate::state::record::{
-    chunk_size, job_key, GrantRecord, JobRecord, LeaderRecord, Phase, GRANT, LEADER,
-};
+use crate::state::record::{job_key, GrantRecord, JobRecord, LeaderRecord, Phase, GRANT, LEADER};
 use crate::state::view::{Summary, Versioned, View};
 use crate::state::{Change, Outcome, StateClient, StateError, Txn, Urgency, When};
 use crate::types::{JobId, JobSpec, Kind, LeaseId, MachineType, NodeId, Revision, Term, Time};
@@ -57,23 +56,37 @@
     run: u64,
     epoch: Instant,
     lease: Cell<Option<LeaseId>>,
+    /// Until then nobody else can have become leader.
+    leads_until: Cell<Instant>,
     sync_wanted: Notify,
     syncs_started: Cell<u64>,
     synced: watch::Sender<(u64, bool)>,
     fresh_at: Cell<Instant>,
     newest_hint: Cell<Revision>,
+    behind_since: Cell<Option<Instant>>,
     work: Notify,
     record: Notify,
     leader_changed: Notify,
     submissions: Cell<usize>,
 }
 
-/// Without news from the state service for this long, a controller is cut off.
-const STALE: Duration = Duration::from_secs(9);
+/// Without news from the state service for this long, and while others have
+/// some for `BEHIND`, a controller is cut off.
+const STALE: Duration = Duration::from_millis(2500);
+const BEHIND: Duration = Duration::from_secs(1);
 const SYNC_GAP: Duration = Duration::from_millis(20);
+const SYNC_GAP_MOST: Duration = Duration::from_millis(300);
 const FOLLOW: Duration = Duration::from_secs(4);
+/// How often the fleet is planned.
+const FLEET_EVERY: Duration = Duration::from_millis(700);
+/// Machines that are read from the list a second.
+const LISTED_A_SECOND: f64 = 350.0;
 const TICK: Duration = Duration::from_millis(200);
 const MOST_SUBMISSIONS: usize = 64;
+/// The leader's part of the requests that the state service takes.
+const LEADER_REQUESTS: f64 = 0.5;
+/// The leader's part of the changes.
+const LEADER_CHANGES: f64 = 0.65;
 
 fn wall_ms() -> u64 {
     SystemTime::now()
@@ -96,11 +109,13 @@
             run: rand::random(),
             epoch: Instant::now(),
             lease: Cell::new(None),
+            leads_until: Cell::new(Instant::now()),
             sync_wanted: Notify::new(),
             syncs_started: Cell::new(0),
             synced: watch::Sender::new((0, false)),
             fresh_at: Cell::new(Instant::now()),
             newest_hint: Cell::new(Revision(0)),
+            behind_since: Cell::new(None),
             work: Notify::new(),
             record: Notify::new(),
             leader_changed: Notify::new(),
@@ -128,6 +143,7 @@
         spawn_local(self.clone().pump());
         spawn_local(self.clone().tend());
         spawn_local(self.clone().tend_cloud());
+        spawn_local(self.clone().list_machines());
         spawn_local(self.clone().learn_types());
     }
 
@@ -139,14 +155,21 @@
     /// marked healthy again once the outage is over.
     pub fn healthy(&self) -> bool {
         let view = self.view.borrow();
-        let fresh = self.fresh_at.get().elapsed() < STALE;
-        view.loaded && (fresh || self.newest_hint.get() <= view.ledger)
+        let served = self.fresh_at.get().elapsed() < STALE;
+        let behind = self
+            .behind_since
+            .get()
+            .is_some_and(|t| t.elapsed() >= BEHIND);
+        view.loaded && (served || !behind)
     }
 
     /// A hint from another controller.
     pub fn hinted(&self, revision: Revision) {
-        self.newest_hint.set(self.newest_hint.get().max(revision));
         if revision > self.view.borrow().ledger {
+            if self.behind_since.get().is_none() {
+                self.behind_since.set(Some(Instant::now()));
+            }
+            self.newest_hint.set(self.newest_hint.get().max(revision));
             self.sync_wanted.notify_one();
         }
     }
@@ -179,7 +202,9 @@
             self.syncs_started.set(number);
             let ok = self.read_new(Duration::ZERO).await;
             self.synced.send_replace((number, ok));
-            sleep(SYNC_GAP).await;
+            // Not more than half of this controller's requests.
+            let gap = Duration::from_secs_f64(2.0 / self.state.requests.rate().max(1.0));
+            sleep(gap.clamp(SYNC_GAP, SYNC_GAP_MOST)).await;
         }
     }
 
@@ -248,6 +273,9 @@
 
     fn view_changed(&self) {
         let mut view = self.view.borrow_mut();
+        if view.ledger >= self.newest_hint.get() {
+            self.behind_since.set(None);
+        }
         let changed = view.take_changed();
         let mut core = self.core.borrow_mut();
         if let Some(c) = core.as_mut() {
@@ -280,8 +308,12 @@
         loop {
             match self.lease.get() {
                 Some(lease) => {
+                    let asked = Instant::now();
                     match self.state.renew(lease).await {
-                        Ok(()) => sleep(life / 4).await,
+                        Ok(()) => {
+                            self.leads_until.set(asked + life);
+                            sleep(life / 4).await;
+                        }
                         Err(StateError::LeaseEnded) => self.lease.set(None),
                         Err(_) => sleep(life / 8).await,
                     }
@@ -312,6 +344,7 @@
 
     /// Tries to become leader; if the block is still ours, keeps the grant.
     async fn stand(&self, leader_stamp: Revision, grant: Versioned<GrantRecord>, life: Duration) {
+        let asked = Instant::now();
         let Ok(lease) = self.state.lease(life).await else {
             return;
         };
@@ -347,6 +380,7 @@
         match self.state.txn(&txn, Urgency::First).await {
             Ok(Outcome::Done(revision)) => {
                 self.lease.set(Some(lease));
+                self.leads_until.set(asked + life);
                 if !kept {
                     self.take_over(next, revision).await;
                 }
@@ -388,21 +422,34 @@
         self.work.notify_one();
     }
 
-    /// The leader gets half of what all may ask of the state service, the
-    /// others share the rest.
+    /// Divides what all may ask of the state service: most changes are the
+    /// leader's, who claims and completes; the others accept and cancel, a few
+    /// at a time, so they may ask for some at once. Where that comes to too
+    /// much together, the service says so, and who asked waits.
     fn set_share(&self, leading: bool) {
         let others = self.cfg.others.len() as f64;
-        let part = match (leading, others > 0.0) {
+        let part = |leader: f64| match (leading, others > 0.0) {
             (_, false) => 1.0,
-            (true, true) => 0.5,
-            (false, true) => 0.5 / others,
+            (true, true) => leader,
+            (false, true) => (1.0 - leader) / others,
         };
+        let rps = self.cfg.state_rps * 0.95;
         self.state
             .requests
-            .set_rate(self.cfg.state_rps * 0.95 * part);
+            .set_rate(rps * part(LEADER_REQUESTS), 4.0);
+        let changes = self.cfg.state_write_rps * 0.95;
+        let burst = (changes / 4.0).min(4.0);
         self.state
             .writes
-            .set_rate((self.cfg.state_write_rps * 0.95 * part).max(1.0));
+            .set_rate((changes * part(LEADER_CHANGES)).max(0.5), burst);
+    }
+
+    /// A worker has seen the token of a newer grant, so there is one, whether
+    /// or not the state service can be asked about it.
+    fn deposed(&self) {
+        tracing::info!("a newer grant commands: standing down");
+        self.stand_down();
+        self.sync_wanted.notify_one();
     }
 
     fn stand_down(&self) {
@@ -418,10 +465,8 @@
         let now = self.now();
         let mut core = self.core.borrow_mut();
         let Some(c) = core.as_mut() else { return };
-        if c.walk_all {
-            c.walk_machines(now);
-        }
-        if c.has_dirty() {
+        c.place(now);
+        if c.has_urgent() {
             self.record.notify_one();
         }
         let sends = c.dispatch(&self.view.borrow(), now);
@@ -444,7 +489,7 @@
                     .filter(|c| c.grant == send.orders.baton.grant())
                     .map(|c| c.dispatched(&send.machine, outcome, now));
                 if mine == Some(false) {
-                    node.sync_wanted.notify_one();
+                    node.deposed();
                 }
                 node.drive();
             });
@@ -454,13 +499,18 @@
     /// Records claims and results, one transaction at a time.
     async fn pump(self: Rc<Self>) {
         loop {
-            self.record.notified().await;
+            // Also now and then for what is not urgent.
+            let _ = timeout(TICK, self.record.notified()).await;
             loop {
                 let batch = {
                     let mut core = self.core.borrow_mut();
                     let view = self.view.borrow();
-                    core.as_mut()
-                        .and_then(|c| Some((c.grant, c.next_batch(&view, self.cfg.txn_ops)?)))
+                    let spare = self.state.writes.spare();
+                    let now = self.now();
+                    core.as_mut().and_then(|c| {
+                        let batch = c.next_batch(&view, self.cfg.txn_ops, spare, now)?;
+                        Some((c.grant, batch))
+                    })
                 };
                 let Some((grant, batch)) = batch else { break };
                 self.record_batch(grant, batch).await;
@@ -555,27 +605,38 @@
         }
     }
 
-    async fn tend_cloud(self: Rc<Self>) {
-        let mut listed = None::<Instant>;
-        let list_every = Duration::from_secs_f64((self.cfg.list_lag_s / 2.0).clamp(1.0, 5.0));
+    /// Reads the machine list. It is late in any case, and longer with more
+    /// machines, so then it is read less often.
+    async fn list_machines(self: Rc<Self>) {
+        let least = (self.cfg.list_lag_s / 2.0).clamp(1.0, 5.0);
+        let mut pause = 0.5;
         loop {
-            sleep(Duration::from_millis(500)).await;
+            sleep(Duration::from_secs_f64(pause)).await;
+            pause = 0.5;
             if self.core.borrow().is_none() {
-                listed = None;
                 continue;
             }
-            if listed.is_none_or(|t| t.elapsed() >= list_every) {
-                match self.cloud.list().await {
-                    Ok(list) => {
-                        listed = Some(Instant::now());
-                        let now = self.now();
-                        if let Some(c) = self.core.borrow_mut().as_mut() {
-                            c.listed(&list, now);
-                        }
-                        self.drive();
+            match self.cloud.list().await {
+                Ok(list) => {
+                    pause = least.max(list.len() as f64 / LISTED_A_SECOND);
+                    let now = self.now();
+                    if let Some(c) = self.core.borrow_mut().as_mut() {
+                        c.listed(&list, now);
                     }
-                    Err(error) => tracing::info!(%error, "machine list"),
+                    self.drive();
                 }
+                Err(error) => tracing::info!(%error, "machine list"),
+            }
+        }
+    }
+
+    async fn tend_cloud(self: Rc<Self>) {
+        loop {
+            sleep(FLEET_EVERY).await;
+            // Without the lease another controller may own the block: its
+            // machines would look silent here, and must not be given back.
+            if Instant::now() >= self.leads_until.get() {
+                continue;
             }
             let now = self.now();
             let plan = self
@@ -635,8 +696,8 @@
         let mut reply = None;
         if let Some(c) = core.as_mut() {
             if !c.report(report, Source::Beat, now) {
-                tracing::info!(machine = %report.machine, token = %report.baton, "a newer grant commands");
-                self.sync_wanted.notify_one();
+                drop(core);
+                self.deposed();
                 return Beat::Unavailable;
             }
             if !stale {
@@ -742,13 +803,7 @@
     }
 
     async fn accept(&self, id: &JobId, spec: JobSpec) -> Submitted {
-        let record = JobRecord {
-            phase: Phase::Live,
-            tasks: spec.tasks,
-            chunk: chunk_size(self.cfg.value_bytes),
-            accepted_ms: wall_ms(),
-            spec: Some(spec),
-        };
+        let record = JobRecord::accepted(spec, wall_ms(), self.cfg.value_bytes);
         let txn = Txn {
             when: vec![When {
                 key: job_key(id),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,12 +4,11 @@
 //! the machines that there are; what finds no room there is rented, the
 //! cheapest first, and machines that nothing was packed into may go.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
-use crate::config::Tuning;
 use crate::sched::{Board, Progress};
-use crate::types::{Amount, JobSpec, Kind, MachineId, MachineType, Time, TypeName, Zone};
+use crate::types::{Amount, JobId, JobSpec, Kind, MachineId, MachineType, Time, TypeName, Zone};
 
 /// A machine on its way.
 #[derive(Clone, Debug)]
@@ -65,13 +64,13 @@
     pub coming: &'a [Coming],
     /// Work that may come.
     pub expected: &'a [Expected],
-    /// How long a job's tasks may wait for others to end, rather than for a
+    /// Whether a job's tasks may wait for others to end, rather than for a
     /// new machine to boot.
-    pub patience: &'a dyn Fn(&JobSpec) -> f64,
+    pub patient: &'a dyn Fn(&JobSpec) -> bool,
+    /// How long a new machine takes to boot.
+    pub boot_s: f64,
     /// Whether the cloud has not just refused such a machine.
     pub open: &'a dyn Fn(&TypeName, &Zone, bool) -> bool,
-    /// The operators' settings.
-    pub tuning: &'a Tuning,
 }
 
 struct Room {
@@ -79,35 +78,30 @@
     kind: Rc<MachineType>,
     zone: Zone,
     spot: bool,
+    /// Free now.
     free: Amount,
-    /// When running tasks should end, in seconds from now, and what they free.
-    ends: Vec<(f64, Amount)>,
+    /// Free once tasks have ended that should end while a machine boots.
+    soon: Amount,
     kept: Amount,
     /// Something that can't be moved off, or was packed here.
     used: bool,
 }
 
-struct Item {
-    spec: Rc<JobSpec>,
-    tasks: u32,
-    /// Room that is only kept.
-    expected: bool,
-    /// It has waited so long already that its aims are in danger.
-    late: bool,
-}
-
 impl Room {
-    fn takes(&self, spec: &JobSpec) -> bool {
-        self.takes_within(spec, 0.0)
-    }
-
-    /// Whether there is room now, or should be within `wait` seconds.
-    fn takes_within(&self, spec: &JobSpec, wait: f64) -> bool {
-        let mut free = self.free;
-        for (_, amount) in self.ends.iter().filter(|(t, _)| *t <= wait) {
-            free += *amount;
+    fn new(kind: Rc<MachineType>, zone: Zone, spot: bool) -> Self {
+        Self {
+            id: None,
+            free: kind.total,
+            soon: kind.total,
+            kind,
+            zone,
+            spot,
+            kept: Amount::default(),
+            used: true,
         }
-        spec.each.fits(free)
+    }
+    fn suits(&self, spec: &JobSpec) -> bool {
+        spec.each.fits(self.kind.total)
             && (spec.spot || !self.spot)
             && spec.zone.as_ref().is_none_or(|z| *z == self.zone)
             && spec
@@ -115,29 +109,110 @@
                 .as_ref()
                 .is_none_or(|t| t.contains(&self.kind.name))
     }
-
-    /// Lower is better: spot machines for what may use them, then machines
-    /// that stay anyway, then the tightest fit.
-    fn rank(&self, spec: &JobSpec) -> (bool, bool, i64) {
-        (
-            spec.spot && !self.spot,
-            !self.used,
-            self.free.cpu - spec.each.cpu,
-        )
+    fn available(&self, soon: bool) -> Amount {
+        if soon {
+            self.soon
+        } else {
+            self.free
+        }
     }
+    fn bin(&self) -> Bin {
+        Bin {
+            spot: self.spot,
+            used: self.used,
+            kind: self.kind.name.clone(),
+            zone: self.zone.clone(),
+        }
+    }
+}
+
+/// How many tasks of size `each` fit into `room`.
+fn how_many(each: Amount, room: Amount) -> u32 {
+    let part = |need: i64, has: i64| match need {
+        0 => i64::from(u32::MAX),
+        need => (has / need).max(0),
+    };
+    part(each.cpu, room.cpu)
+        .min(part(each.gpu, room.gpu))
+        .min(part(each.ram, room.ram)) as u32
+}
+
+/// Rooms that are as good as each other but for how tight they are.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Bin {
+    spot: bool,
+    used: bool,
+    kind: TypeName,
+    zone: Zone,
+}
+
+struct Item {
+    spec: Rc<JobSpec>,
+    tasks: u32,
+    /// Room that is only kept.
+    expected: bool,
+    /// It has waited so long already that its aims are in danger.
+    late: bool,
 }
 
 struct Packing<'a> {
     input: &'a Input<'a>,
     rooms: Vec<Room>,
+    /// Rooms by what is free now, and by what is free soon: the tightest first.
+    bins: [BTreeMap<Bin, BTreeSet<(i64, usize)>>; 2],
+    crowd: HashMap<Zone, u32>,
+    total_cpu: i64,
+    guaranteed_cpu: i64,
     rent: BTreeMap<(bool, TypeName, Zone), u32>,
 }
 
 impl Packing<'_> {
-    /// Whether the machines offer less than all teams are guaranteed.
-    fn below_guarantee(&self) -> bool {
-        let sum: i64 = self.rooms.iter().map(|r| r.kind.total.cpu).sum();
-        sum < self.input.board.guaranteed().cpu
+    fn add(&mut self, room: Room) -> usize {
+        *self.crowd.entry(room.zone.clone()).or_insert(0) += 1;
+        self.total_cpu += room.kind.total.cpu;
+        self.rooms.push(room);
+        let at = self.rooms.len() - 1;
+        self.file(at, true);
+        at
+    }
+
+    fn file(&mut self, at: usize, put: bool) {
+        let room = &self.rooms[at];
+        for (soon, bins) in self.bins.iter_mut().enumerate() {
+            let bin = bins.entry(room.bin()).or_default();
+            let key = (room.available(soon == 1).cpu, at);
+            if put {
+                bin.insert(key);
+            } else {
+                bin.remove(&key);
+            }
+        }
+    }
+
+    /// The room for a task that ranks best: spot machines for what may use
+    /// them, then machines that stay anyway, then the tightest fit.
+    fn fitting(&self, spec: &JobSpec, soon: bool, barred: &dyn Fn(&Zone) -> bool) -> Option<usize> {
+        let mut best: Option<((bool, bool, i64), usize)> = None;
+        for (bin, rooms) in &self.bins[usize::from(soon)] {
+            if barred(&bin.zone) {
+                continue;
+            }
+            for &(cpu, at) in rooms.range((spec.each.cpu, 0)..) {
+                let room = &self.rooms[at];
+                if !room.suits(spec) {
+                    break;
+                }
+                if !spec.each.fits(room.available(soon)) {
+                    continue;
+                }
+                let rank = (spec.spot && !bin.spot, !bin.used, cpu);
+                if best.as_ref().is_none_or(|(r, _)| rank < *r) {
+                    best = Some((rank, at));
+                }
+                break;
+            }
+        }
+        best.map(|(_, at)| at)
     }
 
     fn cheapest(&self, item: &Item, left_cpu: i64, barred: &dyn Fn(&Zone) -> bool) -> Option<Room> {
@@ -146,28 +221,19 @@
         for kind in self.input.types.iter().filter(|t| t.total.cpu > 0) {
             for zone in kind.zones.iter().filter(|z| !barred(z)) {
                 for spot in [true, false] {
-                    let room = Room {
-                        id: None,
-                        kind: kind.clone(),
-                        zone: zone.clone(),
-                        spot,
-                        free: kind.total,
-                        ends: Vec::new(),
-                        kept: Amount::default(),
-                        used: true,
-                    };
+                    let room = Room::new(kind.clone(), zone.clone(), spot);
                     let asked = self
                         .rent
                         .get(&(spot, kind.name.clone(), zone.clone()))
                         .copied()
                         .unwrap_or(0);
-                    if !room.takes(spec)
-                        || asked >= 50
+                    if !room.suits(spec)
+                        || asked >= MOST_RENTED
                         || !(self.input.open)(&kind.name, zone, spot)
                     {
                         continue;
                     }
-                    if spec.spot && !spot && !item.late && !self.below_guarantee() {
+                    if spec.spot && !spot && !item.late && self.total_cpu >= self.guaranteed_cpu {
                         // Dear: only for what the teams were promised, or for
                         // a queue that spot machines have not kept short.
                         continue;
@@ -176,8 +242,8 @@
                     // By what of the machine will be of use now; among equals
                     // the zone with the fewest machines, so that work spreads.
                     let useful = kind.total.cpu.min(left_cpu.max(spec.each.cpu)).max(1);
-                    let crowd = self.rooms.iter().filter(|r| r.zone == *zone).count();
-                    let score = price / useful as f64 * (1.0 + 1e-4 * crowd as f64);
+                    let crowd = self.crowd.get(zone).copied().unwrap_or(0);
+                    let score = price / useful as f64 * (1.0 + 1e-4 * f64::from(crowd));
                     if best.as_ref().is_none_or(|(s, _)| score < *s) {
                         best = Some((score, room));
                     }
@@ -197,115 +263,120 @@
         };
         // What is only expected needs its room at once; what waits can take
         // the room of tasks that end soon.
-        let wait = if item.expected {
-            0.0
-        } else {
-            (self.input.patience)(spec)
-        };
-        for done in 0..item.tasks {
+        let soon = !item.expected && (self.input.patient)(spec);
+        let mut left = item.tasks;
+        while left > 0 {
             let barred = |z: &Zone| zones.get(z).is_some_and(|n| *n >= most);
-            let left_cpu = spec.each.cpu * i64::from(item.tasks - done);
-            let fitting = self
-                .rooms
-                .iter_mut()
-                .filter(|r| r.takes_within(spec, wait) && !barred(&r.zone))
-                .min_by_key(|r| r.rank(spec));
+            let left_cpu = spec.each.cpu * i64::from(left);
+            let fitting = self.fitting(spec, soon, &barred);
             // An ordinary machine that nothing else holds is dear for work
             // that may use spot machines: rather rent one of those.
             let keep = fitting
-                .as_ref()
+                .map(|at| &self.rooms[at])
                 .is_some_and(|r| !spec.spot || r.spot || r.used);
-            let mut zone = fitting.as_ref().map(|r| r.zone.clone());
+            let mut chosen = fitting;
             if !keep {
                 let rented = self
                     .cheapest(item, left_cpu, &barred)
-                    .filter(|r| r.spot || zone.is_none());
-                if let Some(mut room) = rented {
-                    zone = Some(room.zone.clone());
+                    .filter(|r| r.spot || fitting.is_none());
+                if let Some(room) = rented {
                     *self
                         .rent
                         .entry((room.spot, room.kind.name.clone(), room.zone.clone()))
                         .or_insert(0) += 1;
-                    room.free -= spec.each;
-                    self.rooms.push(room);
-                    *zones
-                        .entry(zone.clone().unwrap_or_else(|| Zone::from("")))
-                        .or_insert(0) += 1;
-                    continue;
+                    chosen = Some(self.add(room));
                 }
             }
-            let chosen = self
-                .rooms
-                .iter_mut()
-                .filter(|r| zone.as_ref() == Some(&r.zone) && r.takes_within(spec, wait))
-                .min_by_key(|r| r.rank(spec));
-            let Some(room) = chosen else {
-                if item.expected {
-                    continue;
-                }
-                break;
-            };
-            room.free -= spec.each;
+            let Some(at) = chosen else { return };
+            self.file(at, false);
+            let room = &mut self.rooms[at];
+            let in_zone = zones.entry(room.zone.clone()).or_insert(0);
+            // A spread job's tasks go to one room after another, as their
+            // zones fill up.
+            let count = how_many(spec.each, room.available(soon))
+                .min(left)
+                .min(most - *in_zone)
+                .max(1);
+            let count = if spec.spread { 1 } else { count };
+            let taken = spec.each.times(i64::from(count));
+            room.free -= taken;
+            room.soon -= taken;
             room.used = true;
             if item.expected && !spec.spot {
-                room.kept += spec.each;
+                room.kept += taken;
             }
-            *zones.entry(room.zone.clone()).or_insert(0) += 1;
+            *in_zone += count;
+            left -= count;
+            self.file(at, true);
         }
     }
 }
 
+/// Most machines in one request.
+const MOST_RENTED: u32 = 50;
+
 /// Makes the plan.
 pub fn plan(input: &Input, now: Time) -> Plan {
     let board = input.board;
-    let mut rooms: Vec<Room> = Vec::new();
-    for (id, m) in board.machines.iter().filter(|(_, m)| m.usable) {
-        rooms.push(Room {
-            id: Some(id.clone()),
-            kind: m.kind.clone(),
-            zone: m.zone.clone(),
-            spot: m.spot,
-            free: m.kind.total,
-            ends: Vec::new(),
-            kept: Amount::default(),
-            used: false,
-        });
-    }
-    let place: BTreeMap<MachineId, usize> = rooms
-        .iter()
-        .enumerate()
-        .filter_map(|(i, r)| Some((r.id.clone()?, i)))
-        .collect();
-    let mut items: Vec<Item> = Vec::new();
-    for job in board.jobs.values() {
-        let mut movable = 0;
-        for claim in job.tasks.claims().values() {
-            let Some(room) = place.get(&claim.machine).map(|&i| &mut rooms[i]) else {
+    let mut packing = Packing {
+        input,
+        rooms: Vec::new(),
+        bins: Default::default(),
+        crowd: HashMap::new(),
+        total_cpu: 0,
+        guaranteed_cpu: board.guaranteed().cpu,
+        rent: BTreeMap::new(),
+    };
+    // Tasks that could move to spot machines are packed anew, by job.
+    let mut again: BTreeMap<&JobId, u32> = BTreeMap::new();
+    for (id, m) in board.machines().iter().filter(|(_, m)| m.usable) {
+        let fixed = m.used - m.movable;
+        let mut room = Room::new(m.kind.clone(), m.zone.clone(), m.spot);
+        room.id = Some(id.clone());
+        room.free -= fixed;
+        room.soon = room.free;
+        room.used = fixed != Amount::default();
+        for task in &m.claims {
+            let Some(job) = board.job(&task.job) else {
                 continue;
             };
-            if job.spec.spot && !room.spot {
-                // On an ordinary machine now, but spot machines would do.
-                movable += 1;
-            } else {
-                room.free -= job.spec.each;
-                room.used = true;
-                if let (Kind::Array, Progress::Running(since)) = (job.spec.kind, claim.progress) {
+            if job.spec.spot && !m.spot {
+                *again.entry(&task.job).or_insert(0) += 1;
+            } else if job.spec.kind == Kind::Array {
+                let claim = job.tasks.claims().get(&task.index);
+                if let Some(Progress::Running(since)) = claim.map(|c| c.progress) {
                     let left = (job.spec.estimate_s - now.since(since)).max(2.0);
-                    room.ends.push((left, job.spec.each));
+                    if left <= input.boot_s {
+                        room.soon += job.spec.each;
+                    }
                 }
             }
         }
-        let mut tasks = movable;
-        if job.wants(now) {
-            // What the team's limit forbids is not waiting for machines.
-            let team = &board.teams[job.team];
-            let room = (team.limit - team.used).cpu.max(0) / job.spec.each.cpu.max(1);
-            tasks += job
-                .tasks
-                .pending()
-                .min(u32::try_from(room).unwrap_or(u32::MAX));
-        }
-        if tasks > 0 {
+        packing.add(room);
+    }
+    for c in input.coming {
+        packing.add(Room::new(c.kind.clone(), c.zone.clone(), c.spot));
+    }
+    let mut items: Vec<Item> = Vec::new();
+    // What a team's limit forbids is not waiting for machines.
+    let mut open: Vec<i64> = board
+        .teams()
+        .iter()
+        .map(|t| (t.limit - t.used).cpu.max(0))
+        .collect();
+    let mut wanting: BTreeMap<&JobId, u32> = BTreeMap::new();
+    for (id, job) in board.wanting().filter(|(_, j)| j.wants(now)) {
+        let cpu = job.spec.each.cpu.max(1);
+        let room = u32::try_from(open[job.team] / cpu).unwrap_or(u32::MAX);
+        let tasks = job.tasks.pending().min(room);
+        open[job.team] -= cpu * i64::from(tasks);
+        wanting.insert(id, tasks);
+    }
+    for (id, tasks) in again {
+        *wanting.entry(id).or_insert(0) += tasks;
+    }
+    for (id, tasks) in wanting {
+        if let Some(job) = board.job(id).filter(|_| tasks > 0) {
             items.push(Item {
                 spec: job.spec.clone(),
                 tasks,
@@ -314,18 +385,6 @@
             });
         }
     }
-    for c in input.coming {
-        rooms.push(Room {
-            id: None,
-            kind: c.kind.clone(),
-            zone: c.zone.clone(),
-            spot: c.spot,
-            free: c.kind.total,
-            ends: Vec::new(),
-            kept: Amount::default(),
-            used: true,
-        });
-    }
     for e in input.expected.iter().filter(|e| e.tasks > 0) {
         items.push(Item {
             spec: e.spec.clone(),
@@ -336,11 +395,6 @@
     }
     // What only ordinary machines can take goes first, then the largest.
     items.sort_by_key(|i| (i.spec.spot, i.expected, std::cmp::Reverse(i.spec.each.cpu)));
-    let mut packing = Packing {
-        input,
-        rooms,
-        rent: BTreeMap::new(),
-    };
     for item in &items {
         packing.pack(item);
     }
--- /dev/null
+++ b/src/sched/machine.rs
@@ -0,0 +1,132 @@
+//! Machines as the scheduler sees them, with their modelled image caches.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use crate::types::{Amount, Image, MachineType, TaskId, Time, Zone};
+
+#[derive(Clone, Debug, PartialEq)]
+struct Cached {
+    image: Image,
+    gb: f64,
+    /// A task has run on it; until then it may still be on its way.
+    ready: bool,
+}
+
+/// Images on a machine, modelled: workers don't report them. Least recently
+/// used first.
+#[derive(Clone, Debug, Default)]
+pub struct Cache {
+    held: Vec<Cached>,
+    /// Rises with every change of what is there.
+    version: u64,
+}
+
+impl Cache {
+    /// Whether the image should be there.
+    pub fn has(&self, image: &Image) -> bool {
+        self.held.iter().any(|c| c.image == *image && c.ready)
+    }
+    /// Whether the image is there or on its way.
+    pub fn expects(&self, image: &Image) -> bool {
+        self.held.iter().any(|c| c.image == *image)
+    }
+    /// An image is used; the oldest ones leave if there is no room. `ran`: a
+    /// task runs on it, so it is there.
+    pub fn touch(&mut self, image: &Image, gb: f64, room: f64, ran: bool) {
+        let at = self.held.iter().position(|c| c.image == *image);
+        let ready = ran || at.is_some_and(|i| self.held[i].ready);
+        match at {
+            Some(i) => {
+                let was = self.held.remove(i);
+                self.version += u64::from(was.ready != ready);
+            }
+            None => self.version += 1,
+        }
+        self.held.push(Cached {
+            image: image.clone(),
+            gb,
+            ready,
+        });
+        let mut total: f64 = self.held.iter().map(|c| c.gb).sum();
+        while total > room && self.held.len() > 1 {
+            total -= self.held.remove(0).gb;
+            self.version += 1;
+        }
+    }
+    /// No task waits for the image any more: a fetch under way is given up.
+    pub fn give_up(&mut self, image: &Image) {
+        let before = self.held.len();
+        self.held.retain(|c| c.image != *image || c.ready);
+        self.version += u64::from(before != self.held.len());
+    }
+    /// All images, and whether they are there already.
+    pub(super) fn images(&self) -> impl Iterator<Item = (&Image, bool)> {
+        self.held.iter().map(|c| (&c.image, c.ready))
+    }
+    pub(super) fn version(&self) -> u64 {
+        self.version
+    }
+}
+
+/// A machine as the scheduler sees it.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    /// Its type.
+    pub kind: Rc<MachineType>,
+    /// Its zone.
+    pub zone: Zone,
+    /// A spot machine.
+    pub spot: bool,
+    /// May get new tasks.
+    pub usable: bool,
+    /// Tasks that claim it.
+    pub claims: BTreeSet<TaskId>,
+    /// Sum of their amounts.
+    pub used: Amount,
+    /// The part of it that a spot machine would do for.
+    pub movable: Amount,
+    /// Its images.
+    pub cache: Cache,
+    /// Room kept for work that can't use spot machines.
+    pub kept: Amount,
+    /// For which share of the time of late the fleet's plans had no use for it.
+    pub unused: f64,
+    /// Should fall idle: its work has a cheaper place.
+    pub retiring: bool,
+    /// Since when it has no claim.
+    pub idle_since: Time,
+}
+
+impl Machine {
+    /// A machine without tasks.
+    pub fn new(kind: Rc<MachineType>, zone: Zone, spot: bool, now: Time) -> Self {
+        Self {
+            kind,
+            zone,
+            spot,
+            usable: false,
+            claims: BTreeSet::new(),
+            used: Amount::default(),
+            movable: Amount::default(),
+            cache: Cache::default(),
+            kept: Amount::default(),
+            unused: 0.0,
+            retiring: false,
+            idle_since: now,
+        }
+    }
+    /// Price an hour of a thousandth of a CPU.
+    pub fn price_per_cpu(&self) -> f64 {
+        let price = if self.spot {
+            self.kind.spot_price
+        } else {
+            self.kind.price
+        };
+        price / self.kind.total.cpu.max(1) as f64
+    }
+    /// What is free.
+    pub fn free(&self) -> Amount {
+        self.kind.total - self.used
+    }
+}
--- /dev/null
+++ b/src/sched/tasks.rs
@@ -0,0 +1,157 @@
+//! The tasks of a job: done, claimed or pending.
+
+use std::collections::BTreeMap;
+
+use crate::types::{Attempt, MachineId, Time};
+
+/// How far the start command of a claim has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sent {
+    /// Not sent by this controller under its present grant.
+    No,
+    /// Sent directly; no answer yet.
+    Flying,
+    /// The worker has answered the command.
+    Answered,
+    /// Sent in the answer to a report.
+    InReply,
+}
+
+/// What is known of a claimed task on its machine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Progress {
+    /// Not seen there yet.
+    Unseen,
+    /// Waiting for its image.
+    Fetching,
+    /// Running since about this time.
+    Running(Time),
+    /// Told to stop, saving.
+    Saving,
+}
+
+/// A task's claim on a machine. It counts until its task is provably gone.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The machine.
+    pub machine: MachineId,
+    /// When it was made, or found at a takeover.
+    pub since: Time,
+    /// Whether the state service has it.
+    pub committed: bool,
+    /// Its start command.
+    pub sent: Sent,
+    /// The task itself.
+    pub progress: Progress,
+    /// The task is to be stopped, with this grace in seconds.
+    pub stop: Option<f64>,
+}
+
+/// The tasks of one job: done, claimed or pending.
+#[derive(Clone, Debug)]
+pub struct Tasks {
+    count: u32,
+    chunk: u32,
+    done: Vec<u64>,
+    done_count: u32,
+    claims: BTreeMap<u32, Claim>,
+    next_attempt: BTreeMap<u32, u64>,
+    cursor: u32,
+}
+
+impl Tasks {
+    /// `count` pending tasks, recorded in chunks of `chunk` (at most 64).
+    pub fn new(count: u32, chunk: u32) -> Self {
+        let chunk = chunk.clamp(1, 64);
+        Self {
+            count,
+            chunk,
+            done: vec![0; count.div_ceil(chunk) as usize],
+            done_count: 0,
+            claims: BTreeMap::new(),
+            next_attempt: BTreeMap::new(),
+            cursor: 0,
+        }
+    }
+    /// The chunk that holds task `index`.
+    pub fn chunk_of(&self, index: u32) -> u32 {
+        index / self.chunk
+    }
+    /// Tasks in a chunk.
+    pub fn chunk_size(&self) -> u32 {
+        self.chunk
+    }
+    /// Number of chunks.
+    pub fn chunks(&self) -> u32 {
+        self.count.div_ceil(self.chunk)
+    }
+    /// Whether a task is done.
+    pub fn is_done(&self, index: u32) -> bool {
+        self.done
+            .get(self.chunk_of(index) as usize)
+            .is_some_and(|word| word >> (index % self.chunk) & 1 == 1)
+    }
+    /// Marks a task done.
+    pub fn set_done(&mut self, index: u32) {
+        if index < self.count && !self.is_done(index) {
+            let word = self.chunk_of(index) as usize;
+            self.done[word] |= 1 << (index % self.chunk);
+            self.done_count += 1;
+        }
+    }
+    /// The done tasks of a chunk, one bit each.
+    pub fn done_bits(&self, chunk: u32) -> u64 {
+        self.done.get(chunk as usize).copied().unwrap_or(0)
+    }
+    /// Whether every task is done.
+    pub fn all_done(&self) -> bool {
+        self.done_count == self.count
+    }
+    /// How many tasks are neither done nor claimed.
+    pub fn pending(&self) -> u32 {
+        self.count - self.done_count - self.claims.len() as u32
+    }
+    /// The lowest task that is neither done nor claimed.
+    pub fn next_pending(&mut self) -> Option<u32> {
+        while self.cursor < self.count {
+            if !self.is_done(self.cursor) && !self.claims.contains_key(&self.cursor) {
+                return Some(self.cursor);
+            }
+            self.cursor += 1;
+        }
+        None
+    }
+    /// All claims in order.
+    pub fn claims(&self) -> &BTreeMap<u32, Claim> {
+        &self.claims
+    }
+    pub(super) fn insert_claim(&mut self, index: u32, claim: Claim) {
+        self.claims.insert(index, claim);
+    }
+    pub(super) fn remove_claim(&mut self, index: u32) -> Option<Claim> {
+        let claim = self.claims.remove(&index)?;
+        self.cursor = self.cursor.min(index);
+        Some(claim)
+    }
+    /// One claim, to change.
+    pub fn claim_mut(&mut self, index: u32) -> Option<&mut Claim> {
+        self.claims.get_mut(&index)
+    }
+    /// The next attempt number of a chunk. One counter serves its tasks, so
+    /// no task ever has an attempt twice.
+    pub fn next_attempt(&self, chunk: u32) -> u64 {
+        self.next_attempt.get(&chunk).copied().unwrap_or(1)
+    }
+    /// Sets a chunk's attempt counter, as recorded.
+    pub fn set_next_attempt(&mut self, chunk: u32, next: u64) {
+        self.next_attempt.insert(chunk, next);
+    }
+    pub(super) fn take_attempt(&mut self, index: u32) -> Attempt {
+        let next = self.next_attempt.entry(index / self.chunk).or_insert(1);
+        let attempt = Attempt(*next);
+        *next += 1;
+        attempt
+    }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -84,6 +84,9 @@
     /// Certainly not carried out: refused, out of budget, or no connection.
     #[error("not carried out: {0}")]
     Refused(String),
+    /// Not carried out: all controllers together ask too much.
+    #[error("too many requests")]
+    TooMany,
     /// May have been carried out, or may still be.
     #[error("unknown outcome: {0}")]
     Unknown(String),
@@ -148,9 +151,10 @@
 }
 
 /// This controller's share of what all may ask of a service: a bucket that
-/// refills steadily and holds one second's worth.
+/// refills steadily and holds one second's worth, or a least burst.
 pub struct Budget {
     rate: Cell<f64>,
+    least_burst: Cell<f64>,
     level: Cell<f64>,
     filled: Cell<Instant>,
 }
@@ -160,21 +164,41 @@
     pub fn new(rate: f64) -> Self {
         Self {
             rate: Cell::new(rate),
+            least_burst: Cell::new(1.0),
             level: Cell::new(rate),
             filled: Cell::new(Instant::now()),
         }
     }
-    /// Changes the rate.
-    pub fn set_rate(&self, rate: f64) {
+    /// Changes the rate, and how much may be asked at once even if that is
+    /// more than a second's worth.
+    pub fn set_rate(&self, rate: f64, least_burst: f64) {
         self.refill();
         self.rate.set(rate);
+        self.least_burst.set(least_burst.max(1.0));
+    }
+    fn burst(&self) -> f64 {
+        self.rate.get().max(self.least_burst.get())
+    }
+    /// What it gives a second.
+    pub fn rate(&self) -> f64 {
+        self.rate.get()
+    }
+    /// The service says that all together ask too much.
+    pub fn drain(&self) {
+        self.refill();
+        self.level.set(self.level.get().min(0.0));
     }
     fn refill(&self) {
         let now = Instant::now();
         let gained = now.duration_since(self.filled.get()).as_secs_f64() * self.rate.get();
         self.filled.set(now);
         self.level
-            .set((self.level.get() + gained).min(self.rate.get().max(1.0)));
+            .set((self.level.get() + gained).min(self.burst()));
+    }
+    /// Whether most of what the bucket can hold is there.
+    pub fn spare(&self) -> bool {
+        self.refill();
+        self.level.get() >= 0.6 * self.burst()
     }
     /// Takes `n` at once, even beyond what is there: for what must go first.
     pub fn force(&self, n: f64) {
@@ -184,8 +208,8 @@
     /// Takes `n` if there is enough; else tells how long that would take.
     pub fn take(&self, n: f64) -> Result<(), Duration> {
         self.refill();
-        // More than a second's worth at once is allowed on a full bucket.
-        let needed = n.min(self.rate.get().max(1.0));
+        // More than fits is allowed on a full bucket.
+        let needed = n.min(self.burst());
         if self.level.get() + 1e-9 >= needed {
             self.level.set(self.level.get() - n);
             Ok(())
@@ -262,7 +286,7 @@
         };
         let result = match self.pool.call(method, path, body, limits).await {
             Ok(a) => match a.status.as_u16() {
-                429 => Err(StateError::Refused("too many requests".into())),
+                429 => Err(StateError::TooMany),
                 503 => Err(StateError::Refused("unavailable".into())),
                 status => Ok((status, a.body)),
             },
@@ -275,27 +299,35 @@
         result
     }
 
-    /// Carries out a transaction.
+    /// Carries out a transaction. If all controllers together ask too much of
+    /// the service, it is tried again as long as `urgency` allows.
     pub async fn txn(&self, txn: &Txn, urgency: Urgency) -> Result<Outcome, StateError> {
         let cost = txn.apply.len() as f64;
-        match urgency {
-            Urgency::First => self.writes.force(cost),
-            Urgency::Within(patience) => {
-                if !self.writes.wait(cost, patience).await {
-                    return Err(StateError::Refused("over this controller's share".into()));
+        let body = serde_json::to_vec(txn).map_err(|e| StateError::Refused(e.to_string()))?;
+        let body = Bytes::from(body);
+        let end = match urgency {
+            Urgency::First => Instant::now(),
+            Urgency::Within(patience) => Instant::now() + patience,
+        };
+        let (status, body) = loop {
+            match urgency {
+                Urgency::First => self.writes.force(cost),
+                Urgency::Within(_) => {
+                    let left = end.saturating_duration_since(Instant::now());
+                    if !self.writes.wait(cost, left).await {
+                        return Err(StateError::Refused("over this controller's share".into()));
+                    }
                 }
             }
-        }
-        let body = serde_json::to_vec(txn).map_err(|e| StateError::Refused(e.to_string()))?;
-        let (status, body) = self
-            .call(
-                Method::POST,
-                "/txn",
-                body.into(),
-                urgency,
-                Duration::from_millis(1500),
-            )
-            .await?;
+            let answer = Duration::from_millis(1500);
+            let result = self
+                .call(Method::POST, "/txn", body.clone(), urgency, answer)
+                .await;
+            match result {
+                Err(StateError::TooMany) if Instant::now() < end => self.writes.drain(),
+                result => break result?,
+            }
+        };
         let ledger = || {
             serde_json::from_slice::<LedgerBody>(&body)
                 .map(|l| l.ledger)
--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -4,8 +4,8 @@
 //! | --- | --- | --- |
 //! | `h/leader` | [`LeaderRecord`], attached to a lease | whoever becomes leader |
 //! | `h/grant` | [`GrantRecord`] | whoever becomes leader |
-//! | `h/job/ID` | [`JobRecord`] | any controller accepts and cancels; the block's owner completes |
-//! | `h/task/ID/N` | [`ChunkRecord`], tasks N·chunk and on | the block's owner |
+//! | `h/job/ID` | [`JobRecord`] | any controller accepts and cancels; the block's owner claims and completes |
+//! | `h/task/ID/N` | [`ChunkRecord`], tasks N·chunk and on, of a job that does not keep them in its own record | the block's owner |
 
 use serde::{Deserialize, Serialize};
 
@@ -112,7 +112,40 @@
     /// The job itself. Kept once cancelled, for what its tasks still take of
     /// the team's limit; dropped once done.
     #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
-    pub spec: Option<JobSpec>,
+    pub spec: Option<Box<JobSpec>>,
+    /// All tasks' claims and results, of a job small enough to keep them here:
+    /// its claims then cost no key of their own, and no deletion.
+    #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
+    pub inline: Option<ChunkRecord>,
+}
+
+impl JobRecord {
+    /// A job that was just accepted. Values have at most `value_bytes`.
+    pub fn accepted(spec: JobSpec, accepted_ms: u64, value_bytes: usize) -> Self {
+        let chunk = chunk_size(value_bytes);
+        let mut record = Self {
+            phase: Phase::Live,
+            tasks: spec.tasks,
+            chunk,
+            accepted_ms,
+            spec: Some(Box::new(spec)),
+            inline: None,
+        };
+        let taken = serde_json::to_vec(&record).map_or(value_bytes, |b| b.len());
+        if record.tasks <= chunk_size(value_bytes.saturating_sub(taken)).min(chunk) {
+            record.inline = Some(ChunkRecord::new());
+        }
+        record
+    }
+    /// The record of the same job once it is done.
+    pub fn done(&self) -> Self {
+        Self {
+            phase: Phase::Done,
+            spec: None,
+            inline: None,
+            ..self.clone()
+        }
+    }
 }
 
 /// Claims and results of up to 64 tasks.
@@ -129,8 +162,18 @@
     pub claims: Vec<(u32, Attempt, MachineId)>,
 }
 
+impl ChunkRecord {
+    /// Nothing claimed, nothing done.
+    pub fn new() -> Self {
+        Self {
+            next_attempt: 1,
+            ..Self::default()
+        }
+    }
+}
+
 /// Tasks that fit into a chunk when values have at most `value_bytes`.
 pub fn chunk_size(value_bytes: usize) -> u32 {
-    // A claim takes about 30 bytes; machine names may be longer than usual.
+    // A claim takes about 25 bytes; machine names may be longer than usual.
     (value_bytes.saturating_sub(128) / 40).clamp(1, 64) as u32
 }
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -27,6 +27,27 @@
     pub chunks: BTreeMap<u32, Versioned<ChunkRecord>>,
 }
 
+impl JobEntry {
+    /// A chunk, in the job's own record or under its own key.
+    pub fn chunk(&self, chunk: u32) -> Option<&ChunkRecord> {
+        match &self.record.value.inline {
+            Some(inline) => Some(inline).filter(|_| chunk == 0),
+            None => self.chunks.get(&chunk).map(|c| &c.value),
+        }
+    }
+    /// All chunks that have progress.
+    pub fn all_chunks(&self) -> impl Iterator<Item = (u32, &ChunkRecord)> {
+        let inline = self.record.value.inline.as_ref().map(|c| (0, c));
+        inline
+            .into_iter()
+            .chain(self.chunks.iter().map(|(&n, c)| (n, &c.value)))
+    }
+    /// Whether any task is claimed.
+    pub fn claims_any(&self) -> bool {
+        self.all_chunks().any(|(_, c)| !c.claims.is_empty())
+    }
+}
+
 /// What users see of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Summary {
@@ -85,9 +106,9 @@
         match record.phase {
             Phase::Done => summary.done = record.tasks,
             Phase::Live | Phase::Cancelled => {
-                for chunk in entry.chunks.values() {
-                    summary.done += chunk.value.done.count_ones();
-                    summary.running += chunk.value.claims.len() as u32;
+                for (_, chunk) in entry.all_chunks() {
+                    summary.done += chunk.done.count_ones();
+                    summary.running += chunk.claims.len() as u32;
                 }
             }
         }
