Pass reports and users' requests on between controllers

A controller that the state service refuses alone answered users 503 until the load balancer left it.

Now a worker that comes back soon after it was told whom to report to has its reports passed on over the peer line, and the owner's answer back; commands go in those answers. A controller that knows itself cut off passes submissions and cancellations on. Machines that take commands only in answers cost 4 s more. Messages between controllers get a header of fixed layout with a text.

--- a/src/api.rs
+++ b/src/api.rs
@@ -1,6 +1,8 @@
 //! What users and workers reach over HTTP.
 
 use std::convert::Infallible;
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,10 +18,12 @@
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
+use crate::control::core::Source;
 use crate::control::{Beat, Node, Submitted};
+use crate::peer::{self, Answered, Heard};
 use crate::state::record::Phase;
 use crate::state::view::Summary;
-use crate::types::{Amount, Image, JobId, JobSpec, Kind, Priority, TypeName, Zone};
+use crate::types::{Amount, Image, JobId, JobSpec, Kind, Priority, Revision, TypeName, Zone};
 use crate::worker::Report;
 
 const MOST_BODY: usize = 64 << 10;
@@ -166,6 +170,54 @@
     json!({"uid": id, "phase": phase_name(summary), "done": summary.done, "running": summary.running})
 }
 
+/// An answer that another controller gave.
+fn passed((status, text): Answered) -> Reply {
+    let mut response = reply(status, Value::Null);
+    *response.body_mut() = Full::new(Bytes::from(text));
+    response
+}
+
+/// What other controllers ask this one to answer.
+pub struct ForPeers(Rc<Node>);
+
+impl ForPeers {
+    /// Asked of `node`.
+    pub fn new(node: Rc<Node>) -> Self {
+        Self(node)
+    }
+}
+
+impl Heard for ForPeers {
+    fn hint(&self, revision: Revision) {
+        self.0.hinted(revision);
+    }
+
+    fn answer(
+        self: Rc<Self>,
+        kind: peer::Kind,
+        text: Vec<u8>,
+    ) -> Pin<Box<dyn Future<Output = Answered>>> {
+        Box::pin(async move {
+            let node = &self.0;
+            let answer = match kind {
+                peer::Kind::Submit => submit(node, &text).await,
+                peer::Kind::Withdraw => withdraw(node, &String::from_utf8_lossy(&text)).await,
+                peer::Kind::Beat => match serde_json::from_slice::<Report>(&text) {
+                    Ok(report) => beat_reply(node.own_beat(&report, Source::Passed)),
+                    Err(_) => refuse(400, "malformed report"),
+                },
+                peer::Kind::Hint | peer::Kind::Answer => refuse(400, "not a request"),
+            };
+            let status = answer.status().as_u16();
+            let text = match answer.into_body().collect().await {
+                Ok(body) => body.to_bytes().to_vec(),
+                Err(never) => match never {},
+            };
+            (status, text)
+        })
+    }
+}
+
 async fn submit(node: &Node, body: &[u8]) -> Reply {
     let Ok(value) = serde_json::from_slice::<Value>(body) else {
         return refuse(400, "not JSON");
@@ -208,7 +260,16 @@
     }
 }
 
-fn beat(node: &Rc<Node>, body: &[u8]) -> Reply {
+fn beat_reply(beat: Beat) -> Reply {
+    match beat {
+        Beat::Reply(answer) => reply(200, json!(answer)),
+        Beat::Passed(answered) => passed(answered),
+        Beat::Elsewhere(owner) => reply(421, json!({ "foreman": owner })),
+        Beat::Unavailable => refuse(503, "nobody is known to own the block"),
+    }
+}
+
+async fn beat(node: &Rc<Node>, body: &[u8]) -> Reply {
     let report: Report = match serde_json::from_slice(body) {
         Ok(report) => report,
         Err(error) => {
@@ -216,11 +277,29 @@
             return refuse(400, "malformed report");
         }
     };
-    match node.beat(&report) {
-        Beat::Reply(answer) => reply(200, json!(answer)),
-        Beat::Elsewhere(owner) => reply(421, json!({ "foreman": owner })),
-        Beat::Unavailable => refuse(503, "nobody is known to own the block"),
+    beat_reply(node.beat(&report, body).await)
+}
+
+/// Answers a user's request here, or passes it on: at once if the state
+/// service is known to serve others only, else if it did not serve this one.
+async fn here_or_there(
+    node: &Node,
+    kind: peer::Kind,
+    text: &[u8],
+    here: impl Future<Output = Reply>,
+) -> Reply {
+    if node.cut_off() {
+        if let Some(answered) = node.pass_on(kind, text).await {
+            return passed(answered);
+        }
     }
+    let answer = here.await;
+    if answer.status() == 503 && node.cut_off() {
+        if let Some(answered) = node.pass_on(kind, text).await {
+            return passed(answered);
+        }
+    }
+    answer
 }
 
 async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Reply {
@@ -260,9 +339,15 @@
         Ok(Err(_)) | Err(_) => return refuse(400, "incomplete body"),
     };
     match cancel {
-        Some(id) => withdraw(&node, id).await,
-        None if path == "/v1/jobs" => submit(&node, &body).await,
-        None => beat(&node, &body),
+        Some(id) => {
+            let here = withdraw(&node, id);
+            here_or_there(&node, peer::Kind::Withdraw, id.as_bytes(), here).await
+        }
+        None if path == "/v1/jobs" => {
+            let here = submit(&node, &body);
+            here_or_there(&node, peer::Kind::Submit, &body, here).await
+        }
+        None => beat(&node, &body).await,
     }
 }
 
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -26,6 +26,8 @@
 pub enum Source {
     /// The worker's own reporting.
     Beat,
+    /// The same, passed on by another controller: it can't reach this one.
+    Passed,
     /// The answer to a direct command.
     Direct,
 }
@@ -49,6 +51,8 @@
     direct_failures: u32,
     /// A direct command failed: no new tasks until a report comes.
     doubted: bool,
+    /// Its last report was passed on by another controller.
+    passed: bool,
     /// The cloud takes it, or it was chosen to go.
     leaving: bool,
     /// Being deleted: nothing may count on it again.
@@ -519,6 +523,7 @@
                 direct_retry: now,
                 direct_failures: 0,
                 doubted: false,
+                passed: false,
                 leaving: false,
                 deleting: false,
                 shunned_until: Time(0.0),
@@ -557,6 +562,7 @@
         link.seen = link.seen.max(report.baton);
         link.last_heard = now;
         link.doubted = false;
+        link.passed = source == Source::Passed;
         if source == Source::Beat {
             link.direct_retry = Time(link.direct_retry.0.min(now.0 + 1.0));
         }
@@ -589,9 +595,14 @@
             && now.since(link.last_heard) < silence;
         let leaving = link.leaving || link.deleting;
         let doubted = link.doubted;
-        let was = self.board.machines().get(id).map(|m| m.usable);
-        if was.is_some_and(|was| was != usable) {
-            self.board.edit_machine(id, |m| m.usable = usable);
+        // Commands go there only in replies to its reports.
+        let slow = link.passed || link.direct_failures > 0;
+        let was = self.board.machines().get(id).map(|m| (m.usable, m.slow));
+        if was.is_some_and(|was| was != (usable, slow)) {
+            self.board.edit_machine(id, |m| {
+                m.usable = usable;
+                m.slow = slow;
+            });
             self.touched.insert(id.clone());
         }
         if !leaving && !doubted {
@@ -743,10 +754,9 @@
     /// The answer to a report: token and commands that need no hurry, and the
     /// starts if they can't be sent directly.
     pub fn reply(&mut self, id: &MachineId, view: &View, now: Time) -> Reply {
-        let starts = self
-            .links
-            .get(id)
-            .is_some_and(|l| !l.flying && l.direct_failures > 0 && now < l.direct_retry);
+        let starts = self.links.get(id).is_some_and(|l| {
+            !l.flying && (l.passed || l.direct_failures > 0 && now < l.direct_retry)
+        });
         let orders = self.commands(id, view, starts.then_some(Sent::InReply), now);
         let token = self.links.get(id).map_or(self.base_token(), |l| l.token);
         Reply {
@@ -857,14 +867,24 @@
                 self.retries.insert((at, id));
                 continue;
             }
+            if link.direct_failures > 0 && self.flying >= MOST_FLYING / 4 {
+                // Those that may hang must not keep the others waiting.
+                waiting.insert(((now.after(0.5).0 * 1000.0) as u64, id));
+                continue;
+            }
+            if link.passed && link.fenced() {
+                // The reply to its next report takes the commands there.
+                continue;
+            }
             let orders = self.commands(&id, view, Some(Sent::Flying), now);
             let Some(link) = self.links.get_mut(&id) else {
                 continue;
             };
             let forgets_only = orders.iter().all(|o| matches!(o, Command::Forget { .. }));
             // Forgetting waits for the next report; a worker that does not
-            // know our token is told at once.
-            if forgets_only && link.fenced() {
+            // know our token is told at once, and one that a command did not
+            // reach is tried again.
+            if forgets_only && link.fenced() && link.direct_failures == 0 {
                 if !link.kill_sent.is_empty() {
                     waiting.insert(((now.after(KILL_AGAIN_S).0 * 1000.0) as u64, id));
                 }
@@ -905,6 +925,7 @@
         match outcome {
             Sending::Executed(report) => {
                 link.direct_failures = 0;
+                link.passed = false;
                 link.direct_retry = now;
                 // The session that took the command may end right after it;
                 // the report decides what is there.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,6 +4,7 @@
 pub mod pending;
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -14,11 +15,13 @@
 use self::core::{Core, Source};
 use crate::cloud::{CloudClient, CloudError};
 use crate::config::Config;
-use crate::peer::Outbox;
+use crate::peer::{self, Peers};
 use crate::state::record::{job_key, GrantRecord, JobRecord, LeaderRecord, Phase, GRANT, LEADER};
 use crate::state::view::{Summary, Versioned, View};
 use crate::state::{Change, Outcome, StateClient, StateError, Txn, Urgency, When};
-use crate::types::{JobId, JobSpec, Kind, LeaseId, MachineType, NodeId, Revision, Term, Time};
+use crate::types::{
+    JobId, JobSpec, Kind, LeaseId, MachineId, MachineType, NodeId, Revision, Term, Time,
+};
 use crate::worker::{send_orders, Reply, Report, Sending};
 
 /// What a submission comes to.
@@ -38,6 +41,8 @@
 pub enum Beat {
     /// The block's owner answers.
     Reply(Reply),
+    /// The block's owner answered, and this controller passes it on.
+    Passed(peer::Answered),
     /// Another controller owns the block.
     Elsewhere(NodeId),
     /// Nobody is known to.
@@ -49,7 +54,7 @@
     cfg: Rc<Config>,
     state: Rc<StateClient>,
     cloud: Rc<CloudClient>,
-    outbox: Rc<Outbox>,
+    peers: Rc<Peers>,
     view: RefCell<View>,
     core: RefCell<Option<Core>>,
     types: RefCell<Vec<MachineType>>,
@@ -68,6 +73,15 @@
     record: Notify,
     leader_changed: Notify,
     submissions: Cell<usize>,
+    sent_on: RefCell<HashMap<MachineId, SentOn>>,
+}
+
+/// A worker that was told which controller to report to.
+struct SentOn {
+    to: NodeId,
+    last: Instant,
+    /// It came back, as it can't reach that one: its reports are passed on.
+    passing_since: Option<Instant>,
 }
 
 /// Without news from the state service for this long, and while others have
@@ -83,6 +97,13 @@
 const LISTED_A_SECOND: f64 = 350.0;
 const TICK: Duration = Duration::from_millis(200);
 const MOST_SUBMISSIONS: usize = 64;
+/// While others are served for this long, requests are passed on to them.
+const CUT_OFF: Duration = Duration::from_millis(300);
+/// For how long a worker's reports are passed on before it is told again whom
+/// to report to.
+const PASS_ON: Duration = Duration::from_secs(45);
+/// Workers remembered as told whom to report to.
+const MOST_SENT_ON: usize = 8192;
 /// The leader's part of the requests that the state service takes.
 const LEADER_REQUESTS: f64 = 0.5;
 /// The leader's part of the changes.
@@ -96,13 +117,13 @@
 
 impl Node {
     /// A controller that is not running yet.
-    pub fn new(cfg: Rc<Config>, outbox: Rc<Outbox>) -> Rc<Self> {
+    pub fn new(cfg: Rc<Config>, peers: Rc<Peers>) -> Rc<Self> {
         let state = StateClient::new(cfg.state, cfg.state_rps, cfg.state_write_rps);
         let cloud = CloudClient::new(cfg.cloud, cfg.cloud_rps * 0.8);
         let node = Rc::new(Self {
             state,
             cloud,
-            outbox,
+            peers,
             view: RefCell::default(),
             core: RefCell::new(None),
             types: RefCell::default(),
@@ -120,6 +141,7 @@
             record: Notify::new(),
             leader_changed: Notify::new(),
             submissions: Cell::new(0),
+            sent_on: RefCell::default(),
             cfg,
         });
         node.set_share(false);
@@ -537,7 +559,7 @@
                         c.committed(batch, revision, &mut view, self.now());
                     }
                     drop(view);
-                    self.outbox.announce(revision);
+                    self.peers.announce(revision);
                     return;
                 }
                 Ok(Outcome::Failed(revision)) => {
@@ -685,8 +707,80 @@
 
     // ---- workers --------------------------------------------------------
 
-    /// Takes a worker's report.
-    pub fn beat(self: &Rc<Self>, report: &Report) -> Beat {
+    /// Takes a worker's report, `body` as it came.
+    pub async fn beat(self: &Rc<Self>, report: &Report, body: &[u8]) -> Beat {
+        match self.own_beat(report, Source::Beat) {
+            Beat::Elsewhere(owner) => self.beat_elsewhere(report, owner, body).await,
+            other => other,
+        }
+    }
+
+    /// A report for another controller: its sender is told so. If it comes
+    /// back soon it can't reach that one, and its report is passed on: its
+    /// tasks must not end with its lease because two zones are apart. It is
+    /// told again now and then, as the way may be open.
+    async fn beat_elsewhere(&self, report: &Report, owner: NodeId, body: &[u8]) -> Beat {
+        let back = Duration::from_secs_f64(self.cfg.lease_s / 2.0);
+        let now = Instant::now();
+        let passing = {
+            let mut sent_on = self.sent_on.borrow_mut();
+            if sent_on.len() >= MOST_SENT_ON {
+                sent_on.retain(|_, s| now.duration_since(s.last) < back);
+            }
+            let known = sent_on
+                .get_mut(&report.machine)
+                .filter(|s| s.to == owner && now.duration_since(s.last) < back);
+            match known {
+                Some(s) => {
+                    s.last = now;
+                    let since = *s.passing_since.get_or_insert(now);
+                    now.duration_since(since) < PASS_ON
+                }
+                None => false,
+            }
+        };
+        if passing {
+            let passed = self
+                .peers
+                .pass_on(&owner, peer::Kind::Beat, body.to_vec())
+                .await;
+            return passed
+                .filter(|(status, _)| *status == 200)
+                .map_or(Beat::Elsewhere(owner), Beat::Passed);
+        }
+        let sent = SentOn {
+            to: owner.clone(),
+            last: now,
+            passing_since: None,
+        };
+        self.sent_on
+            .borrow_mut()
+            .insert(report.machine.clone(), sent);
+        Beat::Elsewhere(owner)
+    }
+
+    /// Whether the state service serves others and not this controller.
+    pub fn cut_off(&self) -> bool {
+        let behind = self.behind_since.get();
+        behind.is_some_and(|t| t.elapsed() >= CUT_OFF) && self.fresh_at.get().elapsed() >= CUT_OFF
+    }
+
+    /// Passes a user's request on to a controller that may be served.
+    pub async fn pass_on(&self, kind: peer::Kind, text: &[u8]) -> Option<peer::Answered> {
+        let leader = self.view.borrow().leader.value.clone().map(|l| l.node);
+        let mut others: Vec<NodeId> = self.peers.reachable().cloned().collect();
+        others.sort_by_key(|n| (Some(n) != leader.as_ref(), n.clone()));
+        for other in others.iter().take(2) {
+            let answered = self.peers.pass_on(other, kind, text.to_vec()).await;
+            if let Some(answered) = answered.filter(|(status, _)| *status != 503) {
+                return Some(answered);
+            }
+        }
+        None
+    }
+
+    /// Takes a worker's report as the block's owner.
+    pub fn own_beat(self: &Rc<Self>, report: &Report, source: Source) -> Beat {
         let now = self.now();
         // Beyond this, a job may have been cancelled without this controller
         // knowing, and its tasks must end in time: by their lease, at worst.
@@ -695,7 +789,7 @@
         let mut core = self.core.borrow_mut();
         let mut reply = None;
         if let Some(c) = core.as_mut() {
-            if !c.report(report, Source::Beat, now) {
+            if !c.report(report, source, now) {
                 drop(core);
                 self.deposed();
                 return Beat::Unavailable;
@@ -798,7 +892,7 @@
             value: record,
         };
         self.view.borrow_mut().put_job(id, record);
-        self.outbox.announce(revision);
+        self.peers.announce(revision);
         self.view_changed();
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,14 +34,10 @@
     let routines = LocalSet::new();
     routines
         .run_until(async {
-            let outbox = Rc::new(peer::Outbox::default());
-            let node = Node::new(cfg.clone(), outbox.clone());
+            let others = cfg.others.iter().map(|o| (o.node.clone(), o.address));
+            let node = Node::new(cfg.clone(), peer::Peers::start(others));
             node.start();
-            for other in &cfg.others {
-                tokio::task::spawn_local(peer::tell(other.address, outbox.clone()));
-            }
-            let told = node.clone();
-            let heard: Rc<dyn Fn(types::Revision)> = Rc::new(move |revision| told.hinted(revision));
+            let heard = Rc::new(api::ForPeers::new(node.clone()));
             tokio::task::spawn_local(peer::listen(peers, 4 * cfg.others.len() + 8, heard));
             tokio::task::spawn_local(api::serve(node, users, cfg.max_sockets * 3 / 4));
             tracing::info!(node = %cfg.node, zone = %cfg.zone, bind = %cfg.bind, "serving");
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,126 +1,342 @@
-//! What controllers tell each other: hints that something is new in the state
-//! service. Nothing is decided from them; a lost one costs time only.
+//! What controllers tell each other, over one connection each way: hints that
+//! something is new in the state service, and requests passed on for somebody
+//! who can't reach the controller that has to answer them. Nothing is decided
+//! from a hint, and an answer that is passed on was given by the controller
+//! entitled to give it; a lost message costs time only.
 
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 use zerocopy::little_endian::{U16, U32, U64};
 use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
 
-use crate::types::Revision;
+use crate::types::{NodeId, Revision};
 
 const MAGIC: u32 = 0x6567_6e68;
-const VERSION: u16 = 1;
-const LENGTH: usize = std::mem::size_of::<Hint>();
+const VERSION: u16 = 2;
+const LENGTH: usize = std::mem::size_of::<Header>();
+/// Longest text that is passed on: a body of 64 KiB and some.
+const MOST_TEXT: usize = 72 << 10;
+/// Messages that wait to be sent to one controller.
+const MOST_WAITING: usize = 64;
+/// Requests passed on by one controller that are being answered here.
+const MOST_ANSWERING: usize = 64;
+const ANSWER: Duration = Duration::from_millis(2500);
 
-/// A hint, as it goes over the wire: fixed layout, little-endian.
+/// What a message is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The state service has reached the revision `number`.
+    Hint,
+    /// A worker's report, to be answered as number `number`.
+    Beat,
+    /// A submission.
+    Submit,
+    /// A cancellation; the text is the job's id.
+    Withdraw,
+    /// The answer to the request `number`.
+    Answer,
+}
+
+const KINDS: [Kind; 5] = [
+    Kind::Hint,
+    Kind::Beat,
+    Kind::Submit,
+    Kind::Withdraw,
+    Kind::Answer,
+];
+
+/// How every message begins: fixed layout, little-endian. `length` bytes of
+/// text follow.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned,
 )]
 #[repr(C)]
-pub struct Hint {
+pub struct Header {
     magic: U32,
     version: U16,
-    length: U16,
-    /// The state service has reached this revision.
-    revision: U64,
+    kind: U16,
+    number: U64,
+    status: U16,
+    reserved: U16,
+    length: U32,
+}
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    /// What it is.
+    pub kind: Kind,
+    /// A revision, or the number of a request.
+    pub number: u64,
+    /// An answer's HTTP status.
+    pub status: u16,
+    /// A body.
+    pub text: Vec<u8>,
 }
 
-impl Hint {
-    /// That the state service has reached `revision`.
-    pub fn new(revision: Revision) -> Self {
-        Self {
+impl Message {
+    /// As it goes over the wire; none if it is too long.
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        let length = u32::try_from(self.text.len()).ok()?;
+        if self.text.len() > MOST_TEXT {
+            return None;
+        }
+        let kind = KINDS.iter().position(|k| *k == self.kind)?;
+        let header = Header {
             magic: U32::new(MAGIC),
             version: U16::new(VERSION),
-            length: U16::new(LENGTH as u16),
-            revision: U64::new(revision.0),
-        }
+            kind: U16::new(kind as u16),
+            number: U64::new(self.number),
+            status: U16::new(self.status),
+            reserved: U16::new(0),
+            length: U32::new(length),
+        };
+        let mut bytes = header.as_bytes().to_vec();
+        bytes.extend_from_slice(&self.text);
+        Some(bytes)
     }
-    /// Reads a message; none if it is not one of this version.
-    pub fn parse(bytes: &[u8]) -> Option<Self> {
-        let hint = Self::read_from_bytes(bytes).ok()?;
-        let ours = hint.magic.get() == MAGIC
-            && hint.version.get() == VERSION
-            && usize::from(hint.length.get()) == LENGTH;
-        ours.then_some(hint)
+
+    /// Reads a header: the message without its text, and the text's length.
+    /// None if it is not one of this version, or too long.
+    pub fn parse(bytes: &[u8]) -> Option<(Self, usize)> {
+        let header = Header::read_from_bytes(bytes).ok()?;
+        let length = header.length.get() as usize;
+        let ours =
+            header.magic.get() == MAGIC && header.version.get() == VERSION && length <= MOST_TEXT;
+        let kind = *KINDS.get(usize::from(header.kind.get()))?;
+        let message = Self {
+            kind,
+            number: header.number.get(),
+            status: header.status.get(),
+            text: Vec::new(),
+        };
+        ours.then_some((message, length))
     }
-    /// The revision.
-    pub fn revision(&self) -> Revision {
-        Revision(self.revision.get())
+
+    async fn read(stream: &mut OwnedReadHalf) -> Option<Self> {
+        let mut header = [0; LENGTH];
+        stream.read_exact(&mut header).await.ok()?;
+        let (mut message, length) = Self::parse(&header)?;
+        message.text.resize(length, 0);
+        stream.read_exact(&mut message.text).await.ok()?;
+        Some(message)
     }
 }
 
-/// The newest revision to tell others, and the signal that it rose.
+/// An answer to a request that was passed on: HTTP status and body.
+pub type Answered = (u16, Vec<u8>);
+
+/// The line to another controller.
+struct Line {
+    out: mpsc::Sender<Message>,
+    waiting: Rc<RefCell<HashMap<u64, oneshot::Sender<Answered>>>>,
+    connected: Rc<Cell<bool>>,
+}
+
+/// The lines to all other controllers.
 #[derive(Default)]
-pub struct Outbox {
-    newest: std::cell::Cell<Revision>,
-    risen: Notify,
+pub struct Peers {
+    lines: HashMap<NodeId, Line>,
+    newest: Cell<Revision>,
+    requests: Cell<u64>,
 }
 
-impl Outbox {
+impl Peers {
+    /// Keeps a line to each of `others` until cancelled.
+    pub fn start(others: impl Iterator<Item = (NodeId, SocketAddr)>) -> Rc<Self> {
+        let mut peers = Self::default();
+        for (node, address) in others {
+            let (out, messages) = mpsc::channel(MOST_WAITING);
+            let line = Line {
+                out,
+                waiting: Rc::default(),
+                connected: Rc::default(),
+            };
+            tokio::task::spawn_local(keep(
+                address,
+                messages,
+                line.waiting.clone(),
+                line.connected.clone(),
+            ));
+            peers.lines.insert(node, line);
+        }
+        Rc::new(peers)
+    }
+
     /// Tells all others of `revision`.
     pub fn announce(&self, revision: Revision) {
-        if revision > self.newest.get() {
-            self.newest.set(revision);
-            self.risen.notify_waiters();
+        if revision <= self.newest.get() {
+            return;
         }
+        self.newest.set(revision);
+        for line in self.lines.values().filter(|l| l.connected.get()) {
+            // A hint that finds no room is replaced by the next one.
+            let _ = line.out.try_send(Message {
+                kind: Kind::Hint,
+                number: revision.0,
+                status: 0,
+                text: Vec::new(),
+            });
+        }
+    }
+
+    /// Controllers that can be reached now.
+    pub fn reachable(&self) -> impl Iterator<Item = &NodeId> {
+        self.lines
+            .iter()
+            .filter(|(_, l)| l.connected.get())
+            .map(|(node, _)| node)
+    }
+
+    /// Passes a request on; none if no answer came.
+    pub async fn pass_on(&self, node: &NodeId, kind: Kind, text: Vec<u8>) -> Option<Answered> {
+        let line = self.lines.get(node).filter(|l| l.connected.get())?;
+        let number = self.requests.get() + 1;
+        self.requests.set(number);
+        let (tell, told) = oneshot::channel();
+        line.waiting.borrow_mut().insert(number, tell);
+        let message = Message {
+            kind,
+            number,
+            status: 0,
+            text,
+        };
+        let answered = match line.out.try_send(message) {
+            Ok(()) => timeout(ANSWER, told).await.ok().and_then(Result::ok),
+            Err(_) => None,
+        };
+        line.waiting.borrow_mut().remove(&number);
+        answered
     }
 }
 
-/// Keeps one controller told, over one connection, until cancelled.
-pub async fn tell(address: SocketAddr, outbox: Rc<Outbox>) {
+async fn keep(
+    address: SocketAddr,
+    mut messages: mpsc::Receiver<Message>,
+    waiting: Rc<RefCell<HashMap<u64, oneshot::Sender<Answered>>>>,
+    connected: Rc<Cell<bool>>,
+) {
     loop {
-        let connected = timeout(Duration::from_secs(1), TcpStream::connect(address)).await;
-        if let Ok(Ok(mut stream)) = connected {
+        let made = timeout(Duration::from_secs(1), TcpStream::connect(address)).await;
+        if let Ok(Ok(stream)) = made {
             let _ = stream.set_nodelay(true);
-            let mut told = outbox.newest.get();
-            loop {
-                let risen = outbox.risen.notified();
-                if outbox.newest.get() == told {
-                    risen.await;
+            let (mut from, mut to) = stream.into_split();
+            connected.set(true);
+            let send = async {
+                while let Some(message) = messages.recv().await {
+                    let Some(bytes) = message.encode() else {
+                        continue;
+                    };
+                    let sent = timeout(Duration::from_secs(2), to.write_all(&bytes)).await;
+                    if !matches!(sent, Ok(Ok(()))) {
+                        return;
+                    }
                 }
-                told = outbox.newest.get();
-                let hint = Hint::new(told);
-                let sent = timeout(Duration::from_secs(1), stream.write_all(hint.as_bytes())).await;
-                if !matches!(sent, Ok(Ok(()))) {
-                    break;
+            };
+            let receive = async {
+                while let Some(message) = Message::read(&mut from).await {
+                    if message.kind != Kind::Answer {
+                        return;
+                    }
+                    if let Some(tell) = waiting.borrow_mut().remove(&message.number) {
+                        // Whoever asked may have given up.
+                        let _ = tell.send((message.status, message.text));
+                    }
                 }
+            };
+            tokio::select! {
+                () = send => {}
+                () = receive => {}
             }
+            connected.set(false);
+            waiting.borrow_mut().clear();
         }
         sleep(Duration::from_millis(500)).await;
     }
 }
 
-/// Takes hints from other controllers until cancelled.
-pub async fn listen(listener: TcpListener, most: usize, heard: Rc<dyn Fn(Revision)>) {
+/// What is done with other controllers' messages.
+pub trait Heard {
+    /// The state service has reached a revision.
+    fn hint(&self, revision: Revision);
+    /// Answers a request that was passed on.
+    fn answer(self: Rc<Self>, kind: Kind, text: Vec<u8>)
+        -> Pin<Box<dyn Future<Output = Answered>>>;
+}
+
+/// Takes messages from other controllers until cancelled.
+pub async fn listen<H: Heard + 'static>(listener: TcpListener, most: usize, heard: Rc<H>) {
     let open = Rc::new(());
     loop {
-        let Ok((mut stream, _)) = listener.accept().await else {
+        let Ok((stream, _)) = listener.accept().await else {
             sleep(Duration::from_millis(100)).await;
             continue;
         };
         if Rc::strong_count(&open) > most {
             continue;
         }
-        let heard = heard.clone();
-        let held = open.clone();
+        let _ = stream.set_nodelay(true);
+        let (heard, held) = (heard.clone(), open.clone());
         tokio::task::spawn_local(async move {
             let _held = held;
-            let mut buffer = [0; LENGTH];
-            // A silent connection ends: its other end may be long gone.
-            while let Ok(Ok(_)) =
-                timeout(Duration::from_secs(300), stream.read_exact(&mut buffer)).await
-            {
-                match Hint::parse(&buffer) {
-                    Some(hint) => heard(hint.revision()),
-                    None => return,
+            hear(stream, heard).await;
+        });
+    }
+}
+
+async fn hear<H: Heard + 'static>(stream: TcpStream, heard: Rc<H>) {
+    let (mut from, mut to) = stream.into_split();
+    let (out, mut answers) = mpsc::channel::<Message>(MOST_ANSWERING);
+    let receive = async {
+        // A silent connection ends: its other end may be long gone.
+        while let Ok(Some(message)) =
+            timeout(Duration::from_secs(300), Message::read(&mut from)).await
+        {
+            match message.kind {
+                Kind::Hint => heard.hint(Revision(message.number)),
+                Kind::Answer => return,
+                kind => {
+                    // Each holds a place for its answer; without one it is not
+                    // taken, and the other end's patience ends.
+                    let Ok(place) = out.clone().try_reserve_owned() else {
+                        continue;
+                    };
+                    let heard = heard.clone();
+                    tokio::task::spawn_local(async move {
+                        let (status, text) = heard.answer(kind, message.text).await;
+                        place.send(Message {
+                            kind: Kind::Answer,
+                            number: message.number,
+                            status,
+                            text,
+                        });
+                    });
                 }
             }
-        });
+        }
+    };
+    let send = async {
+        while let Some(bytes) = answers.recv().await.map(|a| a.encode()) {
+            let Some(bytes) = bytes else { continue };
+            let sent = timeout(Duration::from_secs(2), to.write_all(&bytes)).await;
+            if !matches!(sent, Ok(Ok(()))) {
+                return;
+            }
+        }
+    };
+    tokio::select! {
+        () = receive => {}
+        () = send => {}
     }
 }
--- a/src/sched/machine.rs
+++ b/src/sched/machine.rs
@@ -80,6 +80,8 @@
     pub spot: bool,
     /// May get new tasks.
     pub usable: bool,
+    /// Takes commands only now and then.
+    pub slow: bool,
     /// Tasks that claim it.
     pub claims: BTreeSet<TaskId>,
     /// Sum of their amounts.
@@ -106,6 +108,7 @@
             zone,
             spot,
             usable: false,
+            slow: false,
             claims: BTreeSet::new(),
             used: Amount::default(),
             movable: Amount::default(),
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -35,6 +35,8 @@
 const LATE: f64 = 3.5;
 /// The same for a machine that should fall idle.
 const RETIRING_S: f64 = 3.0;
+/// The same for a machine that takes commands only now and then.
+const SLOW_S: f64 = 4.0;
 /// The same for a large machine that others' tasks need.
 const SCARCE_S: f64 = 3.0;
 /// A machine that is cheaper by this many seconds is clearly better.
@@ -625,7 +627,7 @@
         &self,
         spec: &JobSpec,
         near: Nearness,
-        (spot, retiring, kind): (bool, bool, &MachineType),
+        (spot, retiring, slow, kind): (bool, bool, bool, &MachineType),
     ) -> f64 {
         let fetch = spec.image_gb / kind.fetch_gb_per_s.max(1e-3);
         let mut cost = match near {
@@ -639,6 +641,9 @@
         if retiring {
             cost += RETIRING_S;
         }
+        if slow {
+            cost += SLOW_S;
+        }
         // Large machines are left to tasks that fit no smaller one.
         let scarce = self.shapes.iter().any(|s| {
             s.fits(kind.total)
@@ -720,7 +725,7 @@
                 continue;
             }
             for near in [Nearness::Ready, Nearness::Coming, Nearness::Absent] {
-                let cost = self.place_cost(spec, near, (key.spot, key.retiring, kind));
+                let cost = self.place_cost(spec, near, (key.spot, key.retiring, key.slow, kind));
                 if best.as_ref().is_some_and(|b| cost > b.cost) {
                     break;
                 }
@@ -834,7 +839,7 @@
     ) -> Option<JobId> {
         let machine = self.machines.get(m_id)?;
         let needy = OnceCell::new();
-        let sort = (machine.spot, machine.retiring, &*machine.kind);
+        let sort = (machine.spot, machine.retiring, machine.slow, &*machine.kind);
         for (id, job) in self.in_order(now) {
             self.rooms.steps.set(self.rooms.steps.get() + 1);
             if !job.spec.each.fits(machine.free()) {
--- a/src/sched/rooms.rs
+++ b/src/sched/rooms.rs
@@ -15,6 +15,8 @@
     pub spot: bool,
     /// They should fall idle.
     pub retiring: bool,
+    /// They take commands only now and then.
+    pub slow: bool,
     /// Some of their room is kept for work that can't use spot machines.
     pub keeps: bool,
     /// Type.
@@ -152,6 +154,7 @@
         let group = GroupKey {
             spot: machine.spot,
             retiring: machine.retiring,
+            slow: machine.slow,
             keeps,
             kind: machine.kind.name.clone(),
             zone: machine.zone.clone(),
--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -3,11 +3,10 @@
 use serde_json::{json, Value};
 use sorrelhinge::api::read_job;
 use sorrelhinge::config::{Config, Tuning};
-use sorrelhinge::peer::Hint;
+use sorrelhinge::peer::{Kind, Message};
 use sorrelhinge::state::record::{chunk_key, chunk_size, job_key, ChunkRecord, Key, Phase};
 use sorrelhinge::state::view::View;
 use sorrelhinge::types::{Attempt, JobId, MachineId, Revision, TaskId, Token};
-use zerocopy::IntoBytes;
 
 const SETTINGS: &str = r#"
 node = "n-0"
@@ -170,19 +169,27 @@
 }
 
 #[test]
-fn hints_of_another_version_or_length_are_dropped() {
-    let hint = Hint::new(Revision(77));
-    let bytes = hint.as_bytes().to_vec();
-    assert_eq!(
-        Hint::parse(&bytes).map(|h| h.revision()),
-        Some(Revision(77))
-    );
-    for at in 0..8 {
-        let mut other = bytes.clone();
-        other[at] ^= 1;
-        assert_eq!(Hint::parse(&other), None, "byte {at}");
+fn messages_of_another_version_kind_or_length_are_dropped() {
+    let message = Message {
+        kind: Kind::Submit,
+        number: 77,
+        status: 0,
+        text: b"text".to_vec(),
+    };
+    let bytes = message.encode().expect("short enough");
+    let (header, text) = bytes.split_at(bytes.len() - 4);
+    let (read, length) = Message::parse(header).expect("a header");
+    assert_eq!((read.kind, read.number, length), (Kind::Submit, 77, 4));
+    assert_eq!(text, b"text");
+    // Magic, version, the kind's upper half, the length's upper half.
+    for at in [0, 1, 2, 3, 4, 5, 7, 22, 23] {
+        let mut other = header.to_vec();
+        other[at] ^= 0x40;
+        assert_eq!(Message::parse(&other), None, "byte {at}");
     }
-    assert_eq!(Hint::parse(&bytes[..bytes.len() - 1]), None);
+    assert_eq!(Message::parse(&header[1..]), None);
+    let text = vec![0; 1 << 20];
+    assert_eq!(Message { text, ..message }.encode(), None);
 }
 
 fn events(value: Value) -> sorrelhinge::state::Events {
