Pass reports on over a third controller; silent machines stay until their lease ends

Now a report goes over a controller of another zone if need be, and silence counts only once the lease is over; a machine that the list shows no more goes after 1.5 reports.

--- a/src/api.rs
+++ b/src/api.rs
@@ -206,6 +206,10 @@
                     Ok(report) => beat_reply(node.own_beat(&report, Source::Passed)),
                     Err(_) => refuse(400, "malformed report"),
                 },
+                peer::Kind::Via => match serde_json::from_slice::<Report>(&text) {
+                    Ok(report) => beat_reply(node.passed_via(&report, &text).await),
+                    Err(_) => refuse(400, "malformed report"),
+                },
                 peer::Kind::Hint | peer::Kind::Answer => refuse(400, "not a request"),
             };
             let status = answer.status().as_u16();
--- a/src/config.rs
+++ b/src/config.rs
@@ -30,6 +30,8 @@
 #[derive(Deserialize)]
 struct RawOther {
     node: String,
+    #[serde(default)]
+    area: String,
     address: SocketAddr,
 }
 
@@ -126,6 +128,8 @@
 pub struct Other {
     /// Its name.
     pub node: NodeId,
+    /// Its zone.
+    pub zone: Zone,
     /// Its address for the exchange between controllers.
     pub address: SocketAddr,
 }
@@ -188,9 +192,9 @@
     pub delay_max_s: f64,
     /// Life of the leader's lease in the state service, in seconds.
     pub leader_lease_s: f64,
-    /// Seconds that a machine may be silent before it is given back; none: a
-    /// spot machine for 2.5 reports, at least 20 s, as it was most likely
-    /// taken; an ordinary one for as long as its tasks may run on unheard.
+    /// Seconds that a machine may be silent before it is given back; none:
+    /// the lease, for as long as its tasks may run on unheard. One that the
+    /// machine list does not show any more is given back earlier.
     pub silent_s: Option<f64>,
     /// Seconds that a machine stays idle before it is given back.
     pub idle_s: f64,
@@ -266,13 +270,8 @@
 
 impl Config {
     /// Seconds that a machine may be silent before it is given back.
-    pub fn silent_s(&self, spot: bool) -> f64 {
-        let usual = if spot {
-            (2.5 * self.report_s).max(20.0)
-        } else {
-            self.lease_s + 2.0
-        };
-        self.tuning.silent_s.unwrap_or(usual)
+    pub fn silent_s(&self) -> f64 {
+        self.tuning.silent_s.unwrap_or(self.lease_s + 0.5)
     }
 }
 
@@ -378,6 +377,7 @@
                 .into_iter()
                 .map(|o| Other {
                     node: NodeId::from(o.node.as_str()),
+                    zone: Zone::from(o.area.as_str()),
                     address: o.address,
                 })
                 .collect(),
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -1285,7 +1285,7 @@
                 continue;
             }
             let heard = self.links.get(&id).map(|l| l.last_heard);
-            let silent = heard.is_none_or(|t| now.since(t) > self.cfg.report_s * 2.0);
+            let silent = heard.is_none_or(|t| now.since(t) > self.cfg.report_s * 1.5);
             let fresh = self
                 .coming
                 .get(&id)
@@ -1369,17 +1369,15 @@
             .filter(|l| now.since(l.last_heard) < 2.5 * self.cfg.report_s)
             .count();
         // If most are silent it is this controller that can't hear.
-        let hearing =
-            heard * 2 > self.links.len() && now.since(self.started) > self.cfg.silent_s(true);
+        let hearing = heard * 2 > self.links.len() && now.since(self.started) > self.cfg.silent_s();
         let mut gone = Vec::new();
         for (id, link) in &mut self.links {
             let machine = self.board.machines().get(id);
             let empty = machine.is_none_or(|m| m.claims.is_empty());
-            let spot = machine.is_some_and(|m| m.spot);
             if link.leaving && empty && link.tasks.values().all(|(p, _)| *p == TaskPhase::Ended) {
                 link.deleting = true;
             }
-            if hearing && now.since(link.last_heard) > self.cfg.silent_s(spot) {
+            if hearing && now.since(link.last_heard) > self.cfg.silent_s() {
                 link.deleting = true;
             }
             if link.deleting {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -740,10 +740,7 @@
             }
         };
         if passing {
-            let passed = self
-                .peers
-                .pass_on(&owner, peer::Kind::Beat, body.to_vec())
-                .await;
+            let passed = self.pass_report_on(&owner, body, true).await;
             return passed
                 .filter(|(status, _)| *status == 200)
                 .map_or(Beat::Elsewhere(owner), Beat::Passed);
@@ -759,6 +756,51 @@
         Beat::Elsewhere(owner)
     }
 
+    /// Passes a report on to the owner, or if `via`, and if that can't be
+    /// reached from here either, to one that may reach it: where two of three
+    /// zones are apart, the third has a way.
+    async fn pass_report_on(
+        &self,
+        owner: &NodeId,
+        body: &[u8],
+        via: bool,
+    ) -> Option<peer::Answered> {
+        let direct = self.peers.pass_on(owner, peer::Kind::Beat, body.to_vec());
+        if let Some(answered) = direct.await {
+            return Some(answered);
+        }
+        if !via {
+            return None;
+        }
+        let zone_of = |node: &NodeId| {
+            let other = self.cfg.others.iter().find(|o| o.node == *node);
+            other.map(|o| o.zone.clone())
+        };
+        let mut others: Vec<NodeId> = self
+            .peers
+            .reachable()
+            .filter(|n| *n != owner)
+            .cloned()
+            .collect();
+        // Not one that shares this controller's place, if there is another.
+        others.sort_by_key(|n| (zone_of(n).is_none_or(|z| z == self.cfg.zone), n.clone()));
+        let other = others.first()?;
+        self.peers
+            .pass_on(other, peer::Kind::Via, body.to_vec())
+            .await
+    }
+
+    /// Takes a report that another controller could not pass on to the owner.
+    pub async fn passed_via(self: &Rc<Self>, report: &Report, body: &[u8]) -> Beat {
+        match self.own_beat(report, Source::Passed) {
+            Beat::Elsewhere(owner) => self
+                .pass_report_on(&owner, body, false)
+                .await
+                .map_or(Beat::Unavailable, Beat::Passed),
+            other => other,
+        }
+    }
+
     /// Whether the state service serves others and not this controller.
     pub fn cut_off(&self) -> bool {
         let behind = self.behind_since.get();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -16,7 +16,7 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 use zerocopy::little_endian::{U16, U32, U64};
 use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
 
@@ -31,15 +31,21 @@
 const MOST_WAITING: usize = 64;
 /// Requests passed on by one controller that are being answered here.
 const MOST_ANSWERING: usize = 64;
-const ANSWER: Duration = Duration::from_millis(2500);
+/// How long an answer may take: a worker waits 4 s for two of them.
+const ANSWER: Duration = Duration::from_millis(1400);
+/// For how long a line that gave no answer is not used for requests.
+const DOUBTED: Duration = Duration::from_secs(5);
 
 /// What a message is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
     /// The state service has reached the revision `number`.
     Hint,
-    /// A worker's report, to be answered as number `number`.
+    /// A worker's report, for this controller.
     Beat,
+    /// A worker's report for a controller that the sender can't reach, to be
+    /// passed on once more.
+    Via,
     /// A submission.
     Submit,
     /// A cancellation; the text is the job's id.
@@ -48,9 +54,10 @@
     Answer,
 }
 
-const KINDS: [Kind; 5] = [
+const KINDS: [Kind; 6] = [
     Kind::Hint,
     Kind::Beat,
+    Kind::Via,
     Kind::Submit,
     Kind::Withdraw,
     Kind::Answer,
@@ -142,6 +149,14 @@
     out: mpsc::Sender<Message>,
     waiting: Rc<RefCell<HashMap<u64, oneshot::Sender<Answered>>>>,
     connected: Rc<Cell<bool>>,
+    doubted_until: Cell<Option<Instant>>,
+}
+
+impl Line {
+    fn open(&self) -> bool {
+        let doubted = self.doubted_until.get();
+        self.connected.get() && doubted.is_none_or(|t| Instant::now() >= t)
+    }
 }
 
 /// The lines to all other controllers.
@@ -162,6 +177,7 @@
                 out,
                 waiting: Rc::default(),
                 connected: Rc::default(),
+                doubted_until: Cell::new(None),
             };
             tokio::task::spawn_local(keep(
                 address,
@@ -195,13 +211,13 @@
     pub fn reachable(&self) -> impl Iterator<Item = &NodeId> {
         self.lines
             .iter()
-            .filter(|(_, l)| l.connected.get())
+            .filter(|(_, l)| l.open())
             .map(|(node, _)| node)
     }
 
     /// Passes a request on; none if no answer came.
     pub async fn pass_on(&self, node: &NodeId, kind: Kind, text: Vec<u8>) -> Option<Answered> {
-        let line = self.lines.get(node).filter(|l| l.connected.get())?;
+        let line = self.lines.get(node).filter(|l| l.open())?;
         let number = self.requests.get() + 1;
         self.requests.set(number);
         let (tell, told) = oneshot::channel();
@@ -217,6 +233,9 @@
             Err(_) => None,
         };
         line.waiting.borrow_mut().remove(&number);
+        if answered.is_none() {
+            line.doubted_until.set(Some(Instant::now() + DOUBTED));
+        }
         answered
     }
 }
