Rent ordinary machines when a job would else miss its aim; room by size

Cause: a queue counted as late after 3.5 times the patience (47 s for an aim of 70 s), too late for a machine to help; and the room kept for a class followed the size of its latest job, though its jobs fit different types.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -132,7 +132,9 @@
     rentals: u64,
     renting: u32,
     missing: BTreeMap<MachineId, u32>,
-    arrivals: BTreeMap<Rc<str>, Arrivals>,
+    /// By class, and by the smallest machine type that a task fits: their
+    /// room is not the same.
+    arrivals: BTreeMap<(Rc<str>, Option<TypeName>), Arrivals>,
     /// Deleted machines that a late list may still show.
     deleted: BTreeMap<MachineId, Time>,
     started: Time,
@@ -265,6 +267,8 @@
         self.arrived(&spec, Time(now.0 - age));
         tracing::debug!(job = %id, class = %spec.class, team = %spec.team, tasks = spec.tasks, image = %spec.image.as_str(), "job");
         let class = spec.class.clone();
+        let slack = self.slack(&spec);
+        let late_s = (slack - 1.5 * self.boot_s()).max(0.3 * slack).max(1.0);
         let patience_s = (0.3 * self.slack(&spec)).clamp(1.0, 30.0);
         let job = Job {
             spec,
@@ -277,6 +281,7 @@
             hold_until: Time(0.0),
             failures: 0,
             patience_s,
+            late_s,
             start_within: self.cfg.start_aims.get(&class).copied(),
             blocked_since: None,
         };
@@ -307,7 +312,13 @@
     }
 
     fn arrived(&mut self, spec: &Rc<JobSpec>, at: Time) {
-        let class = Rc::from(&*spec.class);
+        let smallest = self
+            .types
+            .values()
+            .filter(|t| spec.each.fits(t.total))
+            .min_by_key(|t| t.total.cpu)
+            .map(|t| t.name.clone());
+        let class = (Rc::from(&*spec.class), smallest);
         let arrivals = self.arrivals.entry(class).or_insert_with(|| Arrivals {
             spec: spec.clone(),
             recent: VecDeque::new(),
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -31,8 +31,6 @@
 /// How many seconds of fetching it is worth to leave an ordinary machine to
 /// those who can't use spot ones.
 const ORDINARY_S: f64 = 3.0;
-/// As a multiple of a job's patience: it is late after this.
-const LATE: f64 = 3.5;
 /// The same for a machine that should fall idle.
 const RETIRING_S: f64 = 3.0;
 /// The same for a machine that takes commands only now and then.
@@ -84,6 +82,9 @@
     pub start_within: Option<f64>,
     /// How long it may wait before that endangers its aims.
     pub patience_s: f64,
+    /// After waiting this long it misses its aims unless a machine is rented
+    /// for it now.
+    pub late_s: f64,
     /// Since when it has had pending tasks that found no place.
     pub blocked_since: Option<Time>,
 }
@@ -96,7 +97,7 @@
     /// Whether it has waited so long that its aims are in danger.
     pub fn late(&self, now: Time) -> bool {
         self.blocked_since
-            .is_some_and(|t| now.since(t) > LATE * self.patience_s)
+            .is_some_and(|t| now.since(t) > self.late_s)
     }
     fn due(&self) -> f64 {
         self.spec
--- a/tests/sched_model.rs
+++ b/tests/sched_model.rs
@@ -94,6 +94,7 @@
         failures: 0,
         start_within: None,
         patience_s: 1.0,
+        late_s: 9.0,
         blocked_since: None,
     }
 }
