Owners know arrivals and images from the records; part of a limit left to services

Cause: a new owner knew the arrivals of live jobs only, counted over 30 s, and no image but those of running tasks. A team at its limit left no room for the replicas whose users wait 3 s. Small tasks took large machines after their patience while others that fit nothing else waited.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use super::pending::{ChunkId, Due, Pending};
 use crate::cloud::{Listed, MachinePhase, Rental};
@@ -16,8 +17,8 @@
 use crate::state::view::{JobEntry, Versioned, View};
 use crate::state::{Change, Txn, When};
 use crate::types::{
-    Attempt, JobId, JobSpec, Kind, MachineId, MachineType, Revision, Seq, Session, TaskId, Time,
-    Token, TypeName, Zone,
+    Amount, Attempt, Image, JobId, JobSpec, Kind, MachineId, MachineType, Revision, Seq, Session,
+    TaskId, Time, Token, TypeName, Zone,
 };
 use crate::worker::{Command, Orders, Reply, Report, ReportedTask, Sending, TaskPhase, Why};
 
@@ -121,6 +122,8 @@
     links: BTreeMap<MachineId, Link>,
     coming: BTreeMap<MachineId, Coming>,
     pending: Pending,
+    /// Images that machines ran before this owner knew them.
+    ran_before: HashMap<MachineId, Vec<(Image, f64)>>,
     /// Machines that commands may have to go to.
     active: BTreeSet<MachineId>,
     /// Machines to try again at a time, in milliseconds.
@@ -170,9 +173,9 @@
     /// claim counts until a report that carries the new token says otherwise.
     pub fn load(
         cfg: Rc<Config>,
+        types: &[MachineType],
         view: &View,
-        grant: u64,
-        grant_stamp: Revision,
+        (grant, grant_stamp): (u64, Revision),
         now: Time,
         wall_ms: u64,
     ) -> Self {
@@ -185,7 +188,8 @@
                 // One block holds all machines, so its slice of a limit is
                 // the whole limit.
                 limit: t.limit,
-                used: Default::default(),
+                used: Amount::default(),
+                held_back: Amount::default(),
             })
             .collect();
         let mut core = Self {
@@ -197,6 +201,7 @@
             links: BTreeMap::new(),
             coming: BTreeMap::new(),
             pending: Pending::default(),
+            ran_before: view.history.images(),
             active: BTreeSet::new(),
             retries: BTreeSet::new(),
             touched: BTreeSet::new(),
@@ -214,6 +219,11 @@
             last_look: now,
             last_preempt: now,
         };
+        core.set_types(types);
+        for (accepted_ms, spec) in view.history.arrivals() {
+            let age = wall_ms.saturating_sub(*accepted_ms) as f64 / 1000.0;
+            core.arrived(spec, Time(now.0 - age));
+        }
         let mut jobs: Vec<(&JobId, &JobEntry)> = view.jobs().collect();
         jobs.sort_by(|a, b| a.0.cmp(b.0));
         for (id, entry) in jobs {
@@ -264,7 +274,6 @@
             }
         }
         let spec = Rc::new((**spec).clone());
-        self.arrived(&spec, Time(now.0 - age));
         tracing::debug!(job = %id, class = %spec.class, team = %spec.team, tasks = spec.tasks, image = %spec.image.as_str(), "job");
         let class = spec.class.clone();
         let slack = self.slack(&spec);
@@ -337,7 +346,10 @@
         }
         self.arrivals.retain(|_, a| !a.recent.is_empty());
         self.board.shapes = self.arrivals.values().map(|a| a.spec.each).collect();
+        self.hold_back();
         let headroom = self.cfg.tuning.headroom;
+        let firsts = self.arrivals.values().filter_map(|a| a.recent.front());
+        let first = Time(firsts.map(|(t, _)| t.0).fold(now.0, f64::min));
         self.arrivals
             .values()
             .map(|a| {
@@ -345,7 +357,7 @@
                 let mean = f64::from(sum) / a.recent.len() as f64;
                 // Tasks that come while a machine boots, and how much that
                 // varies when they come in jobs.
-                let span = now.since(self.started).clamp(30.0, RECENT_S);
+                let span = now.since(first).clamp(30.0, RECENT_S);
                 let boot = 1.5 * self.boot_s();
                 let come = f64::from(sum) / span * boot;
                 let burst = (come * mean).sqrt();
@@ -362,6 +374,32 @@
             .collect()
     }
 
+    /// Within each team's limit, room for a job of the classes whose users
+    /// wait for its start: other work of the team must not take the last.
+    fn hold_back(&mut self) {
+        let mut most: HashMap<Arc<str>, Amount> = HashMap::new();
+        for a in self.arrivals.values() {
+            if self.cfg.start_aims.contains_key(&a.spec.class) {
+                let largest = a.recent.iter().map(|(_, n)| *n).max().unwrap_or(0);
+                let job = a.spec.each.times(i64::from(largest.min(1000)));
+                let held = most.entry(a.spec.team.clone()).or_default();
+                if held.cpu < job.cpu {
+                    *held = job;
+                }
+            }
+        }
+        for (i, team) in self.cfg.teams.iter().enumerate() {
+            let held = most.get(&team.name).copied().unwrap_or_default();
+            // A small part of the limit only.
+            let held = if held.cpu * 10 <= team.limit.cpu {
+                held
+            } else {
+                Amount::default()
+            };
+            self.board.hold_back(i, held);
+        }
+    }
+
     /// How much a class depends on room that is there already: what a new
     /// machine takes to boot, against the time that its aims leave.
     fn haste(&self, spec: &JobSpec) -> f64 {
@@ -395,6 +433,10 @@
                 None => {
                     if entry.record.value.phase == Phase::Live {
                         self.add_job(id, entry, now, wall_ms);
+                        if let Some(job) = self.board.job(id) {
+                            let (spec, at) = (job.spec.clone(), job.submitted);
+                            self.arrived(&spec, at);
+                        }
                     }
                 }
                 Some(job) => {
@@ -520,8 +562,11 @@
         if !self.links.contains_key(id) {
             let kind = self.types.get(kind)?.clone();
             self.coming.remove(id);
-            self.board
-                .add_machine(id.clone(), Machine::new(kind, zone.clone(), spot, now));
+            let mut machine = Machine::new(kind, zone.clone(), spot, now);
+            for (image, gb) in self.ran_before.remove(id).unwrap_or_default() {
+                machine.cache.touch(&image, gb, machine.kind.cache_gb, true);
+            }
+            self.board.add_machine(id.clone(), machine);
             let link = Link {
                 addr,
                 session: Session(1),
@@ -1348,6 +1393,12 @@
             sum[2] += m.used.cpu / 1000;
         }
         let pending: u32 = self.board.wanting().map(|(_, j)| j.tasks.pending()).sum();
+        let teams: Vec<String> = self
+            .board
+            .teams()
+            .iter()
+            .map(|t| format!("{}:{}", t.name, t.used.cpu / 1000))
+            .collect();
         let retiring = self
             .board
             .machines()
@@ -1364,6 +1415,7 @@
             coming = self.coming.len(),
             retiring,
             pending,
+            teams = teams.join(","),
             "fleet"
         );
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -431,15 +431,14 @@
         }
         tracing::info!(term = %grant.term, grant = grant.number, "leading");
         self.set_share(true);
-        let mut core = Core::load(
+        let core = Core::load(
             self.cfg.clone(),
+            &self.types.borrow(),
             &self.view.borrow(),
-            grant.number,
-            revision,
+            (grant.number, revision),
             self.now(),
             wall_ms(),
         );
-        core.set_types(&self.types.borrow());
         *self.core.borrow_mut() = Some(core);
         self.work.notify_one();
     }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -144,6 +144,8 @@
     pub limit: Amount,
     /// Sum of all its claims.
     pub used: Amount,
+    /// Part of the limit that is left to jobs whose users wait for the start.
+    pub held_back: Amount,
 }
 
 /// A task that the walk placed.
@@ -592,7 +594,16 @@
     /// Whether one more task of a job stays within its team's limit.
     pub fn limit_allows(&self, job: &Job) -> bool {
         let team = &self.teams[job.team];
-        (team.used + job.spec.each).fits_team(team.limit)
+        let mut left = team.limit - team.used;
+        if job.start_within.is_none() {
+            left -= team.held_back;
+        }
+        job.spec.each.fits_team(left)
+    }
+
+    /// Leaves part of a team's limit to jobs whose users wait for the start.
+    pub fn hold_back(&mut self, team: usize, amount: Amount) {
+        self.teams[team].held_back = amount;
     }
 
     /// Room on a machine for a job, less what is kept or reserved for others.
@@ -694,14 +705,26 @@
         needy: &OnceCell<Needy>,
         now: Time,
     ) -> bool {
+        if job.start_within.is_some() || self.needs(job.spec.each, kind) {
+            return false;
+        }
         let waited = job.blocked_since.map_or(0.0, |t| now.since(t));
-        job.start_within.is_none()
-            && waited < job.patience_s
-            && !self.needs(job.spec.each, kind)
-            && needy
-                .get_or_init(|| self.needy(now))
-                .get(&(spot, kind.name.clone(), zone.clone()))
-                .is_some_and(|ids| ids.iter().any(|other| other != id))
+        let more_urgent = |other: &JobId| {
+            let other = self.jobs.get(other);
+            other.is_some_and(|o| job.spec.priority > o.spec.priority)
+        };
+        needy
+            .get_or_init(|| self.needy(now))
+            .get(&(spot, kind.name.clone(), zone.clone()))
+            .and_then(|ids| ids.iter().find(|other| *other != id))
+            .is_some_and(|other| {
+                waited
+                    < if more_urgent(other) {
+                        job.patience_s
+                    } else {
+                        job.late_s
+                    }
+            })
     }
 
     /// The best machine for one more task of a job, if any has room.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! The state service: its client and the records kept in it.
 
+pub mod history;
 pub mod record;
 pub mod view;
 
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -5,6 +5,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::value::RawValue;
 
+use super::history::History;
 use super::record::{ChunkRecord, GrantRecord, JobRecord, Key, LeaderRecord, Phase};
 use super::{Events, Item};
 use crate::types::{JobId, Revision};
@@ -70,6 +71,8 @@
     pub leader: Versioned<Option<LeaderRecord>>,
     /// The grant.
     pub grant: Versioned<GrantRecord>,
+    /// What came and what ran of late.
+    pub history: History,
     jobs: HashMap<JobId, JobEntry>,
     orphans: HashMap<JobId, BTreeMap<u32, Versioned<ChunkRecord>>>,
     changed: Vec<JobId>,
@@ -121,6 +124,7 @@
         *self = Self {
             ledger,
             loaded: true,
+            history: std::mem::take(&mut self.history),
             ..Self::default()
         };
         self.changed = known;
@@ -190,11 +194,23 @@
 
     /// Takes in a job's record unless a newer one is here.
     pub fn put_job(&mut self, id: &JobId, record: Versioned<JobRecord>) {
+        let value = &record.value;
         match self.jobs.get_mut(id) {
             Some(entry) if entry.record.stamp >= record.stamp => return,
-            Some(entry) => entry.record = record,
+            Some(entry) => {
+                let before = entry.record.value.inline.as_ref();
+                note_claims(&mut self.history, value, before, value.inline.as_ref());
+                entry.record = record;
+            }
             None => {
+                if let (Phase::Live, Some(spec)) = (value.phase, &value.spec) {
+                    self.history.arrived(value.accepted_ms, spec);
+                }
+                note_claims(&mut self.history, value, None, value.inline.as_ref());
                 let chunks = self.orphans.remove(id).unwrap_or_default();
+                for chunk in chunks.values() {
+                    note_claims(&mut self.history, value, None, Some(&chunk.value));
+                }
                 self.jobs.insert(id.clone(), JobEntry { record, chunks });
             }
         }
@@ -204,12 +220,16 @@
     /// Takes in a chunk unless a newer one is here.
     pub fn put_chunk(&mut self, id: &JobId, chunk: u32, record: Versioned<ChunkRecord>) {
         // While everything is read in pages, a chunk can come before its job.
-        let chunks = match self.jobs.get_mut(id) {
-            Some(entry) => &mut entry.chunks,
-            None => self.orphans.entry(id.clone()).or_default(),
+        let (chunks, job) = match self.jobs.get_mut(id) {
+            Some(entry) => (&mut entry.chunks, Some(&entry.record.value)),
+            None => (self.orphans.entry(id.clone()).or_default(), None),
         };
         let held = chunks.entry(chunk).or_default();
         if record.stamp > held.stamp {
+            if let Some(job) = job {
+                let before = Some(&held.value);
+                note_claims(&mut self.history, job, before, Some(&record.value));
+            }
             *held = record;
             self.changed.push(id.clone());
         }
@@ -236,3 +256,20 @@
         }
     }
 }
+
+/// Notes where the claims are that `after` has and `before` had not.
+fn note_claims(
+    history: &mut History,
+    job: &JobRecord,
+    before: Option<&ChunkRecord>,
+    after: Option<&ChunkRecord>,
+) {
+    let (Some(spec), Some(after)) = (&job.spec, after) else {
+        return;
+    };
+    for claim in &after.claims {
+        if before.is_none_or(|b| b.next_attempt <= claim.1 .0) {
+            history.placed(&claim.2, &spec.image, spec.image_gb);
+        }
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -253,15 +253,14 @@
         view.replace(Revision(0), Vec::new());
         self.store.follow(&mut view);
         view.take_changed();
-        let mut core = Core::load(
+        let core = Core::load(
             config(),
+            &kinds(),
             &view,
-            self.grants,
-            view.grant.stamp,
+            (self.grants, view.grant.stamp),
             Time(self.now),
             0,
         );
-        core.set_types(&kinds());
         self.owners.push(Owner {
             core,
             view,
--- a/tests/sched_model.rs
+++ b/tests/sched_model.rs
@@ -229,6 +229,7 @@
             guarantee: Amount::new(GUARANTEE[t] as f64, 0.0, 0.0),
             limit: Amount::new(LIMIT[t] as f64, 0.0, 0.0),
             used: Amount::default(),
+            held_back: Amount::default(),
         }).collect());
         let (m, full) = (MachineId::from("vm-1"), MachineId::from("vm-2"));
         for (id, images, used) in [(&m, &here, 0.0), (&full, &elsewhere, 8.0)] {
