--- a/src/config.rs
+++ b/src/config.rs
@@ -215,7 +215,7 @@
             silent_s: None,
             idle_s: 50.0,
             headroom: 0.5,
-            floor: 0.7,
+            floor: 0.35,
             preempt: true,
         }
     }
