1.7 times the room for services

Cause: every replica had a place within a second, but only 44 to 46% found its image there; a fetch takes longer than the 3 or 5 s that users wait.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -165,6 +165,9 @@
 const MOST_FLYING: usize = 48;
 /// How often all machines are looked at for what only time changes.
 const LOOK_S: f64 = 1.0;
+/// More room for replicas: the more there is, the more likely some of it has
+/// the image, and a fetch takes longer than their users wait.
+const SERVICE_ROOM: f64 = 1.7;
 /// How often room is made.
 const PREEMPT_EVERY_S: f64 = 0.4;
 
@@ -363,7 +366,7 @@
                 let burst = (come * mean).sqrt();
                 let tasks = match a.spec.kind {
                     // Replicas stay: none makes room for the next.
-                    Kind::Service => come + burst,
+                    Kind::Service => SERVICE_ROOM * (come + burst),
                     Kind::Array => 0.6 * burst * self.haste(&a.spec),
                 };
                 fleet::Expected {
