Ordinary machines cost spot work 8 s instead of 3

Cause: a task that fetches on a spot machine cost 3.6 to 4.5 s, so work that may use spot machines kept to ordinary ones with its image, which then never fell idle.

--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -30,7 +30,7 @@
 
 /// How many seconds of fetching it is worth to leave an ordinary machine to
 /// those who can't use spot ones.
-const ORDINARY_S: f64 = 3.0;
+const ORDINARY_S: f64 = 8.0;
 /// The same for a machine that should fall idle.
 const RETIRING_S: f64 = 3.0;
 /// The same for a machine that takes commands only now and then.
