Tests: indexed placing against a look at every machine, and a count of steps

The model showed two things, both aligned: ties between groups ignored memory, and which jobs need large machines was found in the middle of a pass.

--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -22,7 +22,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use rooms::Nearness;
+use rooms::{Nearness, Size};
 
 use crate::types::{
     Amount, JobId, JobSpec, MachineId, MachineType, Priority, TaskId, Time, TypeName, Zone,
@@ -203,7 +203,7 @@
 struct Offer {
     cost: f64,
     ordinary: bool,
-    cpu: i64,
+    free: Size,
     machine: MachineId,
 }
 
@@ -212,7 +212,7 @@
         self.cost
             .total_cmp(&other.cost)
             .then(self.ordinary.cmp(&other.ordinary))
-            .then(self.cpu.cmp(&other.cpu))
+            .then(self.free.cmp(&other.free))
             .then(self.machine.cmp(&other.machine))
     }
 }
@@ -760,13 +760,13 @@
                     (&spec.image, near),
                     &pass,
                 );
-                let Some((cpu, machine)) = found else {
+                let Some((free, machine)) = found else {
                     continue;
                 };
                 let offer = Offer {
                     cost,
                     ordinary: !key.spot,
-                    cpu,
+                    free,
                     machine,
                 };
                 if best.as_ref().is_none_or(|b| offer.order(b).is_lt()) {
@@ -911,7 +911,7 @@
     /// shows. Within a pass room only shrinks, so a job that found none is not
     /// asked again.
     pub fn place(&mut self, rule: DelayRule, now: Time) -> Vec<Launch> {
-        let needy = OnceCell::new();
+        let needy = OnceCell::from(self.needy(now));
         let mut launches = Vec::new();
         let mut tried: HashSet<JobId> = HashSet::new();
         loop {
--- a/src/sched/rooms.rs
+++ b/src/sched/rooms.rs
@@ -36,7 +36,8 @@
     Absent,
 }
 
-type Size = (i64, i64, i64);
+/// Free CPUs, memory and GPUs, in the order of tightness.
+pub type Size = (i64, i64, i64);
 
 fn size(amount: Amount) -> Size {
     (amount.cpu, amount.ram, amount.gpu)
@@ -63,16 +64,17 @@
         each: Amount,
         steps: &Cell<u64>,
         pass: &dyn Fn(&MachineId) -> bool,
-    ) -> Option<(i64, &MachineId)> {
-        for (&(cpu, ram, gpu), ids) in self.0.range((each.cpu, i64::MIN, i64::MIN)..) {
+    ) -> Option<(Size, &MachineId)> {
+        for (&size, ids) in self.0.range((each.cpu, i64::MIN, i64::MIN)..) {
             steps.set(steps.get() + 1);
+            let (cpu, ram, gpu) = size;
             if !each.fits(Amount { cpu, gpu, ram }) {
                 continue;
             }
             for id in ids {
                 steps.set(steps.get() + 1);
                 if pass(id) {
-                    return Some((cpu, id));
+                    return Some((size, id));
                 }
             }
         }
@@ -242,7 +244,7 @@
         (each, spot): (Amount, bool),
         (image, near): (&Image, Nearness),
         pass: &dyn Fn(&MachineId) -> bool,
-    ) -> Option<(i64, MachineId)> {
+    ) -> Option<(Size, MachineId)> {
         self.steps.set(self.steps.get() + 1);
         let shelves = if key.keeps && spot {
             &group.open
@@ -256,7 +258,7 @@
         };
         shelf
             .first(each, &self.steps, pass)
-            .map(|(cpu, id)| (cpu, id.clone()))
+            .map(|(size, id)| (size, id.clone()))
     }
 
     /// Whether a group's machines, free or not, have an image.
--- /dev/null
+++ b/tests/place_model.rs
@@ -0,0 +1,442 @@
+//! Placing by indexes compared with a plain model that looks at every machine
+//! for every job, and a count of the steps that it takes on a large fleet.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use sorrelhinge::sched::{water_fill, Board, Delay, DelayRule, Job, Launch, Machine, Tasks, Team};
+use sorrelhinge::types::{
+    Amount, Image, JobId, JobSpec, Kind, MachineId, MachineType, Priority, TaskId, Time, TypeName,
+    Zone,
+};
+
+const RULE: DelayRule = DelayRule {
+    fetches: 0.5,
+    max_s: 5.0,
+};
+
+fn kind(name: &str, cpus: f64) -> Rc<MachineType> {
+    Rc::new(MachineType {
+        name: TypeName::from(name),
+        total: Amount::new(cpus, 0.0, 4.0 * cpus),
+        cache_gb: 50.0,
+        fetch_gb_per_s: 0.5,
+        price: 1.0,
+        spot_price: 0.3,
+        boot_s: 10.0,
+        zones: vec![Zone::from("za"), Zone::from("zb")],
+    })
+}
+
+fn pick<T: Clone>(rng: &mut StdRng, of: &[T]) -> T {
+    of[rng.random_range(0..of.len())].clone()
+}
+
+fn image(n: u32) -> Image {
+    Image::from(format!("img-{n}").as_str())
+}
+
+fn machine(rng: &mut StdRng, kinds: &[Rc<MachineType>; 2]) -> Machine {
+    let kind = pick(rng, kinds);
+    let zone = Zone::from(pick(rng, &["za", "zb"]));
+    let mut m = Machine::new(kind, zone, rng.random_bool(0.5), Time(0.0));
+    m.usable = rng.random_bool(0.9);
+    m.slow = rng.random_bool(0.1);
+    m.retiring = rng.random_bool(0.1);
+    let most = m.kind.total.cpu / 1000;
+    let used = rng.random_range(0..=most) as f64;
+    m.used = Amount::new(used, 0.0, used * rng.random_range(1.0..4.0));
+    if !m.spot && rng.random_bool(0.3) {
+        m.kept = Amount::new(2.0, 0.0, 4.0);
+    }
+    for n in 0..4 {
+        if rng.random_bool(0.3) {
+            m.cache.touch(&image(n), 2.0, 50.0, rng.random_bool(0.7));
+        }
+    }
+    m
+}
+
+fn job(rng: &mut StdRng, n: u32, machines: &[MachineId]) -> Job {
+    let cpus = f64::from(rng.random_range(1..7));
+    let spread = rng.random_bool(0.3);
+    let spec = JobSpec {
+        class: Arc::from("c"),
+        team: Arc::from("t"),
+        kind: Kind::Array,
+        priority: pick(rng, &[Priority::Normal, Priority::High, Priority::Critical]),
+        tasks: rng.random_range(1..6),
+        each: Amount::new(cpus, 0.0, cpus * rng.random_range(1.0..4.0)),
+        image: image(rng.random_range(0..6)),
+        image_gb: 2.0,
+        types: rng.random_bool(0.2).then(|| vec![TypeName::from("large")]),
+        zone: rng.random_bool(0.2).then(|| Zone::from("za")),
+        one_zone: !spread && rng.random_bool(0.3),
+        spread,
+        spot: rng.random_bool(0.6),
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: rng.random_bool(0.5).then(|| f64::from(10 * n + 20)),
+    };
+    let mut avoid = BTreeMap::new();
+    if rng.random_bool(0.2) {
+        avoid.insert(pick(rng, machines), Time(100.0));
+    }
+    Job {
+        tasks: Tasks::new(spec.tasks, 64),
+        spec: Rc::new(spec),
+        team: rng.random_range(0..2),
+        submitted: Time(f64::from(n)),
+        cancelled: false,
+        delay: Delay::default(),
+        avoid,
+        hold_until: Time(if rng.random_bool(0.1) { 30.0 } else { 0.0 }),
+        failures: 0,
+        start_within: rng.random_bool(0.3).then_some(3.0),
+        patience_s: 3.0,
+        late_s: 6.0,
+        blocked_since: None,
+    }
+}
+
+fn teams() -> Vec<Team> {
+    let team = |guarantee: f64, limit: f64, held: f64| Team {
+        name: Arc::from("t"),
+        guarantee: Amount::new(guarantee, 0.0, 0.0),
+        limit: Amount::new(limit, 0.0, 0.0),
+        used: Amount::default(),
+        held_back: Amount::new(held, 0.0, 0.0),
+    };
+    vec![team(10.0, 24.0, 2.0), team(20.0, 30.0, 0.0)]
+}
+
+/// The same decisions from nothing but the machines and jobs themselves.
+struct Model {
+    machines: BTreeMap<MachineId, Machine>,
+    jobs: BTreeMap<JobId, Job>,
+    shapes: Vec<Amount>,
+    used: Vec<Amount>,
+    at: BTreeMap<JobId, Vec<MachineId>>,
+}
+
+impl Model {
+    fn pending(&self, id: &JobId) -> u32 {
+        self.jobs[id].spec.tasks - self.at.get(id).map_or(0, |v| v.len() as u32)
+    }
+
+    fn order(&self, now: f64) -> Vec<JobId> {
+        let total: i64 = self.usable().map(|(_, m)| m.kind.total.cpu).sum();
+        let part = |cpu: i64| cpu as f64 / total as f64;
+        let teams = teams();
+        let mut want: Vec<i64> = self.used.iter().map(|u| u.cpu).collect();
+        for (id, j) in &self.jobs {
+            want[j.team] += j.spec.each.cpu * i64::from(self.pending(id));
+        }
+        let minimum: Vec<f64> = teams.iter().map(|t| part(t.guarantee.cpu)).collect();
+        let demand: Vec<f64> = (0..2)
+            .map(|t| part(want[t]).min(part(teams[t].limit.cpu)))
+            .collect();
+        let fair = water_fill(1.0, &minimum, &demand);
+        let key = |t: usize| {
+            let short = minimum[t].min(demand[t]) - part(self.used[t].cpu);
+            let below = if short > 1e-9 {
+                short / minimum[t]
+            } else {
+                0.0
+            };
+            (below, fair[t] - part(self.used[t].cpu))
+        };
+        let mut ids: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(id, j)| self.pending(id) > 0 && now >= j.hold_until.0)
+            .map(|(id, _)| id.clone())
+            .collect();
+        ids.sort_by(|a, b| {
+            let (ja, jb) = (&self.jobs[a], &self.jobs[b]);
+            let ((ga, fa), (gb, fb)) = (key(ja.team), key(jb.team));
+            let due = |j: &Job| {
+                let d = j.spec.deadline_s;
+                d.map_or(f64::INFINITY, |d| j.submitted.0 + d)
+            };
+            gb.total_cmp(&ga)
+                .then(fb.total_cmp(&fa))
+                .then(ja.team.cmp(&jb.team))
+                .then(jb.spec.priority.cmp(&ja.spec.priority))
+                .then(due(ja).total_cmp(&due(jb)))
+                .then(ja.submitted.0.total_cmp(&jb.submitted.0))
+                .then(a.cmp(b))
+        });
+        ids
+    }
+
+    fn usable(&self) -> impl Iterator<Item = (&MachineId, &Machine)> {
+        self.machines.iter().filter(|(_, m)| m.usable)
+    }
+
+    fn suits(spec: &JobSpec, m: &Machine) -> bool {
+        spec.each.fits(m.kind.total)
+            && (spec.spot || !m.spot)
+            && spec.zone.as_ref().is_none_or(|z| *z == m.zone)
+            && spec.types.as_ref().is_none_or(|t| t.contains(&m.kind.name))
+    }
+
+    fn within_limit(&self, j: &Job) -> bool {
+        let team = &teams()[j.team];
+        let held = if j.start_within.is_some() {
+            0
+        } else {
+            team.held_back.cpu
+        };
+        self.used[j.team].cpu + j.spec.each.cpu <= team.limit.cpu - held
+    }
+
+    fn fits_smaller(&self, each: Amount, m: &Machine) -> bool {
+        self.usable()
+            .any(|(_, o)| o.kind.total.cpu < m.kind.total.cpu && each.fits(o.kind.total))
+    }
+
+    fn cost(&self, j: &Job, m: &Machine) -> f64 {
+        let spec = &j.spec;
+        let mut cost = if m.cache.has(&spec.image) {
+            0.0
+        } else if m.cache.expects(&spec.image) {
+            2.0
+        } else {
+            4.0
+        };
+        cost += if spec.spot && !m.spot { 8.0 } else { 0.0 };
+        cost += if m.retiring { 3.0 } else { 0.0 };
+        cost += if m.slow { 4.0 } else { 0.0 };
+        let scarce = self.shapes.iter().any(|s| {
+            s.fits(m.kind.total)
+                && self
+                    .usable()
+                    .any(|(_, o)| !s.fits(o.kind.total) && spec.each.fits(o.kind.total))
+        });
+        if scarce && self.fits_smaller(spec.each, m) {
+            cost += 3.0;
+        }
+        cost
+    }
+
+    /// Another job that waits and fits only machines as large as this one.
+    fn leaves(&self, id: &JobId, m: &Machine, needy: &BTreeSet<JobId>, now: f64) -> bool {
+        let j = &self.jobs[id];
+        if j.start_within.is_some() || !self.fits_smaller(j.spec.each, m) {
+            return false;
+        }
+        let waited = j.blocked_since.map_or(0.0, |t| now - t.0);
+        // Only jobs of the same priority wait together in these cases.
+        needy.iter().any(|n| {
+            let o = &self.jobs[n];
+            n != id && Self::suits(&o.spec, m) && !self.fits_smaller(o.spec.each, m)
+        }) && waited < j.late_s
+    }
+
+    fn best(&self, id: &JobId, needy: &BTreeSet<JobId>, now: f64) -> Option<MachineId> {
+        let j = &self.jobs[id];
+        if !self.within_limit(j) {
+            return None;
+        }
+        let zones: Vec<&Zone> = self
+            .at
+            .get(id)
+            .into_iter()
+            .flatten()
+            .map(|m| &self.machines[m].zone)
+            .collect();
+        let mut found: Vec<(f64, bool, (i64, i64), MachineId)> = Vec::new();
+        for (m_id, m) in self.usable().filter(|(_, m)| Self::suits(&j.spec, m)) {
+            let mut free = m.kind.total - m.used;
+            if j.spec.spot {
+                free -= m.kept;
+            }
+            let here = zones.iter().filter(|z| ***z == m.zone).count() as u32;
+            let zone_ok = (!j.spec.one_zone || zones.iter().all(|z| **z == m.zone))
+                && (!j.spec.spread || here < j.spec.tasks.div_ceil(2));
+            let avoided = j.avoid.get(m_id).is_some_and(|t| now < t.0);
+            if j.spec.each.fits(free) && zone_ok && !avoided && !self.leaves(id, m, needy, now) {
+                found.push((self.cost(j, m), !m.spot, (free.cpu, free.ram), m_id.clone()));
+            }
+        }
+        found.sort_by(|a, b| {
+            a.0.total_cmp(&b.0)
+                .then((a.1, a.2, &a.3).cmp(&(b.1, b.2, &b.3)))
+        });
+        found.into_iter().next().map(|f| f.3)
+    }
+
+    fn place(&mut self, now: f64) -> Vec<(JobId, MachineId)> {
+        let needy: BTreeSet<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(id, j)| self.pending(id) > 0 && now >= j.hold_until.0 && self.within_limit(j))
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut tried: BTreeSet<JobId> = BTreeSet::new();
+        let mut launched = Vec::new();
+        'again: loop {
+            for id in self.order(now) {
+                if tried.contains(&id) {
+                    continue;
+                }
+                let Some(m_id) = self.best(&id, &needy, now) else {
+                    tried.insert(id);
+                    continue;
+                };
+                let image = self.jobs[&id].spec.image.clone();
+                let spec = self.jobs[&id].spec.clone();
+                let here = self.machines[&m_id].cache.has(&image);
+                let somewhere = self
+                    .usable()
+                    .any(|(_, m)| m.cache.has(&image) && Self::suits(&spec, m));
+                let j = self.jobs.get_mut(&id).expect("the job");
+                let waited = j.delay.skipped_since.is_some_and(|t| now - t.0 >= 2.0);
+                if !(here || j.delay.anywhere || waited || !somewhere) {
+                    j.delay.skipped_since.get_or_insert(Time(now));
+                    tried.insert(id);
+                    continue;
+                }
+                j.delay = Delay {
+                    anywhere: !here,
+                    skipped_since: None,
+                };
+                self.used[j.team] += spec.each;
+                let m = self.machines.get_mut(&m_id).expect("the machine");
+                m.used += spec.each;
+                m.cache.touch(&image, 2.0, 50.0, false);
+                self.at.entry(id.clone()).or_default().push(m_id.clone());
+                launched.push((id, m_id));
+                continue 'again;
+            }
+            break;
+        }
+        for id in tried {
+            if self.pending(&id) > 0 {
+                let j = self.jobs.get_mut(&id).expect("the job");
+                j.blocked_since.get_or_insert(Time(now));
+            }
+        }
+        launched
+    }
+}
+
+#[test]
+fn indexed_placing_matches_a_look_at_every_machine() {
+    let kinds = [kind("small", 4.0), kind("large", 16.0)];
+    let mut placed = 0;
+    for seed in 0..400 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let ids: Vec<MachineId> = (0..rng.random_range(3..14))
+            .map(|n| MachineId::from(format!("vm-{n:03}").as_str()))
+            .collect();
+        let mut model = Model {
+            machines: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            shapes: vec![Amount::new(f64::from(rng.random_range(2..7)), 0.0, 6.0)],
+            used: vec![Amount::default(); 2],
+            at: BTreeMap::new(),
+        };
+        let mut board = Board::new(teams());
+        board.shapes = model.shapes.clone();
+        for id in &ids {
+            let m = machine(&mut rng, &kinds);
+            model.machines.insert(id.clone(), m.clone());
+            board.add_machine(id.clone(), m);
+        }
+        let priority = pick(&mut rng, &[Priority::Normal, Priority::High]);
+        for n in 0..rng.random_range(1..9) {
+            let id = JobId::from(format!("run-{n:03}").as_str());
+            let mut j = job(&mut rng, n, &ids);
+            let mut spec = (*j.spec).clone();
+            spec.priority = priority;
+            j.spec = Rc::new(spec);
+            model.jobs.insert(id.clone(), j.clone());
+            board.add_job(id, j);
+        }
+        for now in [1.0, 2.0, 3.5, 8.0, 40.0] {
+            let real: Vec<(JobId, MachineId)> = board
+                .place(RULE, Time(now))
+                .into_iter()
+                .map(|Launch { task, machine, .. }: Launch| (task.job, machine))
+                .collect();
+            assert_eq!(real, model.place(now), "seed {seed} at {now}");
+            placed += real.len();
+        }
+    }
+    assert!(placed > 1000, "only {placed} tasks were placed");
+}
+
+/// A fleet whose machines are nearly all full, and jobs that find no place.
+fn crowded(machines: u32) -> (Board, MachineId) {
+    let kinds = [kind("small", 4.0), kind("large", 16.0)];
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut board = Board::new(vec![Team {
+        name: Arc::from("t"),
+        guarantee: Amount::new(1000.0, 0.0, 0.0),
+        limit: Amount::new(1e6, 0.0, 0.0),
+        used: Amount::default(),
+        held_back: Amount::default(),
+    }]);
+    let ids: Vec<MachineId> = (0..machines)
+        .map(|n| MachineId::from(format!("vm-{n:05}").as_str()))
+        .collect();
+    for id in &ids {
+        let mut m = machine(&mut rng, &kinds);
+        (m.usable, m.used) = (true, m.kind.total);
+        board.add_machine(id.clone(), m);
+    }
+    for n in 0..300 {
+        let mut j = job(&mut rng, n, &ids);
+        (j.team, j.hold_until) = (0, Time(0.0));
+        board.add_job(JobId::from(format!("run-{n:03}").as_str()), j);
+    }
+    board.place(RULE, Time(1.0));
+    (board, ids[7].clone())
+}
+
+/// The work for an event must not grow with the fleet: steps are counted, not
+/// time, so that the verdict is the same on every machine.
+#[test]
+fn work_for_an_event_does_not_grow_with_the_fleet() {
+    let steps = |machines: u32| {
+        let (mut board, id) = crowded(machines);
+        let count = |board: &Board| board.rooms.steps.get();
+        let before = count(&board);
+        assert!(board.walk(&id, RULE, Time(2.0)).is_empty());
+        let report = count(&board) - before;
+        // Room appears on one machine: its walk fills it.
+        board.edit_machine(&id, |m| m.used = Amount::default());
+        let before = count(&board);
+        let launches = board.walk(&id, RULE, Time(9.0));
+        assert!(!launches.is_empty());
+        let freed = count(&board) - before;
+        // One more task for one more place.
+        let task = TaskId {
+            job: launches[0].task.job.clone(),
+            index: launches[0].task.index,
+        };
+        board.release(&task, Time(10.0));
+        let before = count(&board);
+        assert!(!board.place(RULE, Time(10.0)).is_empty());
+        (report, freed, count(&board) - before)
+    };
+    let (small, large) = (steps(200), steps(2000));
+    assert_eq!(
+        large.0, 0,
+        "a full machine's report needs no look at any job"
+    );
+    assert!(
+        large.1 < 20_000 && large.1 <= 2 * small.1 + 1000,
+        "room on one machine: {small:?} {large:?}"
+    );
+    assert!(
+        large.2 < 40_000 && large.2 <= 2 * small.2 + 1000,
+        "a pass for 300 jobs: {small:?} {large:?}"
+    );
+}
