--- a/src/peer.rs
+++ b/src/peer.rs
@@ -218,6 +218,9 @@
     /// Passes a request on; none if no answer came.
     pub async fn pass_on(&self, node: &NodeId, kind: Kind, text: Vec<u8>) -> Option<Answered> {
         let line = self.lines.get(node).filter(|l| l.open())?;
+        if text.len() > MOST_TEXT {
+            return None;
+        }
         let number = self.requests.get() + 1;
         self.requests.set(number);
         let (tell, told) = oneshot::channel();
--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -1,12 +1,19 @@
 //! What comes in from outside: settings, jobs, records, peer messages.
 
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
 use serde_json::{json, Value};
 use sorrelhinge::api::read_job;
 use sorrelhinge::config::{Config, Tuning};
-use sorrelhinge::peer::{Kind, Message};
+use sorrelhinge::peer::{listen, Answered, Heard, Kind, Message, Peers};
 use sorrelhinge::state::record::{chunk_key, chunk_size, job_key, ChunkRecord, Key, Phase};
 use sorrelhinge::state::view::View;
-use sorrelhinge::types::{Attempt, JobId, MachineId, Revision, TaskId, Token};
+use sorrelhinge::types::{Attempt, JobId, MachineId, NodeId, Revision, TaskId, Token};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
 
 const SETTINGS: &str = r#"
 node = "n-0"
@@ -236,3 +243,40 @@
         "a malformed record changes nothing"
     );
 }
+
+/// Answers what is passed on with its own text.
+struct Echo;
+
+impl Heard for Echo {
+    fn hint(&self, _: Revision) {}
+    fn answer(self: Rc<Self>, _: Kind, text: Vec<u8>) -> Pin<Box<dyn Future<Output = Answered>>> {
+        Box::pin(async move { (200, text) })
+    }
+}
+
+#[test]
+fn requests_are_passed_on_and_a_dead_line_answers_nothing() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let listening = spawn_local(listen(listener, 8, Rc::new(Echo)));
+        let other = NodeId::from("n-1");
+        let peers = Peers::start([(other.clone(), address)].into_iter());
+        while peers.reachable().next().is_none() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        for text in [b"one".to_vec(), vec![7; 60_000]] {
+            let answered = peers.pass_on(&other, Kind::Beat, text.clone()).await;
+            assert_eq!(answered, Some((200, text)));
+        }
+        let nobody = NodeId::from("n-2");
+        assert_eq!(peers.pass_on(&nobody, Kind::Beat, Vec::new()).await, None);
+        let long = vec![0; 1 << 20];
+        assert_eq!(peers.pass_on(&other, Kind::Beat, long).await, None);
+        listening.abort();
+    });
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -11,6 +11,7 @@
 use sorrelhinge::api::read_job;
 use sorrelhinge::config::Config;
 use sorrelhinge::control::core::{Batch, Core, Dispatch, Source};
+use sorrelhinge::control::pending::{Due, Pending};
 use sorrelhinge::sched::Sent;
 use sorrelhinge::state::record::{job_key, GrantRecord, JobRecord, GRANT};
 use sorrelhinge::state::view::View;
@@ -537,7 +538,12 @@
         let report = self.workers[at].report();
         let sent = self.now;
         let o = &mut self.owners[owner];
-        if !o.core.report(&report, Source::Beat, Time(self.now)) {
+        let source = if self.rng.random_bool(0.15) {
+            Source::Passed
+        } else {
+            Source::Beat
+        };
+        if !o.core.report(&report, source, Time(self.now)) {
             return;
         }
         o.core.walk(&report.machine, Time(self.now));
@@ -862,3 +868,144 @@
         .deleted(&[MachineId::from(id.as_str())], Time(world.now + 700.0));
     assert!(!claimed(owner));
 }
+
+/// One job of one task for the world's first owner, and its workers heard.
+fn one_job(world: &mut World) -> (JobId, Time) {
+    let mut value = job_json(0, &mut world.rng);
+    for (field, to) in [
+        ("shape", json!("sweep")),
+        ("rank", json!("normal")),
+        ("pieces", json!(1)),
+    ] {
+        value[field] = to;
+    }
+    let spec = read_job(value).expect("a valid job");
+    let record = serde_json::to_value(JobRecord::accepted(spec, 0, 1024)).expect("record");
+    world.store.write("h/job/run-000000", record);
+    let o = &mut world.owners[0];
+    world.store.follow(&mut o.view);
+    let changed = o.view.take_changed();
+    o.core.jobs_changed(&o.view, &changed, Time(1.0), 0);
+    for w in &mut world.workers {
+        w.token = 1 << 20;
+        o.core.report(&w.report(), Source::Beat, Time(1.0));
+    }
+    (JobId::from("run-000000"), Time(1.0))
+}
+
+/// While two zones are apart, reports come over another controller, and the
+/// commands go back the same way: none is sent directly, to hang.
+#[test]
+fn commands_go_in_the_answers_to_reports_that_were_passed_on() {
+    let mut world = World::new(1);
+    one_job(&mut world);
+    let World {
+        workers,
+        store,
+        owners,
+        ..
+    } = &mut world;
+    let Owner { core, view, .. } = &mut owners[0];
+    for w in workers.iter_mut() {
+        core.report(&w.report(), Source::Passed, Time(2.0));
+    }
+    core.tick(Time(2.0));
+    let batch = core.next_batch(view, 4, false, Time(2.0)).expect("a claim");
+    let Outcome::Done(revision) = store.txn(&serde_json::to_value(&batch.txn).expect("txn")) else {
+        panic!("the claim is refused");
+    };
+    core.committed(batch, revision, view, Time(2.0));
+    assert!(core.dispatch(view, Time(2.5)).is_empty());
+    let mut starts = 0;
+    for w in workers.iter_mut() {
+        let id = MachineId::from(w.id.as_str());
+        core.report(&w.report(), Source::Passed, Time(3.0));
+        starts += core.reply(&id, view, Time(3.0)).orders.len();
+    }
+    assert_eq!(starts, 1);
+}
+
+/// A controller that hears of a newer grant from a worker is told so: it may
+/// not take the silence of machines that left it for their end.
+#[test]
+fn a_report_with_a_newer_token_deposes() {
+    let mut world = World::new(1);
+    one_job(&mut world);
+    let w = &mut world.workers[0];
+    w.token = 2 << 20;
+    let report = w.report();
+    let core = &mut world.owners[0].core;
+    assert!(!core.report(&report, Source::Beat, Time(2.0)));
+    let refused = Sending::Refused(Box::new(report));
+    let id = MachineId::from("vm-000000");
+    assert!(!core.dispatched(&id, refused, Time(2.0)));
+}
+
+/// A silent machine may be cut off, with tasks that run on until their lease
+/// ends: it is not given back before, unless the list shows it no more.
+#[test]
+fn a_silent_machine_stays_until_its_lease_ends() {
+    let mut world = World::new(1);
+    one_job(&mut world);
+    let World {
+        workers, owners, ..
+    } = &mut world;
+    let core = &mut owners[0].core;
+    let silent = MachineId::from(workers[0].id.as_str());
+    let mut gone_at = None;
+    for step in 4..100 {
+        let now = Time(f64::from(step) / 2.0);
+        for w in &mut workers[1..] {
+            core.report(&w.report(), Source::Beat, now);
+        }
+        core.tick(now);
+        if core.fleet(now).0.contains(&silent) {
+            gone_at.get_or_insert(now.0);
+        }
+    }
+    let gone_at = gone_at.expect("given back at last");
+    assert!(
+        (LEASE_S..LEASE_S + 3.0).contains(&(gone_at - 1.0)),
+        "{gone_at}"
+    );
+    // The next silent one is missing from the list, twice.
+    let silent = MachineId::from(workers[1].id.as_str());
+    for step in 0..8 {
+        let now = Time(50.0 + f64::from(step));
+        for w in &mut workers[2..] {
+            core.report(&w.report(), Source::Beat, now);
+        }
+        core.listed(&[], now);
+    }
+    assert!(core.fleet(Time(58.0)).0.contains(&silent));
+}
+
+/// Changes are few: claims go first, then done jobs; results wait for company,
+/// but not for ever.
+#[test]
+fn changes_go_where_they_are_missed_most() {
+    let chunk = |n: u32| (JobId::from(format!("run-{n}").as_str()), 0);
+    let mut pending = Pending::default();
+    pending.useless(chunk(1), Time(0.0));
+    pending.released(chunk(2), Time(0.0));
+    pending.finished(chunk(3).0);
+    pending.claimed(chunk(4), false);
+    pending.claimed(chunk(5), true);
+    pending.claimed(chunk(2), false);
+    let mut taken = |spare: bool, now: f64| pending.take(spare, Time(now));
+    assert_eq!(taken(false, 1.0), Some(Due::Chunk(chunk(5))), "in a hurry");
+    assert_eq!(taken(false, 1.0), Some(Due::Chunk(chunk(4))));
+    assert_eq!(
+        taken(false, 1.0),
+        Some(Due::Chunk(chunk(2))),
+        "with its result"
+    );
+    assert_eq!(taken(false, 1.0), Some(Due::Finished(chunk(3).0)));
+    assert_eq!(taken(false, 1.0), None, "a deletion can wait");
+    assert_eq!(taken(true, 1.0), Some(Due::Chunk(chunk(1))));
+    pending.released(chunk(6), Time(1.0));
+    assert_eq!(pending.take(false, Time(8.0)), None);
+    assert_eq!(pending.take(true, Time(8.0)), Some(Due::Chunk(chunk(6))));
+    pending.released(chunk(6), Time(8.0));
+    assert_eq!(pending.take(false, Time(30.0)), Some(Due::Chunk(chunk(6))));
+}
