Jobs that can't meet an aim any more give way to those that can

Now a job is due at the earliest of its aims that it can still meet, and at three times the last once it can meet none, so that it does not starve.

--- a/src/config.rs
+++ b/src/config.rs
@@ -59,6 +59,7 @@
     kind: String,
     class: Option<String>,
     within_s: Option<f64>,
+    times: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -157,8 +158,10 @@
     pub teams: Vec<TeamConfig>,
     /// The shortest time that an aim allows a class to start in.
     pub start_aims: HashMap<Arc<str>, f64>,
-    /// The shortest time that an aim allows a class to finish in.
-    pub finish_aims: HashMap<Arc<str>, f64>,
+    /// The times that aims allow a class to finish in, the shortest first.
+    pub finish_aims: HashMap<Arc<str>, Vec<f64>>,
+    /// The multiples of its deadline that aims allow a class.
+    pub deadline_aims: HashMap<Arc<str>, Vec<f64>>,
     /// Usual time between a worker's reports.
     pub report_s: f64,
     /// A worker's lease.
@@ -345,18 +348,28 @@
             });
         }
         let mut start_aims: HashMap<Arc<str>, f64> = HashMap::new();
-        let mut finish_aims: HashMap<Arc<str>, f64> = HashMap::new();
+        let mut finish_aims: HashMap<Arc<str>, Vec<f64>> = HashMap::new();
+        let mut deadline_aims: HashMap<Arc<str>, Vec<f64>> = HashMap::new();
         for aim in p.objectives {
-            let (Some(class), Some(within)) = (aim.class, aim.within_s) else {
+            let Some(class) = aim.class.map(Arc::<str>::from) else {
                 continue;
             };
-            let aims = match aim.kind.as_str() {
-                "wait" => &mut start_aims,
-                "finished" => &mut finish_aims,
-                _ => continue,
-            };
-            let least = aims.entry(Arc::from(class)).or_insert(within);
-            *least = least.min(within);
+            match (aim.kind.as_str(), aim.within_s, aim.times) {
+                ("wait", Some(within), _) => {
+                    let least = start_aims.entry(class).or_insert(within);
+                    *least = least.min(within);
+                }
+                ("finished", Some(within), _) => {
+                    finish_aims.entry(class).or_default().push(within);
+                }
+                ("deadline", _, Some(times)) => {
+                    deadline_aims.entry(class).or_default().push(times);
+                }
+                _ => {}
+            }
+        }
+        for aims in finish_aims.values_mut().chain(deadline_aims.values_mut()) {
+            aims.sort_by(f64::total_cmp);
         }
         if p.zones.is_empty() {
             return Err(field("params.zones", "no zone is named"));
@@ -387,6 +400,7 @@
             teams,
             start_aims,
             finish_aims,
+            deadline_aims,
             report_s: positive("params.workers.report_s", p.workers.report_s)?,
             lease_s: positive("params.workers.lease_s", p.workers.lease_s)?,
             cancel_s: positive("params.workers.cancel_s", p.workers.cancel_s)?,
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -282,10 +282,14 @@
         let slack = self.slack(&spec);
         let late_s = (slack - 1.5 * self.boot_s()).max(0.3 * slack).max(1.0);
         let patience_s = (0.3 * self.slack(&spec)).clamp(1.0, 30.0);
+        let submitted = Time(now.0 - age);
+        let aims = self.aims(&spec, submitted);
         let job = Job {
+            due: aims.first().copied().unwrap_or(Time(f64::INFINITY)),
+            aims,
             spec,
             team,
-            submitted: Time(now.0 - age),
+            submitted,
             cancelled: record.phase == Phase::Cancelled,
             tasks,
             delay: Delay::default(),
@@ -417,10 +421,29 @@
             .fold(f64::INFINITY, f64::min)
     }
 
+    /// When a job should be done, by its class's aims and its deadline.
+    fn aims(&self, spec: &JobSpec, submitted: Time) -> Vec<Time> {
+        let within = self.cfg.finish_aims.get(&spec.class);
+        let times = self.cfg.deadline_aims.get(&spec.class);
+        let times = times.map_or(&[1.0][..], Vec::as_slice);
+        let deadline = spec.deadline_s.into_iter();
+        let deadlines = deadline.flat_map(|d| times.iter().map(move |t| d * t));
+        let mut aims: Vec<Time> = within
+            .into_iter()
+            .flatten()
+            .copied()
+            .chain(deadlines)
+            .map(|s| submitted.after(s))
+            .collect();
+        aims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        aims
+    }
+
     /// How long a job of this sort may wait before it misses an aim.
     fn slack(&self, spec: &JobSpec) -> f64 {
         let start = self.cfg.start_aims.get(&spec.class).copied();
-        let finish = self.cfg.finish_aims.get(&spec.class).copied();
+        let finish = self.cfg.finish_aims.get(&spec.class);
+        let finish = finish.and_then(|aims| aims.first().copied());
         let finish = finish
             .into_iter()
             .chain(spec.deadline_s)
@@ -1268,6 +1291,7 @@
         self.active.extend(retries.into_iter().map(|(_, id)| id));
         if now.since(self.last_look) >= LOOK_S {
             self.last_look = now;
+            self.board.look_at_dues(now);
             let ids: Vec<MachineId> = self.links.keys().cloned().collect();
             for id in ids {
                 self.refresh_machine(&id, now);
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -39,6 +39,10 @@
 const SCARCE_S: f64 = 3.0;
 /// A machine that is cheaper by this many seconds is clearly better.
 const CLEARLY_S: f64 = 0.5;
+/// Part of the estimated run time that a task needs at least.
+const DUE_RUN: f64 = 0.8;
+/// A job that met none of its aims is due at this multiple of the last.
+const OVERDUE: f64 = 3.0;
 
 /// The variables of delay scheduling.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -72,6 +76,10 @@
     pub tasks: Tasks,
     /// Delay scheduling.
     pub delay: Delay,
+    /// When it should be done, by its aims or its deadline, earliest first.
+    pub aims: Vec<Time>,
+    /// The earliest of them that it can still meet, see [`Board::look_at_dues`].
+    pub due: Time,
     /// Machines that refused it or failed it, until a time.
     pub avoid: BTreeMap<MachineId, Time>,
     /// Nothing starts before this, after failures on several machines.
@@ -99,17 +107,23 @@
         self.blocked_since
             .is_some_and(|t| now.since(t) > self.late_s)
     }
-    fn due(&self) -> f64 {
-        self.spec
-            .deadline_s
-            .map_or(f64::INFINITY, |d| self.submitted.0 + d)
+    /// When it should be done: the earliest aim that it can still meet. One
+    /// that can meet none any more waits for those that can, yet not for ever.
+    fn due_now(&self, now: Time) -> Time {
+        let soonest = now.after(DUE_RUN * self.spec.estimate_s);
+        let open = self.aims.iter().find(|aim| soonest <= **aim);
+        match (open, self.aims.last()) {
+            (Some(aim), _) => *aim,
+            (None, Some(last)) => self.submitted.after(OVERDUE * last.since(self.submitted)),
+            (None, None) => Time(f64::INFINITY),
+        }
     }
     /// Its place among its team's jobs: priority, deadline, submission.
     fn place(&self, id: &JobId) -> Place {
         let milli = |s: f64| (s * 1000.0) as i64;
         Place {
             priority: Reverse(self.spec.priority),
-            due_ms: milli(self.due()),
+            due_ms: milli(self.due.0),
             submitted_ms: milli(self.submitted.0),
             id: id.clone(),
         }
@@ -295,6 +309,28 @@
 
     // ---- changes --------------------------------------------------------
 
+    /// Jobs whose aims have passed give way to jobs that can still meet theirs
+    /// (the paper's section 3 leaves the order within a team open).
+    pub fn look_at_dues(&mut self, now: Time) {
+        let moved: Vec<(Place, Time)> = self
+            .queues
+            .iter()
+            .flatten()
+            .filter_map(|place| {
+                let job = self.jobs.get(&place.id)?;
+                let due = job.due_now(now);
+                (due != job.due).then(|| (place.clone(), due))
+            })
+            .collect();
+        for (place, due) in moved {
+            if let Some(job) = self.jobs.get_mut(&place.id) {
+                self.queues[job.team].remove(&place);
+                job.due = due;
+                self.queues[job.team].insert(job.place(&place.id));
+            }
+        }
+    }
+
     /// A job appears.
     pub fn add_job(&mut self, id: JobId, job: Job) {
         self.demand[job.team] += job.demand();
--- a/tests/place_model.rs
+++ b/tests/place_model.rs
@@ -86,11 +86,19 @@
     if rng.random_bool(0.2) {
         avoid.insert(pick(rng, machines), Time(100.0));
     }
+    let submitted = Time(f64::from(n));
+    let aims: Vec<Time> = spec
+        .deadline_s
+        .iter()
+        .map(|d| submitted.after(*d))
+        .collect();
     Job {
+        due: aims.first().copied().unwrap_or(Time(f64::INFINITY)),
+        aims,
         tasks: Tasks::new(spec.tasks, 64),
         spec: Rc::new(spec),
         team: rng.random_range(0..2),
-        submitted: Time(f64::from(n)),
+        submitted,
         cancelled: false,
         delay: Delay::default(),
         avoid,
@@ -159,9 +167,11 @@
         ids.sort_by(|a, b| {
             let (ja, jb) = (&self.jobs[a], &self.jobs[b]);
             let ((ga, fa), (gb, fb)) = (key(ja.team), key(jb.team));
-            let due = |j: &Job| {
-                let d = j.spec.deadline_s;
-                d.map_or(f64::INFINITY, |d| j.submitted.0 + d)
+            let due = |j: &Job| match j.spec.deadline_s {
+                None => f64::INFINITY,
+                // One that has passed is due at three times its deadline.
+                Some(d) if now + 8.0 > j.submitted.0 + d => j.submitted.0 + 3.0 * d,
+                Some(d) => j.submitted.0 + d,
             };
             gb.total_cmp(&ga)
                 .then(fb.total_cmp(&fa))
@@ -360,6 +370,7 @@
             board.add_job(id, j);
         }
         for now in [1.0, 2.0, 3.5, 8.0, 40.0] {
+            board.look_at_dues(Time(now));
             let real: Vec<(JobId, MachineId)> = board
                 .place(RULE, Time(now))
                 .into_iter()
--- a/tests/sched_model.rs
+++ b/tests/sched_model.rs
@@ -88,6 +88,8 @@
         team: case.team,
         submitted: Time(submitted),
         cancelled: false,
+        aims: Vec::new(),
+        due: Time(f64::INFINITY),
         delay: Delay::default(),
         avoid: BTreeMap::new(),
         hold_until: Time(0.0),
