--- a/src/config.rs
+++ b/src/config.rs
@@ -216,7 +216,7 @@
             delay_max_s: 5.0,
             leader_lease_s: 2.5,
             silent_s: None,
-            idle_s: 50.0,
+            idle_s: 40.0,
             headroom: 0.5,
             floor: 0.35,
             preempt: true,
