--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -153,6 +153,9 @@
     expected: bool,
     /// It has waited so long already that its aims are in danger.
     late: bool,
+    /// It has waited for about as long as it can for tasks to end: they do,
+    /// but as much work comes as they leave room for.
+    queued: bool,
 }
 
 struct Packing<'a> {
@@ -263,7 +266,7 @@
         };
         // What is only expected needs its room at once; what waits can take
         // the room of tasks that end soon.
-        let soon = !item.expected && (self.input.patient)(spec);
+        let soon = !item.expected && !item.queued && (self.input.patient)(spec);
         let mut left = item.tasks;
         while left > 0 {
             let barred = |z: &Zone| zones.get(z).is_some_and(|n| *n >= most);
@@ -312,6 +315,8 @@
     }
 }
 
+/// Part of a boot that work waits for tasks to end.
+const QUEUED: f64 = 0.5;
 /// Most machines in one request.
 const MOST_RENTED: u32 = 50;
 
@@ -382,6 +387,9 @@
                 tasks,
                 expected: false,
                 late: job.late(now),
+                queued: job
+                    .blocked_since
+                    .is_some_and(|t| now.since(t) > QUEUED * input.boot_s),
             });
         }
     }
@@ -391,6 +399,7 @@
             tasks: e.tasks,
             expected: true,
             late: false,
+            queued: false,
         });
     }
     // What only ordinary machines can take goes first, then the largest.
