--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,128 @@
+//! What is rented, and what a new owner knows.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use serde_json::json;
+use sorrelhinge::api::read_job;
+use sorrelhinge::fleet::{plan, Input};
+use sorrelhinge::sched::{Board, Delay, Job, Machine, Progress, Tasks, Team};
+use sorrelhinge::state::record::{job_key, JobRecord};
+use sorrelhinge::state::view::View;
+use sorrelhinge::types::{
+    Amount, Image, JobId, JobSpec, MachineId, MachineType, Revision, TaskId, Time, TypeName, Zone,
+};
+
+fn spec(uid: &str, pieces: u32) -> JobSpec {
+    let value = json!({"uid": uid, "jobclass": "batch", "crew": "red", "shape": "sweep",
+        "rank": "normal", "pieces": pieces, "cpus": 4.0, "cards": 0.0, "ram_gb": 1.0,
+        "bundle": "img-1", "pull_gb": 1.0, "builds": null, "rack": null, "together": false,
+        "spread": false, "loaners": true, "guess_s": 5.0, "mark_s": 0.0, "stash_s": 0.0,
+        "due_s": null});
+    read_job(value).expect("a valid job")
+}
+
+fn job(uid: &str, pieces: u32, blocked_since: Option<Time>) -> Job {
+    let spec = spec(uid, pieces);
+    Job {
+        tasks: Tasks::new(spec.tasks, 64),
+        spec: Rc::new(spec),
+        team: 0,
+        submitted: Time(0.0),
+        cancelled: false,
+        aims: Vec::new(),
+        due: Time(f64::INFINITY),
+        delay: Delay::default(),
+        avoid: BTreeMap::new(),
+        hold_until: Time(0.0),
+        failures: 0,
+        start_within: None,
+        patience_s: 5.0,
+        late_s: 100.0,
+        blocked_since,
+    }
+}
+
+/// Work that just came takes the room of a task that is about to end. Work
+/// that has waited for that in vain gets a machine: as much comes as ends.
+#[test]
+fn a_queue_that_lasts_gets_machines() {
+    let kind = Rc::new(MachineType {
+        name: TypeName::from("t"),
+        total: Amount::new(4.0, 0.0, 16.0),
+        cache_gb: 8.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.3,
+        boot_s: 10.0,
+        zones: vec![Zone::from("za")],
+    });
+    let rented = |waited: f64, now: f64| {
+        let mut board = Board::new(vec![Team {
+            name: Arc::from("red"),
+            guarantee: Amount::new(100.0, 0.0, 0.0),
+            limit: Amount::new(100.0, 0.0, 0.0),
+            used: Amount::default(),
+            held_back: Amount::default(),
+        }]);
+        let id = MachineId::from("vm-1");
+        let mut machine = Machine::new(kind.clone(), Zone::from("za"), true, Time(0.0));
+        machine.usable = true;
+        board.add_machine(id.clone(), machine);
+        let (running, waiting) = (JobId::from("run-1"), JobId::from("run-2"));
+        board.add_job(running.clone(), job("run-1", 1, None));
+        let task = TaskId {
+            job: running,
+            index: 0,
+        };
+        board.claim(&task, &id, Time(now));
+        board.claim_mut(&task).expect("the claim").progress = Progress::Running(Time(now));
+        let blocked = Some(Time(now - waited));
+        board.add_job(waiting, job("run-2", 1, blocked));
+        let input = Input {
+            board: &board,
+            types: std::slice::from_ref(&kind),
+            coming: &[],
+            expected: &[],
+            patient: &|_| true,
+            boot_s: kind.boot_s,
+            open: &|_, _, _| true,
+        };
+        let wanted = plan(&input, Time(now)).rent;
+        wanted.iter().map(|w| w.count).sum::<u32>()
+    };
+    assert_eq!(rented(1.0, 50.0), 0, "the running task ends before a boot");
+    assert_eq!(rented(6.0, 50.0), 1, "it has waited for half a boot");
+}
+
+/// Every controller that follows the records learns which jobs came and which
+/// images machines ran, also of jobs that are over by now.
+#[test]
+fn the_records_tell_what_came_and_what_machines_ran() {
+    let id = JobId::from("run-1");
+    let mut record = JobRecord::accepted(spec("run-1", 2), 77, 4096);
+    let mut view = View::default();
+    view.replace(Revision(0), Vec::new());
+    let mut change = |record: &JobRecord, stamp: u64| {
+        let value = serde_json::to_value(record).expect("record");
+        let events = json!({"ledger": stamp, "events": [
+            {"write": job_key(&id), "value": value, "stamp": stamp}]});
+        let events = serde_json::from_str(&events.to_string()).expect("events");
+        view.apply(view.ledger, events);
+    };
+    change(&record, 1);
+    let machine = MachineId::from("vm-9");
+    let inline = record
+        .inline
+        .as_mut()
+        .expect("a small job keeps its claims");
+    inline.claims = vec![(0, sorrelhinge::types::Attempt(1), machine.clone())];
+    inline.next_attempt = 2;
+    change(&record, 2);
+    change(&record.done(), 3);
+    let images = view.history.images();
+    assert_eq!(images[&machine], [(Image::from("img-1"), 1.0)]);
+    let arrivals: Vec<u64> = view.history.arrivals().map(|(ms, _)| *ms).collect();
+    assert_eq!(arrivals, [77], "once, however often its record changes");
+}
