--- a/tests/place_model.rs
+++ b/tests/place_model.rs
@@ -451,3 +451,44 @@
         "a pass for 300 jobs: {small:?} {large:?}"
     );
 }
+
+/// A job that can't meet its aim any more gives way to one that can, but is
+/// due again later, so that it does not starve.
+#[test]
+fn a_job_that_is_late_anyway_gives_way() {
+    let kinds = [kind("small", 4.0), kind("large", 16.0)];
+    let mut rng = StdRng::seed_from_u64(3);
+    let id = MachineId::from("vm-1");
+    let mut first_at = |now: f64| {
+        let mut board = Board::new(vec![Team {
+            name: Arc::from("t"),
+            guarantee: Amount::new(10.0, 0.0, 0.0),
+            limit: Amount::new(100.0, 0.0, 0.0),
+            used: Amount::default(),
+            held_back: Amount::default(),
+        }]);
+        for (n, submitted) in [(0, 0.0), (1, 60.0)] {
+            let mut j = job(&mut rng, n, std::slice::from_ref(&id));
+            let mut spec = (*j.spec).clone();
+            spec.priority = Priority::Normal;
+            spec.each = Amount::new(4.0, 0.0, 4.0);
+            (spec.types, spec.zone, spec.spread, spec.tasks) = (None, None, false, 1);
+            j.spec = Rc::new(spec);
+            j.tasks = Tasks::new(1, 64);
+            (j.team, j.hold_until, j.submitted) = (0, Time(0.0), Time(submitted));
+            j.avoid = BTreeMap::new();
+            j.aims = vec![j.submitted.after(70.0)];
+            j.due = j.aims[0];
+            board.add_job(JobId::from(format!("run-{n}").as_str()), j);
+        }
+        let mut m = Machine::new(kinds[0].clone(), Zone::from("za"), false, Time(0.0));
+        m.usable = true;
+        board.add_machine(id.clone(), m);
+        board.look_at_dues(Time(now));
+        board.place(RULE, Time(now))[0].task.job.clone()
+    };
+    assert_eq!(first_at(61.0), JobId::from("run-0"), "it still makes it");
+    assert_eq!(first_at(65.0), JobId::from("run-1"), "it is late anyway");
+    // Both are late now: the older one comes first again.
+    assert_eq!(first_at(125.0), JobId::from("run-0"));
+}
