--- /dev/null
+++ b/crates/overload/src/carry.rs
@@ -0,0 +1,55 @@
+//! How many machines can be served: nothing is rented that can't be.
+//!
+//! Machines report whether they are of use or not, so a fleet can be too large
+//! for its controllers though each machine is wanted. What they can carry is
+//! not computed from constants, which would be those of one installation, but
+//! found: while requests wait too long for the processor the bound falls, and
+//! with room to spare it rises again.
+
+use sorrelhinge_protocol::types::Time;
+
+/// How far the bound falls at a time, and how fast it rises a second.
+const FALL: f64 = 0.95;
+const RISE: f64 = 1.004;
+/// How long a fall is given to show, in seconds.
+const FALL_EVERY_S: f64 = 3.0;
+/// While requests wait for longer than this, in seconds, the bound stays.
+const NO_MORE_S: f64 = 0.2;
+
+/// The bound.
+#[derive(Clone, Debug, Default)]
+pub struct Carry {
+    most: Option<f64>,
+    fell: Option<Time>,
+    last: Option<Time>,
+}
+
+impl Carry {
+    /// Takes in how things stand: how many machines there are, up and on
+    /// their way, how long requests wait for the processor, in seconds, and
+    /// whether that is too long.
+    pub fn take(&mut self, machines: usize, wait_s: f64, binds: bool, now: Time) {
+        let passed = self.last.map_or(0.0, |t| now.since(t)).min(10.0);
+        self.last = Some(now);
+        let machines = machines as f64;
+        if binds {
+            let due = self.fell.is_none_or(|t| now.since(t) >= FALL_EVERY_S);
+            if due {
+                let bound = self.most.map_or(machines, |m| m.min(machines));
+                self.most = Some(bound * FALL);
+                self.fell = Some(now);
+            }
+        } else if wait_s < NO_MORE_S {
+            // It is forgotten once the fleet is far below it.
+            self.most = self
+                .most
+                .map(|m| m * RISE.powf(passed))
+                .filter(|m| *m < 2.0 * machines + 100.0);
+        }
+    }
+
+    /// How many machines there may be; none: as many as there is work for.
+    pub fn most(&self) -> Option<usize> {
+        self.most.map(|m| m as usize)
+    }
+}
--- /dev/null
+++ b/crates/overload/src/lib.rs
@@ -0,0 +1,21 @@
+//! What a controller can carry, and what gives way when it is asked for more,
+//! without I/O or clock:
+//!
+//! - [`turnstile`]: whose request is read next, so that nothing waits long
+//!   behind a crowd;
+//! - [`sockets`]: who may hold a connection, and which one ends when there are
+//!   no more;
+//! - [`spread`]: how many workers report to other controllers;
+//! - [`pace`]: duties that look at the whole fleet, no more often than their
+//!   cost allows;
+//! - [`pressure`]: which resource binds, and what is shed while it does;
+//! - [`carry`]: how many machines can be served.
+//!
+//! See `docs/overload.md`.
+
+pub mod carry;
+pub mod pace;
+pub mod pressure;
+pub mod sockets;
+pub mod spread;
+pub mod turnstile;
--- /dev/null
+++ b/crates/overload/src/pace.rs
@@ -0,0 +1,39 @@
+//! Duties that look at the whole fleet, no more often than their cost allows.
+
+use sorrelhinge_protocol::types::Time;
+
+/// When a duty is due again: after its usual pause, or later if that would
+/// take more than its part of the time. A fleet ten times as large is then
+/// looked at less often, not at the expense of its reports.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    least_s: f64,
+    most_s: f64,
+    share: f64,
+    next: Time,
+}
+
+impl Pace {
+    /// Every `least_s` seconds, and for at most this `share` of the time; but
+    /// never put off for more than `most_s`, as one turn in which the process
+    /// stood still must not stop a duty.
+    pub fn new(least_s: f64, most_s: f64, share: f64) -> Self {
+        Self {
+            least_s,
+            most_s: most_s.max(least_s),
+            share: share.max(1e-3),
+            next: Time(f64::NEG_INFINITY),
+        }
+    }
+
+    /// Whether it is due.
+    pub fn due(&self, now: Time) -> bool {
+        now >= self.next
+    }
+
+    /// It was done just now and took `cost_s` seconds.
+    pub fn done(&mut self, cost_s: f64, now: Time) {
+        let pause = (cost_s / self.share).clamp(self.least_s, self.most_s);
+        self.next = now.after(pause);
+    }
+}
--- /dev/null
+++ b/crates/overload/src/pressure.rs
@@ -0,0 +1,212 @@
+//! Which resource binds, and what is shed while it does.
+//!
+//! Overload is a state that is entered soon and left late: what was shed comes
+//! back as soon as it is let in again, and a state that changes with every
+//! second would be worse than either.
+
+use sorrelhinge_protocol::types::Time;
+
+/// What a controller can run out of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Resource {
+    /// Processor time.
+    Processor,
+    /// Sockets.
+    Sockets,
+    /// Changes in the state service.
+    Changes,
+    /// Calls to the cloud.
+    Cloud,
+}
+
+impl Resource {
+    /// For the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Processor => "processor",
+            Self::Sockets => "sockets",
+            Self::Changes => "changes",
+            Self::Cloud => "cloud",
+        }
+    }
+}
+
+/// All of them.
+pub const RESOURCES: [Resource; 4] = [
+    Resource::Processor,
+    Resource::Sockets,
+    Resource::Changes,
+    Resource::Cloud,
+];
+
+/// What was measured since the last look, each as a part of what there is: 1
+/// is all of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Sample {
+    /// How long requests wait to be read, in seconds.
+    pub wait_s: f64,
+    /// Part of the sockets that is open.
+    pub sockets: f64,
+    /// How long the oldest change has waited to be recorded, in seconds.
+    pub change_wait_s: f64,
+    /// How long the oldest call to the cloud has waited, in seconds.
+    pub cloud_wait_s: f64,
+}
+
+/// What is shed, each level with those before it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Level {
+    /// Nothing.
+    #[default]
+    None,
+    /// Some polls of jobs that are not over.
+    Polls,
+    /// New submissions.
+    Submissions,
+    /// Placements of the lowest rank that waits.
+    Placements,
+}
+
+impl Level {
+    /// For the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Polls => "polls",
+            Self::Submissions => "submissions",
+            Self::Placements => "placements",
+        }
+    }
+    fn up(self) -> Self {
+        match self {
+            Self::None => Self::Polls,
+            Self::Polls => Self::Submissions,
+            Self::Submissions | Self::Placements => Self::Placements,
+        }
+    }
+    fn down(self) -> Self {
+        match self {
+            Self::None | Self::Polls => Self::None,
+            Self::Submissions => Self::Polls,
+            Self::Placements => Self::Submissions,
+        }
+    }
+}
+
+/// Bounds of one resource: above `enter` it binds, below `leave` it does not.
+struct Bounds {
+    enter: f64,
+    leave: f64,
+}
+
+/// Time constant of the averages, in seconds.
+const SMOOTH_S: f64 = 2.0;
+/// A resource has to bind for so long before the next level sheds.
+const UP_S: f64 = 2.0;
+/// None may bind for so long before a level is left.
+const DOWN_S: f64 = 6.0;
+
+fn bounds(resource: Resource) -> Bounds {
+    match resource {
+        // Seconds of waiting: a processor that is all in use binds nothing
+        // until requests wait for it.
+        Resource::Processor => Bounds {
+            enter: 0.6,
+            leave: 0.25,
+        },
+        Resource::Sockets => Bounds {
+            enter: 0.97,
+            leave: 0.9,
+        },
+        // Seconds of waiting.
+        Resource::Changes => Bounds {
+            enter: 6.0,
+            leave: 2.0,
+        },
+        Resource::Cloud => Bounds {
+            enter: 10.0,
+            leave: 4.0,
+        },
+    }
+}
+
+/// What is known of the load.
+#[derive(Clone, Debug, Default)]
+pub struct Pressure {
+    means: [f64; RESOURCES.len()],
+    binds: [bool; RESOURCES.len()],
+    level: Level,
+    last: Option<Time>,
+    /// Since when something binds, or nothing does, at this level.
+    since: Option<Time>,
+}
+
+impl Pressure {
+    /// Takes in what was measured. True if the level or what binds changed.
+    pub fn take(&mut self, sample: Sample, now: Time) -> bool {
+        let before = (self.binds, self.level);
+        let passed = self.last.map_or(SMOOTH_S, |t| now.since(t));
+        self.last = Some(now);
+        let part = 1.0 - (-passed / SMOOTH_S).exp();
+        let measured = [
+            // One long wait says no more than a wait of two seconds.
+            sample.wait_s.min(2.0),
+            sample.sockets,
+            sample.change_wait_s,
+            sample.cloud_wait_s,
+        ];
+        for (i, (resource, value)) in RESOURCES.into_iter().zip(measured).enumerate() {
+            let Bounds { enter, leave } = bounds(resource);
+            let value = if value.is_finite() { value } else { 0.0 };
+            self.means[i] += (value.max(0.0) - self.means[i]) * part;
+            let bound = if self.binds[i] { leave } else { enter };
+            self.binds[i] = self.means[i] >= bound;
+        }
+        let bound = self.shedding();
+        if bound != before.0.iter().zip(RESOURCES).any(|(b, r)| *b && sheds(r)) {
+            self.since = Some(now);
+        }
+        let since = *self.since.get_or_insert(now);
+        let wait = if bound { UP_S } else { DOWN_S };
+        if now.since(since) >= wait {
+            self.level = if bound {
+                self.level.up()
+            } else {
+                self.level.down()
+            };
+            self.since = Some(now);
+        }
+        before != (self.binds, self.level)
+    }
+
+    fn shedding(&self) -> bool {
+        self.binds
+            .iter()
+            .zip(RESOURCES)
+            .any(|(b, r)| *b && sheds(r))
+    }
+
+    /// What is shed now.
+    pub fn level(&self) -> Level {
+        self.level
+    }
+
+    /// What binds now.
+    pub fn binding(&self) -> impl Iterator<Item = Resource> + '_ {
+        RESOURCES
+            .into_iter()
+            .zip(self.binds)
+            .filter_map(|(r, b)| b.then_some(r))
+    }
+
+    /// Whether this one binds.
+    pub fn binds(&self, resource: Resource) -> bool {
+        self.binds[resource as usize]
+    }
+}
+
+/// Whether turning users away helps where this binds: it does not make the
+/// cloud faster, and takes no socket from a worker.
+fn sheds(resource: Resource) -> bool {
+    matches!(resource, Resource::Processor | Resource::Changes)
+}
--- /dev/null
+++ b/crates/overload/src/sockets.rs
@@ -0,0 +1,214 @@
+//! Who may hold a connection, and which one ends when there are no more.
+//!
+//! A controller may have so many sockets and no more, and what it opens itself
+//! (to the state service, the cloud, the other controllers and the workers)
+//! comes out of the same number. So room for those is set aside, and those who
+//! connect share the rest. Nobody is refused in silence: a worker that reports
+//! seldom is asked to connect anew each time, the longest idle connection gives
+//! way to a new one, and where there is none, the new one is told to come back.
+
+use std::collections::{BTreeMap, HashMap};
+
+use sorrelhinge_protocol::types::Time;
+
+use crate::turnstile::{Class, CLASSES};
+
+/// A connection; a later one has a higher number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+/// How many connections others may hold here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// In all.
+    pub most: usize,
+    /// Beyond so many workers' connections, a new one of a machine without
+    /// tasks ends with its answer.
+    pub idle_workers: usize,
+    /// Beyond so many, a new one of any worker does.
+    pub workers: usize,
+    /// Beyond so many connections of any sort, all end with their answers.
+    pub users: usize,
+}
+
+/// The state service's connections, the cloud's, listeners and what the
+/// process has open anyway.
+const OUTSIDE: usize = 48;
+/// To and from each other controller, also while an old connection still ends.
+const EACH_PEER: usize = 6;
+/// At most this part is set aside.
+const MOST_ASIDE: usize = 3;
+/// Part of the rest beyond which connections end with each answer.
+const IDLE_WORKERS: f64 = 0.6;
+const WORKERS: f64 = 0.8;
+const USERS: f64 = 0.9;
+/// A connection on which nothing was asked yet is left alone for so long, in
+/// seconds.
+const GRACE_S: f64 = 1.0;
+
+impl Limits {
+    /// Of `sockets` in all, with so many other controllers, and up to `direct`
+    /// commands under way to workers.
+    pub fn of(sockets: usize, others: usize, direct: usize) -> Self {
+        let aside = (OUTSIDE + EACH_PEER * others + direct).min(sockets / MOST_ASIDE);
+        let most = (sockets - aside).max(1);
+        let part = |p: f64| ((most as f64 * p) as usize).max(1);
+        Self {
+            most,
+            idle_workers: part(IDLE_WORKERS),
+            workers: part(WORKERS),
+            users: part(USERS),
+        }
+    }
+}
+
+/// What is done about a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Opened {
+    /// It is taken.
+    Taken,
+    /// It is taken, and this one, which is idle, is to end for it.
+    InPlaceOf(ConnId),
+    /// All are being answered: it is told so, and ends.
+    Full,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    class: Class,
+    /// Its place among the idle ones of its class.
+    idle: Option<u64>,
+    /// Something was answered on it before.
+    kept: bool,
+}
+
+/// The connections that others hold here.
+#[derive(Debug)]
+pub struct Sockets {
+    limits: Limits,
+    all: HashMap<ConnId, Entry>,
+    held: [usize; CLASSES.len()],
+    /// Idle ones by class, the longest idle first.
+    idle: [BTreeMap<u64, (ConnId, Time)>; CLASSES.len()],
+    count: u64,
+}
+
+/// In which order classes give way, once nobody is left who connected and
+/// asked nothing.
+const GIVE_WAY: [Class; 4] = [Class::Idle, Class::Busy, Class::User, Class::New];
+
+impl Sockets {
+    /// None yet.
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            all: HashMap::new(),
+            held: Default::default(),
+            idle: Default::default(),
+            count: 0,
+        }
+    }
+
+    /// How many may be open.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// How many are open.
+    pub fn open(&self) -> usize {
+        self.all.len()
+    }
+
+    /// The part of all that is open.
+    pub fn used(&self) -> f64 {
+        self.all.len() as f64 / self.limits.most as f64
+    }
+
+    /// How many connections workers hold.
+    pub fn workers(&self) -> usize {
+        self.held[Class::Busy as usize] + self.held[Class::Idle as usize]
+    }
+
+    fn rest(&mut self, id: ConnId, class: Class, kept: bool, now: Time) {
+        self.count += 1;
+        self.idle[class as usize].insert(self.count, (id, now));
+        let idle = Some(self.count);
+        if let Some(before) = self.all.insert(id, Entry { class, idle, kept }) {
+            self.held[before.class as usize] -= 1;
+        }
+        self.held[class as usize] += 1;
+    }
+
+    fn longest_idle(&mut self, now: Time) -> Option<ConnId> {
+        let silent = self.idle[Class::New as usize]
+            .first_key_value()
+            .is_some_and(|(_, (_, since))| now.since(*since) >= GRACE_S);
+        let first = silent.then_some(Class::New);
+        let class = first.into_iter().chain(GIVE_WAY).find(|c| {
+            // One that connected just now did so to ask something.
+            (*c != Class::New || silent) && !self.idle[*c as usize].is_empty()
+        })?;
+        let (_, (id, _)) = self.idle[class as usize].pop_first()?;
+        if let Some(entry) = self.all.get_mut(&id) {
+            entry.idle = None;
+        }
+        Some(id)
+    }
+
+    /// Somebody connected.
+    pub fn opened(&mut self, id: ConnId, now: Time) -> Opened {
+        let mut opened = Opened::Taken;
+        if self.all.len() >= self.limits.most {
+            match self.longest_idle(now) {
+                Some(other) => opened = Opened::InPlaceOf(other),
+                None => return Opened::Full,
+            }
+        }
+        self.rest(id, Class::New, false, now);
+        opened
+    }
+
+    /// A whole request came: it is being answered.
+    pub fn asked(&mut self, id: ConnId, class: Class) {
+        let Some(entry) = self.all.get_mut(&id) else {
+            return;
+        };
+        if let Some(place) = entry.idle.take() {
+            self.idle[entry.class as usize].remove(&place);
+        }
+        self.held[entry.class as usize] -= 1;
+        entry.class = class;
+        self.held[class as usize] += 1;
+    }
+
+    /// The request has its answer. False if the connection is to end with it.
+    pub fn answered(&mut self, id: ConnId, now: Time) -> bool {
+        let Some(entry) = self.all.get(&id).copied() else {
+            return false;
+        };
+        let workers = self.workers();
+        let crowded = self.all.len() > self.limits.users;
+        // New ones give way to those that were kept before: to end all in turn
+        // would have everybody connect anew all the time.
+        let ends = match entry.class {
+            Class::New => false,
+            Class::Idle => workers > self.limits.idle_workers && !entry.kept || crowded,
+            Class::Busy => workers > self.limits.workers && !entry.kept || crowded,
+            Class::User => crowded,
+        };
+        if !ends {
+            self.rest(id, entry.class, true, now);
+        }
+        !ends
+    }
+
+    /// It ended.
+    pub fn closed(&mut self, id: ConnId) {
+        if let Some(entry) = self.all.remove(&id) {
+            self.held[entry.class as usize] -= 1;
+            if let Some(place) = entry.idle {
+                self.idle[entry.class as usize].remove(&place);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/overload/src/spread.rs
@@ -0,0 +1,104 @@
+//! How many of the workers report to other controllers, which hand the reports
+//! on in batches.
+//!
+//! Most of what a report costs is its own connection and packets, and there
+//! are only so many sockets. So when the owner of the machines runs short of
+//! either, a part of the workers reports to the controllers that idle; who
+//! decides does not change.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use sorrelhinge_protocol::types::{MachineId, NodeId, Time};
+
+/// Above this part of the connections that workers may hold, some are sent
+/// elsewhere; they come back below `RETURN` of it.
+const SEND: f64 = 0.8;
+const RETURN: f64 = 0.5;
+/// With this much waiting, in seconds, more are sent elsewhere.
+const WAIT_S: f64 = 0.15;
+/// One step of the part, and how long it is given to show, in seconds.
+const STEP: f64 = 0.2;
+const STEP_EVERY_S: f64 = 2.0;
+const BACK_EVERY_S: f64 = 15.0;
+
+/// The part of the workers that reports elsewhere.
+#[derive(Clone, Debug, Default)]
+pub struct Spread {
+    share: f64,
+    since: Option<Time>,
+}
+
+/// What it is decided from.
+#[derive(Clone, Copy, Debug)]
+pub struct Crowd {
+    /// Machines there are.
+    pub machines: usize,
+    /// Connections that workers may hold here.
+    pub room: usize,
+    /// How long requests wait to be read, in seconds.
+    pub wait_s: f64,
+    /// Controllers that can take reports for this one.
+    pub helpers: usize,
+}
+
+impl Spread {
+    /// Starts with the part that an earlier owner had.
+    pub fn from_share(share: f64) -> Self {
+        Self {
+            share: share.clamp(0.0, 1.0),
+            since: None,
+        }
+    }
+
+    /// Takes in how things stand.
+    pub fn take(&mut self, crowd: Crowd, now: Time) {
+        let room = crowd.room.max(1) as f64;
+        let machines = crowd.machines as f64;
+        let quiet_s = self.since.map_or(f64::INFINITY, |t| now.since(t));
+        if crowd.helpers == 0 {
+            self.share = 0.0;
+            return;
+        }
+        // Sockets can be counted ahead: no step has to show first.
+        let needed = (1.0 - SEND * room / machines.max(1.0)).max(0.0);
+        if needed > self.share {
+            self.share = needed;
+            self.since = Some(now);
+        } else if crowd.wait_s > WAIT_S {
+            if quiet_s >= STEP_EVERY_S {
+                self.share = (self.share + STEP).min(1.0);
+                self.since = Some(now);
+            }
+        } else if quiet_s >= BACK_EVERY_S {
+            let fits = (1.0 - RETURN * room / machines.max(1.0)).max(0.0);
+            self.share = (self.share - STEP / 2.0).max(fits).min(self.share);
+            self.since = Some(now);
+        }
+    }
+
+    /// The part, 0 to 1.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// To which of `helpers` a machine's worker should report, if not here.
+    /// Always the same ones are sent first, and each to the same helper while
+    /// that is there.
+    pub fn home<'a>(
+        &self,
+        machine: &MachineId,
+        helpers: impl Iterator<Item = &'a NodeId>,
+    ) -> Option<&'a NodeId> {
+        let place = (mix(machine.as_str(), "") >> 11) as f64 / (1_u64 << 53) as f64;
+        if place >= self.share {
+            return None;
+        }
+        helpers.max_by_key(|node| (mix(machine.as_str(), node.as_str()), node.as_str()))
+    }
+}
+
+fn mix(machine: &str, node: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (machine, node).hash(&mut hasher);
+    hasher.finish()
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -1,6 +1,5 @@
 //! What users and workers reach over HTTP.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -9,20 +8,20 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::{json, Value};
-use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::control::core::Source;
+use crate::control::load::count;
 use crate::control::{Beat, Node, Refused, Submitted};
 use crate::peer::{self, Answered, Heard};
+use crate::serve::Conn;
 use crate::state::record::Phase;
 use crate::state::view::Summary;
-use crate::types::{JobId, JobSpec, Revision};
-use crate::worker::Report;
+use crate::types::{JobId, JobSpec, NodeId, Revision};
+use crate::worker::{Report, TaskPhase};
+use sorrelhinge_overload::turnstile::Class;
 use sorrelhinge_protocol::operators::UndrainAsked;
 use sorrelhinge_protocol::users::job_id;
 pub use sorrelhinge_protocol::users::read_job;
@@ -81,8 +80,28 @@
 }
 
 impl Heard for ForPeers {
-    fn hint(&self, revision: Revision) {
+    fn hint(&self, revision: Revision, from: &NodeId, standing: peer::Standing) {
         self.0.hinted(revision);
+        self.0.stands(from, standing);
+    }
+
+    fn homed(&self, text: &[u8]) -> Answered {
+        let reply = match serde_json::from_slice::<Report>(text) {
+            Ok(report) => {
+                count(&self.0.load().counts.homed);
+                self.0.own_beat(&report, Source::Beat)
+            }
+            Err(_) => return (400, Vec::new()),
+        };
+        match reply {
+            Beat::Reply(answer) => match serde_json::to_vec(&answer) {
+                Ok(text) => (200, text),
+                Err(_) => (503, Vec::new()),
+            },
+            Beat::Passed(answered) => answered,
+            Beat::Elsewhere(_) => (421, Vec::new()),
+            Beat::Unavailable => (503, Vec::new()),
+        }
     }
 
     fn answer(
@@ -103,7 +122,9 @@
                     Ok(report) => beat_reply(node.passed_via(&report, &text).await),
                     Err(_) => refuse(400, "malformed report"),
                 },
-                peer::Kind::Hint | peer::Kind::Answer => refuse(400, "not a request"),
+                peer::Kind::Hint | peer::Kind::Answer | peer::Kind::Homed => {
+                    refuse(400, "not a request")
+                }
             };
             let status = answer.status().as_u16();
             let text = match answer.into_body().collect().await {
@@ -209,7 +230,7 @@
     }
 }
 
-async fn beat(node: &Rc<Node>, body: &[u8]) -> Reply {
+async fn beat(node: &Rc<Node>, conn: &Conn, body: &[u8]) -> Reply {
     let report: Report = match serde_json::from_slice(body) {
         Ok(report) => report,
         Err(error) => {
@@ -217,6 +238,9 @@
             return refuse(400, "malformed report");
         }
     };
+    let busy = report.pieces.iter().any(|p| p.phase != TaskPhase::Ended);
+    conn.asked(if busy { Class::Busy } else { Class::Idle });
+    count(&node.load().counts.reports);
     beat_reply(node.beat(&report, body).await)
 }
 
@@ -242,10 +266,12 @@
     answer
 }
 
-async fn answer(node: Rc<Node>, request: Request<Incoming>) -> Reply {
+/// Answers a request.
+pub(crate) async fn answer(node: &Rc<Node>, conn: &Conn, request: Request<Incoming>) -> Reply {
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     if method == Method::GET && path == "/healthz" {
+        conn.asked(Class::User);
         return if node.healthy() {
             reply(200, json!({}))
         } else {
@@ -256,7 +282,8 @@
     let job = path.strip_prefix("/v1/jobs/");
     let cancel = job.and_then(|rest| rest.strip_suffix("/withdraw"));
     if path == "/v1/topology" && method == Method::GET {
-        return operate(&node, &path, &[]).await;
+        conn.asked(Class::User);
+        return operate(node, &path, &[]).await;
     }
     let operators = matches!(path.as_str(), "/v1/drains" | "/v1/undrains");
     let known = operators
@@ -268,7 +295,9 @@
         return refuse(404, "no such path");
     }
     if let (Some(id), None, true) = (job, cancel, method == Method::GET) {
-        return poll(&node, id).await;
+        conn.asked(Class::User);
+        count(&node.load().counts.polls);
+        return poll(node, id).await;
     }
     let takes_post = operators || cancel.is_some() || path == "/v1/jobs" || path == "/agent/beat";
     if !post || !takes_post {
@@ -283,54 +312,21 @@
         Ok(Err(e)) if e.is::<LengthLimitError>() => return refuse(400, "body over 64 KiB"),
         Ok(Err(_)) | Err(_) => return refuse(400, "incomplete body"),
     };
+    if path == "/agent/beat" {
+        return beat(node, conn, &body).await;
+    }
+    conn.asked(Class::User);
     match cancel {
         Some(id) => {
-            let here = withdraw(&node, id);
-            here_or_there(&node, peer::Kind::Withdraw, id.as_bytes(), here).await
+            count(&node.load().counts.cancellations);
+            let here = withdraw(node, id);
+            here_or_there(node, peer::Kind::Withdraw, id.as_bytes(), here).await
         }
-        None if operators => operate(&node, &path, &body).await,
-        None if path == "/v1/jobs" => {
-            let here = submit(&node, &body);
-            here_or_there(&node, peer::Kind::Submit, &body, here).await
+        None if operators => operate(node, &path, &body).await,
+        None => {
+            count(&node.load().counts.submissions);
+            let here = submit(node, &body);
+            here_or_there(node, peer::Kind::Submit, &body, here).await
         }
-        None => beat(&node, &body).await,
-    }
-}
-
-/// Serves connections until cancelled, `most` at a time.
-pub async fn serve(node: Rc<Node>, listener: TcpListener, most: usize) {
-    let open = Rc::new(());
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::debug!(%error, "accept");
-                sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
-        if Rc::strong_count(&open) > most {
-            continue;
-        }
-        let _ = stream.set_nodelay(true);
-        let held = open.clone();
-        let node = node.clone();
-        tokio::task::spawn_local(async move {
-            let _held = held;
-            let service = service_fn(move |request| {
-                let node = node.clone();
-                async move { Ok::<_, Infallible>(answer(node, request).await) }
-            });
-            let result = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                // Also ends connections on which nothing is asked any more.
-                .header_read_timeout(Duration::from_secs(60))
-                .max_buf_size(128 << 10)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if let Err(error) = result {
-                tracing::debug!(%error, "connection");
-            }
-        });
     }
 }
--- a/src/control/core/links.rs
+++ b/src/control/core/links.rs
@@ -323,6 +323,13 @@
 
     /// Commands for a machine. Starts are included, and marked sent, if
     /// `starts` says how.
+    ///
+    /// Before a report carries the machine's present token nothing can be
+    /// concluded from its list, so nothing is started or forgotten. What must
+    /// not run is killed all the same: an answer without the kill would renew
+    /// the lease of a cancelled job's task, and on a machine whose direct
+    /// commands keep failing each failure raises the token again, so that no
+    /// report ever carries it (`docs/incidents/fleet-x3-cancelled.md`).
     pub(super) fn commands(
         &mut self,
         id: &MachineId,
@@ -334,9 +341,7 @@
         let Some(link) = self.links.get_mut(id) else {
             return orders;
         };
-        if !link.fenced() {
-            return orders;
-        }
+        let fenced = link.fenced();
         let Some(usable) = self.board.machines().get(id).map(|m| m.usable) else {
             return orders;
         };
@@ -348,6 +353,9 @@
                 .and_then(|j| j.tasks.claims().get(&task.index))
                 .filter(|c| c.attempt == *attempt && c.machine == *id);
             if *phase == TaskPhase::Ended {
+                if !fenced {
+                    continue;
+                }
                 // Only once the result is recorded, and while no start of
                 // this attempt can still arrive: it would run again.
                 if claim.is_none() && !super::record::recorded_claim(view, task, *attempt) {
@@ -366,7 +374,9 @@
                 Some(_) if job.is_some_and(|j| j.cancelled) => Some(0.0),
                 Some(claim) => claim.stop,
             };
-            let Some(mercy_s) = grace else { continue };
+            let Some(mercy_s) = grace.filter(|g| fenced || *g == 0.0) else {
+                continue;
+            };
             let key = (task.clone(), *attempt);
             let saving = *phase == TaskPhase::Saving && mercy_s > 0.0;
             let due = link
@@ -382,7 +392,7 @@
                 });
             }
         }
-        if let (Some(sent), true) = (starts, usable) {
+        if let (Some(sent), true) = (starts, usable && fenced) {
             for task in self.board.claims_on(id) {
                 if self
                     .board
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -142,6 +142,10 @@
     refused: HashMap<(TypeName, Zone, bool), Time>,
     rentals: u64,
     renting: u32,
+    /// How many machines can be served, if that was found to be a bound.
+    most_machines: Option<usize>,
+    /// Until then silence tells nothing.
+    deaf_until: Time,
     missing: BTreeMap<MachineId, u32>,
     /// By class, and by the smallest machine type that a task fits: their
     /// room is not the same.
@@ -167,7 +171,6 @@
     last_fleet: Time,
     last_plan: Time,
     last_look: Time,
-    last_preempt: Time,
 }
 
 /// Part of its start aim after which room is made for a job.
@@ -185,14 +188,12 @@
 const KILL_AGAIN_S: f64 = 2.0;
 const TXN_BYTES: usize = 48 << 10;
 /// Direct commands under way at a time.
-const MOST_FLYING: usize = 48;
+pub const MOST_FLYING: usize = 48;
 /// How often all machines are looked at for what only time changes.
 const LOOK_S: f64 = 1.0;
 /// More room for replicas: the more there is, the more likely some of it has
 /// the image, and a fetch takes longer than their users wait.
 const SERVICE_ROOM: f64 = 1.7;
-/// How often room is made.
-const PREEMPT_EVERY_S: f64 = 0.4;
 
 impl Core {
     /// Takes up the grant: everything recorded is on the board, and every
@@ -236,6 +237,8 @@
             refused: HashMap::new(),
             rentals: 0,
             renting: 0,
+            most_machines: None,
+            deaf_until: now,
             missing: BTreeMap::new(),
             arrivals: BTreeMap::new(),
             deleted: BTreeMap::new(),
@@ -251,7 +254,6 @@
             last_fleet: now,
             last_plan: now,
             last_look: now,
-            last_preempt: now,
         };
         core.set_types(types);
         core.board.set_topology(topology, |_| None);
@@ -525,14 +527,15 @@
         Some(claim)
     }
 
-    fn launched(&mut self, launches: Vec<Launch>) {
+    fn launched(&mut self, launches: Vec<Launch>, now: Time) {
         for launch in launches {
             tracing::debug!(task = %launch.task, machine = %launch.machine, cached = launch.cached, "claim");
             let hurry = self
                 .board
                 .job(&launch.task.job)
                 .is_some_and(|j| j.start_within.is_some());
-            self.pending.claimed(self.chunk_of(&launch.task), hurry);
+            self.pending
+                .claimed(self.chunk_of(&launch.task), hurry, now);
         }
     }
 
@@ -548,22 +551,26 @@
     /// Walks one machine, after its report.
     pub fn walk(&mut self, id: &MachineId, now: Time) {
         let launches = self.board.walk(id, self.rule(), now);
-        self.launched(launches);
+        self.launched(launches, now);
     }
 
-    /// Places what can be placed: on machines where room appeared, and
-    /// anywhere if work arrived or waits may have passed.
+    /// Places what can be placed on machines where room appeared.
     pub fn place(&mut self, now: Time) {
         for id in std::mem::take(&mut self.touched) {
             self.walk(&id, now);
         }
+    }
+
+    /// Places what can be placed anywhere, if work arrived or waits may have
+    /// passed.
+    pub fn place_all(&mut self, now: Time) {
         if std::mem::take(&mut self.walk_all) && self.board.has_work() {
             let launches = self.board.place(self.rule(), now);
-            self.launched(launches);
+            self.launched(launches, now);
         }
     }
 
-    /// Regular work: look at what only time changes, place, preempt.
+    /// Regular work: look at what only time changes, and place.
     pub fn tick(&mut self, now: Time) {
         let due = ((now.0 * 1000.0) as u64 + 1, MachineId::from(""));
         let later = self.retries.split_off(&due);
@@ -582,9 +589,11 @@
         self.move_on(now);
         self.walk_all = true;
         self.place(now);
-        let preempting = self.cfg.tuning.preempt && now.since(self.started) > 3.0;
-        if preempting && now.since(self.last_preempt) >= PREEMPT_EVERY_S {
-            self.last_preempt = now;
+    }
+
+    /// Stops tasks for others that have waited too long.
+    pub fn preempt(&mut self, now: Time) {
+        if self.cfg.tuning.preempt && now.since(self.started) > 3.0 {
             // Stopping costs more than it brings unless the wait is long for
             // the job's own aims: whoever is stopped waits in turn, and its
             // image may have to be fetched again.
--- a/src/control/core/record.rs
+++ b/src/control/core/record.rs
@@ -8,6 +8,11 @@
         self.pending.urgent()
     }
 
+    /// How long the claim has waited that is recorded next, in seconds.
+    pub fn claims_wait(&self, now: Time) -> f64 {
+        self.pending.claims_wait(now)
+    }
+
     pub(super) fn snapshot(&self, id: &JobId, chunk: u32) -> Option<ChunkRecord> {
         let job = self.board.job(id)?;
         let size = job.tasks.chunk_size();
@@ -72,6 +77,7 @@
             let id = match &due {
                 Due::Finished(id) | Due::Chunk((id, _)) => id.clone(),
             };
+            self.board.claiming.remove(&id);
             let Some(entry) = view.job(&id) else { continue };
             let held = &entry.record.value;
             if written.contains(&id) {
@@ -222,7 +228,7 @@
             let held = view.job(&id).and_then(|e| e.chunk(chunk));
             match (&record, held) {
                 (Some(ours), Some(held)) if ours == held => self.confirm(&id, chunk, ours, now),
-                (Some(_), _) => self.pending.claimed((id, chunk), false),
+                (Some(_), _) => self.pending.claimed((id, chunk), false, now),
                 (None, _) => self.pending.useless((id, chunk), now),
             }
         }
--- a/src/control/core/renting.rs
+++ b/src/control/core/renting.rs
@@ -156,6 +156,26 @@
         }
     }
 
+    /// How many machines there are, up and on their way.
+    pub fn machines(&self) -> usize {
+        self.links.len() + self.coming.len()
+    }
+
+    /// Requests wait too long to be read: reports may be missing.
+    pub fn hears_badly(&mut self, now: Time) {
+        self.deaf_until = now.after(self.cfg.silent_s());
+    }
+
+    /// How many jobs may have claims that wait to be recorded.
+    pub fn set_most_claiming(&mut self, most: usize) {
+        self.board.most_claiming = Some(most);
+    }
+
+    /// How many machines can be served; none: no bound is known.
+    pub fn set_most_machines(&mut self, most: Option<usize>) {
+        self.most_machines = most;
+    }
+
     /// What is used and free, for the log.
     pub(super) fn log_fleet(&self) {
         let mut sums = [[0_i64; 3]; 2];
@@ -205,7 +225,12 @@
             .filter(|l| now.since(l.last_heard) < 2.5 * self.cfg.report_s)
             .count();
         // If most are silent it is this controller that can't hear.
-        let hearing = heard * 2 > self.links.len() && now.since(self.started) > self.cfg.silent_s();
+        // Nor does silence tell anything where requests wait too long to be
+        // read: giving machines back then, and renting others, is how a fleet
+        // that is too large for its controllers would be kept so.
+        let hearing = heard * 2 > self.links.len()
+            && now.since(self.started) > self.cfg.silent_s()
+            && now >= self.deaf_until;
         let mut gone = Vec::new();
         for (id, link) in &mut self.links {
             let machine = self.board.machines().get(id);
@@ -285,12 +310,16 @@
             true => 0.0,
             false => self.board.guaranteed().cpu as f64 * self.cfg.tuning.floor,
         };
+        // What can't be served goes as soon as it has no use.
+        let excess = self
+            .most_machines
+            .map_or(0, |most| self.machines().saturating_sub(most));
         let mut retiring: Vec<(f64, MachineId)> = Vec::new();
         let mut unused: Vec<(MachineId, f64)> = Vec::new();
         for (id, m) in self.board.machines() {
             let now_unused = f64::from(u8::from(plan.unused.contains(id)));
             let part = m.unused + (now_unused - m.unused) * share;
-            if now_unused > 0.0 && (part > UNUSED_SHARE || idle) {
+            if now_unused > 0.0 && (part > UNUSED_SHARE || idle || excess > 0) {
                 retiring.push((-m.price_per_cpu(), id.clone()));
             }
             unused.push((id.clone(), part));
@@ -326,7 +355,15 @@
             self.refresh_machine(&id, now);
         }
         let mut rentals = Vec::new();
-        for want in plan.rent {
+        let mut left = self
+            .most_machines
+            .map_or(usize::MAX, |most| most.saturating_sub(self.machines()));
+        for mut want in plan.rent {
+            want.count = want.count.min(u32::try_from(left).unwrap_or(u32::MAX));
+            if want.count == 0 {
+                continue;
+            }
+            left -= want.count as usize;
             self.rentals += 1;
             self.renting += 1;
             rentals.push(Rental {
--- a/src/control/leading.rs
+++ b/src/control/leading.rs
@@ -125,6 +125,7 @@
             wall_ms(),
         );
         *self.core.borrow_mut() = Some(core);
+        self.inherit_spread();
         self.work.notify_one();
     }
 
--- /dev/null
+++ b/src/control/load.rs
@@ -0,0 +1,240 @@
+//! What this controller is asked for, what it serves, and which resource
+//! binds; what follows is decided in `sorrelhinge-overload`.
+
+use super::*;
+
+use sorrelhinge_overload::carry::Carry;
+use sorrelhinge_overload::pressure::{Level, Pressure, Resource, Sample};
+use sorrelhinge_overload::spread::{Crowd, Spread};
+
+/// How often it is measured.
+const LOOK: Duration = Duration::from_millis(500);
+/// Claims may wait for so long to be recorded, in seconds, before no more are
+/// made.
+const CLAIMS_S: f64 = 2.5;
+/// How often it is told in the log.
+const LOG: Duration = Duration::from_secs(10);
+
+/// Counts since the last line in the log.
+#[derive(Default)]
+pub struct Counts {
+    /// Workers' reports.
+    pub reports: Cell<u64>,
+    /// Reports that other controllers took for this one.
+    pub homed: Cell<u64>,
+    /// Submissions.
+    pub submissions: Cell<u64>,
+    /// Polls.
+    pub polls: Cell<u64>,
+    /// Cancellations.
+    pub cancellations: Cell<u64>,
+    /// Answered with 503 because of the load.
+    pub shed: Cell<u64>,
+}
+
+/// One more.
+pub fn count(cell: &Cell<u64>) {
+    cell.set(cell.get() + 1);
+}
+
+/// What is known of the load.
+#[derive(Default)]
+pub struct Load {
+    /// What is asked for.
+    pub counts: Counts,
+    pressure: RefCell<Pressure>,
+    carry: RefCell<Carry>,
+    spread: RefCell<Spread>,
+}
+
+impl Load {
+    /// What is shed now.
+    pub fn level(&self) -> Level {
+        self.pressure.borrow().level()
+    }
+
+    /// How many machines there may be.
+    pub fn most_machines(&self) -> Option<usize> {
+        self.carry.borrow().most()
+    }
+}
+
+/// What is known of another controller's standing is of use for so long.
+const STANDING: Duration = Duration::from_secs(3);
+/// A worker that was sent elsewhere and came back is kept for so long.
+const CAME_BACK: Duration = Duration::from_secs(30);
+
+impl Node {
+    /// Another controller said how it stands.
+    pub fn stands(&self, node: &NodeId, standing: peer::Standing) {
+        let known = self.cfg.others.iter().any(|o| o.node == *node);
+        if known {
+            let now = Instant::now();
+            self.standings
+                .borrow_mut()
+                .insert(node.clone(), (now, standing));
+        }
+    }
+
+    fn standing_of(&self, node: &NodeId) -> peer::Standing {
+        let standings = self.standings.borrow();
+        standings
+            .get(node)
+            .filter(|(at, _)| at.elapsed() < STANDING)
+            .map(|(_, s)| *s)
+            .unwrap_or_default()
+    }
+
+    /// Controllers that can take reports for this one.
+    fn helpers(&self) -> Vec<NodeId> {
+        let mut helpers: Vec<NodeId> = self
+            .peers
+            .reachable()
+            .filter(|n| {
+                let s = self.standing_of(n);
+                s.helps && !s.crowded
+            })
+            .cloned()
+            .collect();
+        helpers.sort();
+        helpers
+    }
+
+    fn tell_standing(&self) {
+        let leading = self.core.borrow().is_some();
+        let share = if leading {
+            (self.load.spread.borrow().share() * 1000.0).round() as u16
+        } else {
+            0
+        };
+        self.peers.tell(peer::Standing {
+            helps: true,
+            crowded: self.connections.crowded(),
+            share,
+        });
+    }
+
+    /// A new owner goes on where the last one was.
+    pub(super) fn inherit_spread(&self) {
+        let before = self.standings.borrow();
+        let share = before.values().map(|(_, s)| s.share).max().unwrap_or(0);
+        *self.load.spread.borrow_mut() = Spread::from_share(f64::from(share) / 1000.0);
+    }
+
+    /// Whether a report that came here is taken for its owner.
+    pub(super) fn takes_for(&self, owner: &NodeId) -> bool {
+        self.standing_of(owner).share > 0
+    }
+
+    /// The controller that a worker of ours is to report to instead.
+    pub(super) fn home_of(&self, machine: &MachineId) -> Option<NodeId> {
+        if self.core.borrow().is_none() || self.load.spread.borrow().share() == 0.0 {
+            return None;
+        }
+        let helpers = self.helpers();
+        let home = self
+            .load
+            .spread
+            .borrow()
+            .home(machine, helpers.iter())?
+            .clone();
+        let now = Instant::now();
+        let mut sent_on = self.sent_on.borrow_mut();
+        if sent_on.len() >= MOST_SENT_ON {
+            sent_on.retain(|_, s| now.duration_since(s.last) < CAME_BACK);
+        }
+        let came_back = sent_on
+            .get(machine)
+            .is_some_and(|s| now.duration_since(s.last) < CAME_BACK);
+        if came_back {
+            return None;
+        }
+        let sent = SentOn {
+            to: home.clone(),
+            last: now,
+            passing_since: None,
+        };
+        sent_on.insert(machine.clone(), sent);
+        Some(home)
+    }
+
+    /// Measures the load again and again.
+    pub(super) async fn watch_load(self: Rc<Self>) {
+        let mut last = Instant::now();
+        let mut logged = Instant::now();
+        let mut late_before = 0;
+        loop {
+            sleep(LOOK).await;
+            let passed = last.elapsed().as_secs_f64().max(1e-3);
+            last = Instant::now();
+            let now = self.now();
+            let sample = Sample {
+                // A timer that fires late waited like a request.
+                wait_s: self
+                    .connections
+                    .wait_s()
+                    .max(passed - LOOK.as_secs_f64() - 0.02),
+                sockets: self.connections.used(),
+                change_wait_s: self
+                    .core
+                    .borrow()
+                    .as_ref()
+                    .map_or(0.0, |c| c.claims_wait(now)),
+                cloud_wait_s: 0.0,
+            };
+            let changed = self.load.pressure.borrow_mut().take(sample, now);
+            let binds = self.load.pressure.borrow().binds(Resource::Processor);
+            if let Some(c) = self.core.borrow_mut().as_mut() {
+                let machines = c.machines();
+                let mut spread = self.load.spread.borrow_mut();
+                let crowd = Crowd {
+                    machines,
+                    room: self.connections.limits().workers,
+                    wait_s: sample.wait_s,
+                    helpers: self.helpers().len(),
+                };
+                spread.take(crowd, now);
+                // The others' help comes first.
+                let alone = crowd.helpers == 0 || spread.share() >= 1.0;
+                let mut carry = self.load.carry.borrow_mut();
+                carry.take(machines, sample.wait_s, binds && alone, now);
+                c.set_most_machines(carry.most());
+                let claims = (self.state.writes.rate() * CLAIMS_S) as usize;
+                c.set_most_claiming(claims.max(2 * self.cfg.txn_ops));
+                if binds {
+                    c.hears_badly(now);
+                }
+            }
+            self.tell_standing();
+            if changed || logged.elapsed() >= LOG {
+                let over = logged.elapsed().as_secs_f64().max(1e-3);
+                logged = Instant::now();
+                let pressure = self.load.pressure.borrow();
+                let binding: Vec<&str> = pressure.binding().map(Resource::name).collect();
+                let rate = |cell: &Cell<u64>| (cell.replace(0) as f64 / over * 10.0).round() / 10.0;
+                let counts = &self.load.counts;
+                let late = self.connections.late();
+                let (connections, workers) = self.connections.open();
+                tracing::info!(
+                    wait_s = (sample.wait_s * 100.0).round() / 100.0,
+                    change_wait_s = (sample.change_wait_s * 10.0).round() / 10.0,
+                    connections,
+                    workers,
+                    reports = rate(&counts.reports),
+                    homed = rate(&counts.homed),
+                    submissions = rate(&counts.submissions),
+                    polls = rate(&counts.polls),
+                    cancellations = rate(&counts.cancellations),
+                    shed = rate(&counts.shed),
+                    late = late - late_before,
+                    spread = self.load.spread.borrow().share(),
+                    most_machines = self.load.most_machines(),
+                    binding = binding.join(","),
+                    shedding = pressure.level().name(),
+                    "load"
+                );
+                late_before = late;
+            }
+        }
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod drains;
 mod following;
 mod leading;
+pub mod load;
 mod owning;
 pub mod pending;
 mod users;
@@ -14,6 +15,8 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use sorrelhinge_overload::pace::Pace;
+use sorrelhinge_overload::sockets::Limits;
 use sorrelhinge_topology::Topology;
 use tokio::sync::{watch, Notify};
 use tokio::task::spawn_local;
@@ -23,6 +26,7 @@
 use crate::cloud::{CloudClient, CloudError};
 use crate::config::Config;
 use crate::peer::{self, Peers};
+use crate::serve::Connections;
 use crate::state::record::{job_key, GrantRecord, JobRecord, LeaderRecord, Phase, GRANT, LEADER};
 use crate::state::view::{Summary, Versioned, View};
 use crate::state::{Change, Outcome, StateClient, StateError, Txn, Urgency, When};
@@ -62,6 +66,9 @@
     state: Rc<StateClient>,
     cloud: Rc<CloudClient>,
     peers: Rc<Peers>,
+    connections: Rc<Connections>,
+    paces: Paces,
+    load: load::Load,
     view: RefCell<View>,
     core: RefCell<Option<Core>>,
     types: RefCell<Vec<MachineType>>,
@@ -83,6 +90,32 @@
     leader_changed: Notify,
     submissions: Cell<usize>,
     sent_on: RefCell<HashMap<MachineId, SentOn>>,
+    /// How the other controllers stand, and since when that is known.
+    standings: RefCell<HashMap<NodeId, (Instant, peer::Standing)>>,
+}
+
+/// Duties that look at the whole fleet.
+struct Paces {
+    /// Filling a machine at its report. Under load a report may do without:
+    /// offering all waiting jobs the best machine comes to the same.
+    walk: RefCell<Pace>,
+    /// Offering all waiting jobs the best machine.
+    place: RefCell<Pace>,
+    /// Making room.
+    preempt: RefCell<Pace>,
+    /// Planning the fleet.
+    fleet: RefCell<Pace>,
+}
+
+impl Default for Paces {
+    fn default() -> Self {
+        Self {
+            walk: RefCell::new(Pace::new(0.0, 0.5, 0.3)),
+            place: RefCell::new(Pace::new(0.0, 1.0, 0.3)),
+            preempt: RefCell::new(Pace::new(0.4, 4.0, 0.06)),
+            fleet: RefCell::new(Pace::new(0.6, 6.0, 0.08)),
+        }
+    }
 }
 
 /// A worker that was told which controller to report to.
@@ -129,7 +162,11 @@
     pub fn new(cfg: Rc<Config>, peers: Rc<Peers>, topology: Option<Rc<Topology>>) -> Rc<Self> {
         let state = StateClient::new(cfg.state, cfg.state_rps, cfg.state_write_rps);
         let cloud = CloudClient::new(cfg.cloud, cfg.cloud_rps * 0.8);
+        let limits = Limits::of(cfg.max_sockets, cfg.others.len(), core::MOST_FLYING);
         let node = Rc::new(Self {
+            connections: Connections::new(limits),
+            paces: Paces::default(),
+            load: load::Load::default(),
             state,
             cloud,
             peers,
@@ -152,6 +189,7 @@
             leader_changed: Notify::new(),
             submissions: Cell::new(0),
             sent_on: RefCell::default(),
+            standings: RefCell::default(),
             cfg,
         });
         node.set_share(false);
@@ -163,6 +201,16 @@
         &self.cfg
     }
 
+    /// Connections of users and workers.
+    pub fn connections(&self) -> &Rc<Connections> {
+        &self.connections
+    }
+
+    /// What is known of the load.
+    pub fn load(&self) -> &load::Load {
+        &self.load
+    }
+
     /// Failure domains and devices, if the feature is on.
     pub fn topology(&self) -> Option<Rc<Topology>> {
         self.topology.borrow().clone()
@@ -191,5 +239,6 @@
         spawn_local(self.clone().tend_cloud());
         spawn_local(self.clone().list_machines());
         spawn_local(self.clone().learn_types());
+        spawn_local(self.clone().watch_load());
     }
 }
--- a/src/control/owning.rs
+++ b/src/control/owning.rs
@@ -9,6 +9,7 @@
         let mut core = self.core.borrow_mut();
         let Some(c) = core.as_mut() else { return };
         c.place(now);
+        self.place_all(c, now);
         if c.has_urgent() {
             self.record.notify_one();
         }
@@ -39,6 +40,21 @@
         }
     }
 
+    fn place_all(&self, core: &mut Core, now: Time) {
+        if core.walk_all && self.paces.place.borrow().due(now) {
+            self.timed(&self.paces.place, || core.place_all(now));
+        }
+    }
+
+    /// Does a duty that looks at the whole fleet, and notes what it took.
+    pub(super) fn timed<R>(&self, pace: &RefCell<Pace>, duty: impl FnOnce() -> R) -> R {
+        let begun = Instant::now();
+        let result = duty();
+        let cost = begun.elapsed().as_secs_f64();
+        pace.borrow_mut().done(cost, self.now());
+        result
+    }
+
     /// Records claims and results, one transaction at a time.
     pub(super) async fn pump(self: Rc<Self>) {
         loop {
@@ -122,6 +138,11 @@
                 let now = self.now();
                 if let Some(c) = self.core.borrow_mut().as_mut() {
                     c.tick(now);
+                    // What has a place needs nobody stopped.
+                    self.place_all(c, now);
+                    if self.paces.preempt.borrow().due(now) {
+                        self.timed(&self.paces.preempt, || c.preempt(now));
+                    }
                 }
             }
             self.drive();
@@ -182,11 +203,14 @@
                 continue;
             }
             let now = self.now();
+            if !self.paces.fleet.borrow().due(now) {
+                continue;
+            }
             let plan = self
                 .core
                 .borrow_mut()
                 .as_mut()
-                .map(|c| (c.grant, c.fleet(now)));
+                .map(|c| (c.grant, self.timed(&self.paces.fleet, || c.fleet(now))));
             let Some((grant, (gone, rentals))) = plan else {
                 continue;
             };
--- a/src/control/pending.rs
+++ b/src/control/pending.rs
@@ -23,10 +23,12 @@
 #[derive(Debug, Default)]
 pub struct Pending {
     /// Those that users wait for first, then in the order they came.
-    claims: BTreeMap<(bool, u64), ChunkId>,
+    claims: BTreeMap<(bool, u64), (ChunkId, Time)>,
     claimed: BTreeMap<ChunkId, (bool, u64)>,
     count: u64,
     finished: BTreeSet<JobId>,
+    /// A claim was taken last.
+    claim_last: bool,
     results: BTreeMap<ChunkId, Time>,
     trash: BTreeMap<ChunkId, Time>,
 }
@@ -42,12 +44,12 @@
 
 impl Pending {
     /// A task was claimed. `hurry`: its users wait for its start.
-    pub fn claimed(&mut self, chunk: ChunkId, hurry: bool) {
+    pub fn claimed(&mut self, chunk: ChunkId, hurry: bool, now: Time) {
         self.results.remove(&chunk);
         if !self.claimed.contains_key(&chunk) {
             self.count += 1;
             let place = (!hurry, self.count);
-            self.claims.insert(place, chunk.clone());
+            self.claims.insert(place, (chunk.clone(), now));
             self.claimed.insert(chunk, place);
         }
     }
@@ -73,6 +75,11 @@
         self.results.remove(&chunk);
         self.trash.entry(chunk).or_insert(now);
     }
+    /// How long the claim has waited that is recorded next, in seconds.
+    pub fn claims_wait(&self, now: Time) -> f64 {
+        let next = self.claims.first_key_value();
+        next.map_or(0.0, |(_, (_, since))| now.since(*since))
+    }
     /// Whether something is due that should not wait for the next tick.
     pub fn urgent(&self) -> bool {
         !self.claims.is_empty() || !self.finished.is_empty()
@@ -80,10 +87,16 @@
     /// Takes what is most urgent, if anything is due. `spare`: there are more
     /// changes left than urgent ones need.
     pub fn take(&mut self, spare: bool, now: Time) -> Option<Due> {
-        if let Some((_, chunk)) = self.claims.pop_first() {
+        // Claims that no user waits for take turns with jobs that are done:
+        // while there are more claims than changes, nothing else would be told.
+        let hurry = self.claims.first_key_value().is_some_and(|(p, _)| !p.0);
+        let turn = hurry || !self.claim_last || self.finished.is_empty();
+        if let Some((_, (chunk, _))) = turn.then(|| self.claims.pop_first()).flatten() {
             self.claimed.remove(&chunk);
+            self.claim_last = true;
             return Some(Due::Chunk(chunk));
         }
+        self.claim_last = false;
         if let Some(job) = self.finished.pop_first() {
             return Some(Due::Finished(job));
         }
--- a/src/control/workers.rs
+++ b/src/control/workers.rs
@@ -5,7 +5,18 @@
 impl Node {
     /// Takes a worker's report, `body` as it came.
     pub async fn beat(self: &Rc<Self>, report: &Report, body: &[u8]) -> Beat {
+        if let Some(home) = self.home_of(&report.machine) {
+            return Beat::Elsewhere(home);
+        }
         match self.own_beat(report, Source::Beat) {
+            Beat::Elsewhere(owner) if self.takes_for(&owner) => {
+                let kind = peer::Kind::Homed;
+                let taken = self.peers.pass_on(&owner, kind, body.to_vec()).await;
+                // Not sent to the owner, which would have all come at once.
+                taken
+                    .filter(|(status, _)| *status == 200)
+                    .map_or(Beat::Unavailable, Beat::Passed)
+            }
             Beat::Elsewhere(owner) => self.beat_elsewhere(report, owner, body).await,
             other => other,
         }
@@ -133,7 +144,9 @@
                 return Beat::Unavailable;
             }
             if !stale {
-                c.walk(&report.machine, now);
+                if self.paces.walk.borrow().due(now) {
+                    self.timed(&self.paces.walk, || c.walk(&report.machine, now));
+                }
                 reply = Some(c.reply(&report.machine, &self.view.borrow(), now));
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod http;
 pub mod peer;
 pub mod sched;
+pub mod serve;
 pub mod state;
 pub mod worker;
 
@@ -81,14 +82,14 @@
         .run_until(async {
             let others = cfg.others.iter().map(|o| (o.node.clone(), o.address));
             let first = topology.as_ref().map(|t| t.first.clone());
-            let node = Node::new(cfg.clone(), peer::Peers::start(others), first);
+            let node = Node::new(cfg.clone(), peer::Peers::start(&cfg.node, others), first);
             node.start();
             if let Some(file) = topology {
                 tokio::task::spawn_local(reload(node.clone(), file.path));
             }
             let heard = Rc::new(api::ForPeers::new(node.clone()));
             tokio::task::spawn_local(peer::listen(peers, 4 * cfg.others.len() + 8, heard));
-            tokio::task::spawn_local(api::serve(node, users, cfg.max_sockets * 3 / 4));
+            tokio::task::spawn_local(serve::serve(node, users));
             tracing::info!(node = %cfg.node, zone = %cfg.zone, bind = %cfg.bind, "serving");
             stop.await;
         })
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -12,10 +12,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::OwnedReadHalf;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout, Instant};
 use zerocopy::little_endian::{U16, U32, U64};
 use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
@@ -28,11 +29,19 @@
 /// Longest text that is passed on: a body of 64 KiB and some.
 const MOST_TEXT: usize = 72 << 10;
 /// Messages that wait to be sent to one controller.
-const MOST_WAITING: usize = 64;
+const MOST_WAITING: usize = 512;
 /// Requests passed on by one controller that are being answered here.
-const MOST_ANSWERING: usize = 64;
+const MOST_ANSWERING: usize = 512;
 /// How long an answer may take: a worker waits 4 s for two of them.
 const ANSWER: Duration = Duration::from_millis(1400);
+/// The same for a report that a worker was sent here with: there is one hop.
+const ANSWER_REPORT: Duration = Duration::from_millis(3000);
+/// Reports and their answers wait so long for company: one packet then takes
+/// many, and it is the packets that cost most.
+const LINGER: Duration = Duration::from_millis(30);
+/// Messages in one packet, and handled without letting others have a turn.
+const TOGETHER: usize = 64;
+const IN_A_TURN: usize = 12;
 /// For how long a line that gave no answer is not used for requests.
 const DOUBTED: Duration = Duration::from_secs(5);
 
@@ -52,15 +61,18 @@
     Withdraw,
     /// The answer to the request `number`.
     Answer,
+    /// A worker's report, taken for this controller, which asked for it.
+    Homed,
 }
 
-const KINDS: [Kind; 6] = [
+const KINDS: [Kind; 7] = [
     Kind::Hint,
     Kind::Beat,
     Kind::Via,
     Kind::Submit,
     Kind::Withdraw,
     Kind::Answer,
+    Kind::Homed,
 ];
 
 /// How every message begins: fixed layout, little-endian. `length` bytes of
@@ -79,6 +91,37 @@
     length: U32,
 }
 
+/// What a controller says of itself with each hint, in the header's `status`;
+/// the text is its name. A version that does not know it sends 0 and no text.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Takes reports for the owner of the machines.
+    pub helps: bool,
+    /// Has no room for more workers.
+    pub crowded: bool,
+    /// Thousandths of the workers that it, as their owner, sends to others.
+    pub share: u16,
+}
+
+const HELPS: u16 = 0x8000;
+const CROWDED: u16 = 0x4000;
+
+impl Standing {
+    /// As it goes over the wire.
+    pub fn encode(self) -> u16 {
+        let flag = |on: bool, bit: u16| if on { bit } else { 0 };
+        flag(self.helps, HELPS) | flag(self.crowded, CROWDED) | self.share.min(1000)
+    }
+    /// Reads it.
+    pub fn parse(status: u16) -> Self {
+        Self {
+            helps: status & HELPS != 0,
+            crowded: status & CROWDED != 0,
+            share: (status & !(HELPS | CROWDED)).min(1000),
+        }
+    }
+}
+
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Message {
@@ -90,6 +133,8 @@
     pub status: u16,
     /// A body.
     pub text: Vec<u8>,
+    /// It may wait for company before it is sent.
+    pub waits: bool,
 }
 
 impl Message {
@@ -127,11 +172,12 @@
             number: header.number.get(),
             status: header.status.get(),
             text: Vec::new(),
+            waits: false,
         };
         ours.then_some((message, length))
     }
 
-    async fn read(stream: &mut OwnedReadHalf) -> Option<Self> {
+    async fn read(stream: &mut BufReader<OwnedReadHalf>) -> Option<Self> {
         let mut header = [0; LENGTH];
         stream.read_exact(&mut header).await.ok()?;
         let (mut message, length) = Self::parse(&header)?;
@@ -164,13 +210,19 @@
 pub struct Peers {
     lines: HashMap<NodeId, Line>,
     newest: Cell<Revision>,
+    /// What is said of this controller, and its name.
+    standing: Cell<Standing>,
+    name: String,
     requests: Cell<u64>,
 }
 
 impl Peers {
     /// Keeps a line to each of `others` until cancelled.
-    pub fn start(others: impl Iterator<Item = (NodeId, SocketAddr)>) -> Rc<Self> {
-        let mut peers = Self::default();
+    pub fn start(name: &NodeId, others: impl Iterator<Item = (NodeId, SocketAddr)>) -> Rc<Self> {
+        let mut peers = Self {
+            name: name.to_string(),
+            ..Self::default()
+        };
         for (node, address) in others {
             let (out, messages) = mpsc::channel(MOST_WAITING);
             let line = Line {
@@ -196,13 +248,24 @@
             return;
         }
         self.newest.set(revision);
+        self.hint();
+    }
+
+    /// Tells all others how this controller stands.
+    pub fn tell(&self, standing: Standing) {
+        self.standing.set(standing);
+        self.hint();
+    }
+
+    fn hint(&self) {
         for line in self.lines.values().filter(|l| l.connected.get()) {
             // A hint that finds no room is replaced by the next one.
             let _ = line.out.try_send(Message {
                 kind: Kind::Hint,
-                number: revision.0,
-                status: 0,
-                text: Vec::new(),
+                number: self.newest.get().0,
+                status: self.standing.get().encode(),
+                text: self.name.clone().into_bytes(),
+                waits: false,
             });
         }
     }
@@ -230,9 +293,14 @@
             number,
             status: 0,
             text,
+            waits: kind == Kind::Homed,
+        };
+        let patience = match kind {
+            Kind::Homed => ANSWER_REPORT,
+            _ => ANSWER,
         };
         let answered = match line.out.try_send(message) {
-            Ok(()) => timeout(ANSWER, told).await.ok().and_then(Result::ok),
+            Ok(()) => timeout(patience, told).await.ok().and_then(Result::ok),
             Err(_) => None,
         };
         line.waiting.borrow_mut().remove(&number);
@@ -253,19 +321,10 @@
         let made = timeout(Duration::from_secs(1), TcpStream::connect(address)).await;
         if let Ok(Ok(stream)) = made {
             let _ = stream.set_nodelay(true);
-            let (mut from, mut to) = stream.into_split();
+            let (from, mut to) = stream.into_split();
+            let mut from = BufReader::with_capacity(BUFFER, from);
             connected.set(true);
-            let send = async {
-                while let Some(message) = messages.recv().await {
-                    let Some(bytes) = message.encode() else {
-                        continue;
-                    };
-                    let sent = timeout(Duration::from_secs(2), to.write_all(&bytes)).await;
-                    if !matches!(sent, Ok(Ok(()))) {
-                        return;
-                    }
-                }
-            };
+            let send = send_together(&mut to, &mut messages);
             let receive = async {
                 while let Some(message) = Message::read(&mut from).await {
                     if message.kind != Kind::Answer {
@@ -290,8 +349,11 @@
 
 /// What is done with other controllers' messages.
 pub trait Heard {
-    /// The state service has reached a revision.
-    fn hint(&self, revision: Revision);
+    /// The state service has reached a revision, and how the sender stands;
+    /// its name is empty if it does not say.
+    fn hint(&self, revision: Revision, from: &NodeId, standing: Standing);
+    /// Answers a worker's report that another controller took for this one.
+    fn homed(&self, text: &[u8]) -> Answered;
     /// Answers a request that was passed on.
     fn answer(self: Rc<Self>, kind: Kind, text: Vec<u8>)
         -> Pin<Box<dyn Future<Output = Answered>>>;
@@ -317,17 +379,69 @@
     }
 }
 
+/// What is read of a connection at a time.
+const BUFFER: usize = 32 << 10;
+
+/// Sends messages until the connection fails or there will be no more.
+async fn send_together(to: &mut OwnedWriteHalf, messages: &mut mpsc::Receiver<Message>) {
+    let mut batch = Vec::new();
+    while messages.recv_many(&mut batch, TOGETHER).await > 0 {
+        if batch.iter().all(|m| m.waits) && batch.len() < TOGETHER {
+            sleep(LINGER).await;
+            while batch.len() < TOGETHER {
+                let Ok(message) = messages.try_recv() else {
+                    break;
+                };
+                batch.push(message);
+            }
+        }
+        let bytes: Vec<u8> = batch
+            .drain(..)
+            .filter_map(|m| m.encode())
+            .flatten()
+            .collect();
+        let sent = timeout(Duration::from_secs(2), to.write_all(&bytes)).await;
+        if !matches!(sent, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
+
 async fn hear<H: Heard + 'static>(stream: TcpStream, heard: Rc<H>) {
-    let (mut from, mut to) = stream.into_split();
+    let (from, mut to) = stream.into_split();
+    let mut from = BufReader::with_capacity(BUFFER, from);
     let (out, mut answers) = mpsc::channel::<Message>(MOST_ANSWERING);
     let receive = async {
+        let mut in_a_turn = 0;
         // A silent connection ends: its other end may be long gone.
         while let Ok(Some(message)) =
             timeout(Duration::from_secs(300), Message::read(&mut from)).await
         {
             match message.kind {
-                Kind::Hint => heard.hint(Revision(message.number)),
+                Kind::Hint => {
+                    let name = String::from_utf8_lossy(&message.text);
+                    let standing = Standing::parse(message.status);
+                    heard.hint(Revision(message.number), &NodeId::from(&*name), standing);
+                }
                 Kind::Answer => return,
+                Kind::Homed => {
+                    let Ok(place) = out.clone().try_reserve_owned() else {
+                        continue;
+                    };
+                    let (status, text) = heard.homed(&message.text);
+                    place.send(Message {
+                        kind: Kind::Answer,
+                        number: message.number,
+                        status,
+                        text,
+                        waits: true,
+                    });
+                    // They come in batches, and others wait.
+                    in_a_turn += 1;
+                    if in_a_turn % IN_A_TURN == 0 {
+                        yield_now().await;
+                    }
+                }
                 kind => {
                     // Each holds a place for its answer; without one it is not
                     // taken, and the other end's patience ends.
@@ -342,21 +456,14 @@
                             number: message.number,
                             status,
                             text,
+                            waits: false,
                         });
                     });
                 }
             }
         }
     };
-    let send = async {
-        while let Some(bytes) = answers.recv().await.map(|a| a.encode()) {
-            let Some(bytes) = bytes else { continue };
-            let sent = timeout(Duration::from_secs(2), to.write_all(&bytes)).await;
-            if !matches!(sent, Ok(Ok(()))) {
-                return;
-            }
-        }
-    };
+    let send = send_together(&mut to, &mut answers);
     tokio::select! {
         () = receive => {}
         () = send => {}
--- a/src/sched/board.rs
+++ b/src/sched/board.rs
@@ -135,6 +135,7 @@
     pub fn remove_job(&mut self, id: &JobId) {
         self.edit_job(id, |job| job.cancelled = true);
         self.jobs.remove(id);
+        self.claiming.remove(id);
         self.leave_turn(id);
     }
 
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -235,6 +235,11 @@
     teams: Vec<Team>,
     /// Sizes of tasks seen of late.
     pub shapes: Vec<Amount>,
+    /// Jobs with claims that wait to be recorded.
+    pub claiming: BTreeSet<JobId>,
+    /// How many there may be; none: any number. What is claimed faster than it
+    /// can be recorded only holds room, and its order is decided too early.
+    pub most_claiming: Option<usize>,
     jobs: BTreeMap<JobId, Job>,
     machines: BTreeMap<MachineId, Machine>,
     /// Per team, the jobs that want tasks placed.
--- a/src/sched/walk.rs
+++ b/src/sched/walk.rs
@@ -118,6 +118,17 @@
         job.spec.each.fits_team(left)
     }
 
+    /// Whether a task of a job may be claimed before others' claims are
+    /// recorded. Those whose users wait for the start may be twice as many.
+    pub(super) fn may_claim(&self, id: &JobId, job: &Job) -> bool {
+        let held = self.claiming.len();
+        self.most_claiming.is_none_or(|most| {
+            held < most
+                || job.start_within.is_some() && held < 2 * most
+                || self.claiming.contains(id)
+        })
+    }
+
     /// Leaves part of a team's limit to jobs whose users wait for the start.
     pub fn hold_back(&mut self, team: usize, amount: Amount) {
         self.teams[team].held_back = amount;
@@ -390,6 +401,7 @@
         if !self.claim(&task, m_id, now) {
             return None;
         }
+        self.claiming.insert(id.clone());
         let job = self.jobs.get_mut(id)?;
         // A launch on a cached image takes the job back to waiting for one;
         // any other leaves it free to launch anywhere.
@@ -446,7 +458,10 @@
         let sort = (machine.spot, machine.retiring, machine.slow, &*machine.kind);
         for (id, job) in self.in_order(now) {
             self.rooms.steps.set(self.rooms.steps.get() + 1);
-            if job.spec.kind == Kind::Gang || !job.spec.each.fits(machine.free()) {
+            if job.spec.kind == Kind::Gang
+                || !job.spec.each.fits(machine.free())
+                || !self.may_claim(id, job)
+            {
                 // A gang is placed whole, not by the walk of one machine.
                 continue;
             }
@@ -507,7 +522,7 @@
             let mut skipped = Vec::new();
             let mut found = None;
             for (id, job) in self.in_order(now) {
-                if tried.contains(id) {
+                if tried.contains(id) || !self.may_claim(id, job) {
                     continue;
                 }
                 self.rooms.steps.set(self.rooms.steps.get() + 1);
