Shedding by level, and renting bounded by what can be claimed

The levels were measured and nothing followed from them. Now every second poll of a job that is not over, then submissions, are told at once to come back, and placements of the lowest rank wait, but for teams below their guarantee. Machines are not rented for work that can't be claimed before they are up.

--- a/crates/overload/src/carry.rs
+++ b/crates/overload/src/carry.rs
@@ -16,6 +16,37 @@
 /// While requests wait for longer than this, in seconds, the bound stays.
 const NO_MORE_S: f64 = 0.2;
 
+/// How much is claimed a second, which is bounded by the changes that the state
+/// service takes: machines for work that can't be claimed would stand idle.
+#[derive(Clone, Debug, Default)]
+pub struct Uptake {
+    rate: f64,
+    last: Option<Time>,
+}
+
+/// Time constant of the rate, in seconds.
+const UPTAKE_S: f64 = 8.0;
+/// Room for what is claimed in this many boots is enough.
+const BOOTS: f64 = 1.5;
+
+impl Uptake {
+    /// Takes in what was claimed since the last call, in thousandths of a CPU.
+    pub fn take(&mut self, claimed: i64, now: Time) {
+        let passed = self.last.map_or(0.0, |t| now.since(t));
+        self.last = Some(now);
+        if passed > 0.0 {
+            let part = 1.0 - (-passed / UPTAKE_S).exp();
+            self.rate += (claimed as f64 / passed - self.rate) * part;
+        }
+    }
+
+    /// Whether what is free now lasts until a machine that is rented now would
+    /// be up.
+    pub fn lasts(&self, free: i64, boot_s: f64) -> bool {
+        free as f64 > self.rate * boot_s * BOOTS
+    }
+}
+
 /// The bound.
 #[derive(Clone, Debug, Default)]
 pub struct Carry {
--- a/crates/overload/src/pressure.rs
+++ b/crates/overload/src/pressure.rs
@@ -97,6 +97,8 @@
 struct Bounds {
     enter: f64,
     leave: f64,
+    /// Above this it is worth turning users away, until it binds no more.
+    shed: f64,
 }
 
 /// Time constant of the averages, in seconds.
@@ -113,19 +115,27 @@
         Resource::Processor => Bounds {
             enter: 0.6,
             leave: 0.25,
+            shed: 0.6,
         },
         Resource::Sockets => Bounds {
             enter: 0.97,
             leave: 0.9,
+            // It takes no socket from a worker.
+            shed: f64::INFINITY,
         },
-        // Seconds of waiting.
+        // Seconds of waiting. Claims are held back while they wait, so it
+        // takes more than many claims to come to this: the service itself is
+        // slow, or others use its changes up.
         Resource::Changes => Bounds {
-            enter: 6.0,
-            leave: 2.0,
+            enter: 4.0,
+            leave: 1.5,
+            shed: 12.0,
         },
         Resource::Cloud => Bounds {
             enter: 10.0,
             leave: 4.0,
+            // It does not make the cloud faster.
+            shed: f64::INFINITY,
         },
     }
 }
@@ -135,6 +145,7 @@
 pub struct Pressure {
     means: [f64; RESOURCES.len()],
     binds: [bool; RESOURCES.len()],
+    sheds: [bool; RESOURCES.len()],
     level: Level,
     last: Option<Time>,
     /// Since when something binds, or nothing does, at this level.
@@ -145,25 +156,29 @@
     /// Takes in what was measured. True if the level or what binds changed.
     pub fn take(&mut self, sample: Sample, now: Time) -> bool {
         let before = (self.binds, self.level);
+        let sheds_before = self.sheds.contains(&true);
         let passed = self.last.map_or(SMOOTH_S, |t| now.since(t));
         self.last = Some(now);
         let part = 1.0 - (-passed / SMOOTH_S).exp();
         let measured = [
-            // One long wait says no more than a wait of two seconds.
-            sample.wait_s.min(2.0),
+            sample.wait_s,
             sample.sockets,
             sample.change_wait_s,
             sample.cloud_wait_s,
         ];
         for (i, (resource, value)) in RESOURCES.into_iter().zip(measured).enumerate() {
-            let Bounds { enter, leave } = bounds(resource);
+            let Bounds { enter, leave, shed } = bounds(resource);
             let value = if value.is_finite() { value } else { 0.0 };
-            self.means[i] += (value.max(0.0) - self.means[i]) * part;
+            // One long measurement says no more than a few of the least that
+            // would bind: a process that stood still is not overloaded.
+            let value = value.clamp(0.0, 3.5 * enter.max(shed.min(1e3)));
+            self.means[i] += (value - self.means[i]) * part;
             let bound = if self.binds[i] { leave } else { enter };
             self.binds[i] = self.means[i] >= bound;
+            self.sheds[i] = self.binds[i] && (self.sheds[i] || self.means[i] >= shed);
         }
-        let bound = self.shedding();
-        if bound != before.0.iter().zip(RESOURCES).any(|(b, r)| *b && sheds(r)) {
+        let bound = self.sheds.contains(&true);
+        if bound != sheds_before {
             self.since = Some(now);
         }
         let since = *self.since.get_or_insert(now);
@@ -179,13 +194,6 @@
         before != (self.binds, self.level)
     }
 
-    fn shedding(&self) -> bool {
-        self.binds
-            .iter()
-            .zip(RESOURCES)
-            .any(|(b, r)| *b && sheds(r))
-    }
-
     /// What is shed now.
     pub fn level(&self) -> Level {
         self.level
@@ -204,9 +212,3 @@
         self.binds[resource as usize]
     }
 }
-
-/// Whether turning users away helps where this binds: it does not make the
-/// cloud faster, and takes no socket from a worker.
-fn sheds(resource: Resource) -> bool {
-    matches!(resource, Resource::Processor | Resource::Changes)
-}
--- a/crates/overload/src/sockets.rs
+++ b/crates/overload/src/sockets.rs
@@ -80,6 +80,8 @@
     idle: Option<u64>,
     /// Something was answered on it before.
     kept: bool,
+    /// It was chosen to end for another.
+    ending: bool,
 }
 
 /// The connections that others hold here.
@@ -132,8 +134,13 @@
     fn rest(&mut self, id: ConnId, class: Class, kept: bool, now: Time) {
         self.count += 1;
         self.idle[class as usize].insert(self.count, (id, now));
-        let idle = Some(self.count);
-        if let Some(before) = self.all.insert(id, Entry { class, idle, kept }) {
+        let entry = Entry {
+            class,
+            idle: Some(self.count),
+            kept,
+            ending: false,
+        };
+        if let Some(before) = self.all.insert(id, entry) {
             self.held[before.class as usize] -= 1;
         }
         self.held[class as usize] += 1;
@@ -150,7 +157,7 @@
         })?;
         let (_, (id, _)) = self.idle[class as usize].pop_first()?;
         if let Some(entry) = self.all.get_mut(&id) {
-            entry.idle = None;
+            (entry.idle, entry.ending) = (None, true);
         }
         Some(id)
     }
@@ -196,6 +203,7 @@
             Class::Busy => workers > self.limits.workers && !entry.kept || crowded,
             Class::User => crowded,
         };
+        let ends = ends || entry.ending;
         if !ends {
             self.rest(id, entry.class, true, now);
         }
--- /dev/null
+++ b/crates/overload/tests/model.rs
@@ -0,0 +1,390 @@
+//! The decisions against slow plain models, over generated orders of events.
+
+use proptest::prelude::*;
+use sorrelhinge_overload::carry::{Carry, Uptake};
+use sorrelhinge_overload::pace::Pace;
+use sorrelhinge_overload::pressure::{Level, Pressure, Resource, Sample};
+use sorrelhinge_overload::sockets::{ConnId, Limits, Opened, Sockets};
+use sorrelhinge_overload::spread::{Crowd, Spread};
+use sorrelhinge_overload::turnstile::{Class, Turnstile, CLASSES};
+use sorrelhinge_protocol::types::{MachineId, NodeId, Time};
+
+/// A connection as the model keeps it: all of them in one list.
+#[derive(Clone, Debug)]
+struct Plain {
+    id: ConnId,
+    class: Class,
+    /// Idle since this event and time.
+    idle: Option<(u64, f64)>,
+    kept: bool,
+    /// Chosen to end for another.
+    ending: bool,
+}
+
+/// The connections, looked through one by one for every decision.
+struct Model {
+    limits: Limits,
+    all: Vec<Plain>,
+    events: u64,
+}
+
+impl Model {
+    fn opened(&mut self, id: ConnId, now: f64) -> Opened {
+        self.events += 1;
+        let mut told = Opened::Taken;
+        if self.all.len() >= self.limits.most {
+            let rank = |p: &Plain| match p.class {
+                // One that connected just now did so to ask something.
+                Class::New if p.idle.is_some_and(|(_, since)| now - since < 1.0) => None,
+                Class::New => Some(0),
+                Class::Idle => Some(1),
+                Class::Busy => Some(2),
+                Class::User => Some(3),
+            };
+            // The silent ones stand in the order of their coming, so the first
+            // of them tells whether any is old enough.
+            let idle = self.all.iter_mut().filter(|p| !p.ending);
+            let best = idle
+                .filter_map(|p| Some((rank(p)?, p.idle?.0, p)))
+                .min_by_key(|(rank, at, _)| (*rank, *at));
+            match best {
+                Some((_, _, p)) => {
+                    (p.ending, p.idle) = (true, None);
+                    told = Opened::InPlaceOf(p.id);
+                }
+                None => return Opened::Full,
+            }
+        }
+        self.all.push(Plain {
+            id,
+            class: Class::New,
+            idle: Some((self.events, now)),
+            kept: false,
+            ending: false,
+        });
+        told
+    }
+
+    fn asked(&mut self, id: ConnId, class: Class) {
+        if let Some(p) = self.all.iter_mut().find(|p| p.id == id) {
+            (p.class, p.idle) = (class, None);
+        }
+    }
+
+    fn answered(&mut self, id: ConnId, now: f64) -> bool {
+        self.events += 1;
+        let workers = self
+            .all
+            .iter()
+            .filter(|p| matches!(p.class, Class::Busy | Class::Idle))
+            .count();
+        let crowded = self.all.len() > self.limits.users;
+        let events = self.events;
+        let Some(p) = self.all.iter_mut().find(|p| p.id == id) else {
+            return false;
+        };
+        let over = match p.class {
+            Class::New | Class::User => false,
+            Class::Idle => workers > self.limits.idle_workers,
+            Class::Busy => workers > self.limits.workers,
+        };
+        if p.ending || p.class != Class::New && (crowded || over && !p.kept) {
+            return false;
+        }
+        (p.idle, p.kept) = (Some((events, now)), true);
+        true
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    /// The index of idle connections gives what a look at all of them gives,
+    /// and there are never more than the bound allows.
+    #[test]
+    fn sockets_are_shared_as_a_look_at_all_of_them_shares(
+        sockets in 8_usize..40,
+        events in prop::collection::vec((0_u8..4, 0_usize..50, 0_usize..4), 1..400),
+    ) {
+        let limits = Limits::of(sockets, 2, 4);
+        let mut real = Sockets::new(limits);
+        let mut model = Model { limits, all: Vec::new(), events: 0 };
+        let mut next = 0;
+        for (step, (what, at, class)) in events.into_iter().enumerate() {
+            let now = step as f64 * 0.13;
+            let some = (!model.all.is_empty()).then(|| model.all[at % model.all.len()].clone());
+            match (what, some) {
+                (0, _) => {
+                    let id = ConnId(next);
+                    next += 1;
+                    let told = real.opened(id, Time(now));
+                    prop_assert_eq!(told, model.opened(id, now));
+                }
+                (1, Some(p)) => {
+                    let class = CLASSES[1 + class % 3];
+                    real.asked(p.id, class);
+                    model.asked(p.id, class);
+                }
+                (2, Some(p)) if p.idle.is_none() => {
+                    let stays = real.answered(p.id, Time(now));
+                    prop_assert_eq!(stays, model.answered(p.id, now));
+                }
+                (_, Some(p)) => {
+                    real.closed(p.id);
+                    model.all.retain(|other| other.id != p.id);
+                }
+                _ => {}
+            }
+            prop_assert_eq!(real.open(), model.all.len());
+            let workers = model.all.iter().filter(|p| matches!(p.class, Class::Busy | Class::Idle));
+            prop_assert_eq!(real.workers(), workers.count());
+            // Those that were chosen to end are still counted until they do.
+            let ending = model.all.iter().filter(|p| p.ending).count();
+            prop_assert!(real.open() <= limits.most + ending);
+        }
+    }
+
+    /// Everybody who waits passes or is told that it is too late, once; nobody
+    /// is passed by for ever, and no turn lets in more than its number.
+    #[test]
+    fn everybody_passes_the_turnstile_once_or_is_late(
+        arrivals in prop::collection::vec((0_usize..4, 0_u8..6), 1..300),
+    ) {
+        let mut stile: Turnstile<usize> = Turnstile::new(6, 4.0);
+        let mut now = 0.0;
+        let mut waiting: Vec<(usize, f64)> = Vec::new();
+        let (mut passed, mut late) = (0, 0);
+        let mut turn = |stile: &mut Turnstile<usize>, waiting: &mut Vec<(usize, f64)>, now: f64| {
+            let turn = stile.turn(Time(now));
+            assert!(turn.pass.len() <= 6);
+            for who in &turn.pass {
+                let at = waiting.iter().position(|(w, _)| w == who).expect("it waits");
+                assert!(now - waiting.swap_remove(at).1 <= 4.0, "reading it would be in vain");
+            }
+            for who in &turn.late {
+                let at = waiting.iter().position(|(w, _)| w == who).expect("it waits");
+                assert!(now - waiting.swap_remove(at).1 > 4.0);
+            }
+            passed += turn.pass.len();
+            late += turn.late.len();
+        };
+        let mut direct = 0;
+        for (who, (class, pause)) in arrivals.iter().enumerate() {
+            if stile.pass() {
+                direct += 1;
+                prop_assert!(waiting.is_empty(), "ahead of somebody who waits");
+            } else {
+                stile.wait(CLASSES[*class], who, Time(now));
+                waiting.push((who, now));
+            }
+            prop_assert_eq!(stile.waiting(), waiting.len());
+            if *pause == 5 {
+                now += 0.5;
+                turn(&mut stile, &mut waiting, now);
+            }
+        }
+        while stile.waiting() > 0 {
+            now += 0.3;
+            turn(&mut stile, &mut waiting, now);
+        }
+        prop_assert_eq!(direct + passed + late, arrivals.len());
+    }
+}
+
+/// Each class has a place in each turn, however many of a better class wait.
+#[test]
+fn no_class_starves_at_the_turnstile() {
+    let mut stile = Turnstile::new(8, 60.0);
+    while stile.pass() {}
+    for n in 0..400 {
+        stile.wait(Class::New, ("new", n), Time(0.0));
+    }
+    stile.wait(Class::Idle, ("idle", 0), Time(0.0));
+    stile.wait(Class::User, ("user", 0), Time(0.0));
+    let turn = stile.turn(Time(0.1));
+    assert!(turn.pass.contains(&("idle", 0)) && turn.pass.contains(&("user", 0)));
+    assert_eq!(turn.pass.len(), 8);
+    // Once the wait is long, whoever came last is still waited for.
+    assert_eq!(stile.turn(Time(3.0)).pass[0], ("new", 399));
+}
+
+/// Room is set aside for the service's own connections whatever the bound is.
+#[test]
+fn room_is_set_aside_for_the_services_own_connections() {
+    for sockets in [100, 500, 2514, 2867, 100_000] {
+        let limits = Limits::of(sockets, 4, 48);
+        assert!(limits.most < sockets && limits.most >= sockets * 2 / 3);
+        assert!(limits.idle_workers < limits.workers && limits.workers < limits.users);
+        assert!(limits.users < limits.most);
+    }
+    assert!(2867 - Limits::of(2867, 4, 48).most >= 48 + 48 + 4 * 4);
+}
+
+/// A duty that costs more is done less often, within its bound.
+#[test]
+fn a_duty_takes_no_more_than_its_part() {
+    let mut pace = Pace::new(0.5, 5.0, 0.1);
+    assert!(pace.due(Time(0.0)));
+    pace.done(0.001, Time(0.0));
+    assert!(
+        !pace.due(Time(0.4)) && pace.due(Time(0.5)),
+        "its usual pause"
+    );
+    pace.done(0.2, Time(1.0));
+    assert!(
+        !pace.due(Time(2.9)) && pace.due(Time(3.0)),
+        "ten times its cost"
+    );
+    pace.done(600.0, Time(10.0));
+    assert!(
+        pace.due(Time(15.0)),
+        "the process stood still: not for ever"
+    );
+}
+
+fn wait(wait_s: f64) -> Sample {
+    Sample {
+        wait_s,
+        ..Sample::default()
+    }
+}
+
+/// Overload is entered after seconds, level by level, and left more slowly; a
+/// single long wait enters nothing.
+#[test]
+fn overload_is_entered_by_levels_and_left_late() {
+    let mut pressure = Pressure::default();
+    let mut now = 0.0;
+    let mut run = |p: &mut Pressure, sample: Sample, seconds: f64| {
+        let end = now + seconds;
+        let mut levels = vec![p.level()];
+        while now < end {
+            now += 0.5;
+            p.take(sample, Time(now));
+            if levels.last() != Some(&p.level()) {
+                levels.push(p.level());
+            }
+        }
+        levels
+    };
+    run(&mut pressure, wait(0.0), 10.0);
+    assert_eq!(run(&mut pressure, wait(30.0), 0.5), [Level::None]);
+    // Claims that wait bind the changes long before users are turned away.
+    let claims = |change_wait_s: f64| Sample {
+        change_wait_s,
+        ..Sample::default()
+    };
+    assert_eq!(run(&mut pressure, claims(6.0), 20.0), [Level::None]);
+    assert!(pressure.binds(Resource::Changes));
+    assert_eq!(run(&mut pressure, wait(0.0), 10.0), [Level::None]);
+    let up = [
+        Level::None,
+        Level::Polls,
+        Level::Submissions,
+        Level::Placements,
+    ];
+    assert_eq!(run(&mut pressure, wait(1.5), 12.0), up);
+    assert!(pressure.binds(Resource::Processor));
+    // Between the bounds nothing changes.
+    assert_eq!(run(&mut pressure, wait(0.4), 30.0), [Level::Placements]);
+    let down = run(&mut pressure, wait(0.0), 30.0);
+    assert_eq!(down, up.iter().rev().copied().collect::<Vec<_>>());
+    assert_eq!(pressure.binding().count(), 0);
+    // Sockets and the cloud bind, and turning users away would not help.
+    let full = Sample {
+        sockets: 1.0,
+        cloud_wait_s: 60.0,
+        ..Sample::default()
+    };
+    assert_eq!(run(&mut pressure, full, 30.0), [Level::None]);
+    let binding: Vec<Resource> = pressure.binding().collect();
+    assert_eq!(binding, [Resource::Sockets, Resource::Cloud]);
+    // A measurement that is no number counts as nothing.
+    run(&mut pressure, wait(f64::NAN), 5.0);
+    assert_eq!(pressure.level(), Level::None);
+}
+
+/// The bound on machines falls while requests wait, a step at a time, rises
+/// with room to spare, and is forgotten once the fleet is far below it.
+#[test]
+fn the_bound_on_machines_is_found_and_forgotten() {
+    let mut carry = Carry::default();
+    carry.take(5000, 0.0, false, Time(0.0));
+    assert_eq!(carry.most(), None);
+    for half in 0..12 {
+        carry.take(5000, 1.5, true, Time(f64::from(half) * 0.5));
+    }
+    let most = carry.most().expect("a bound");
+    assert!((4400..4800).contains(&most), "two steps: {most}");
+    // What is claimed is bounded too: room for more than that is enough.
+    let mut uptake = Uptake::default();
+    for second in 0..60 {
+        uptake.take(50_000, Time(f64::from(second)));
+    }
+    assert!(uptake.lasts(2_000_000, 20.0) && !uptake.lasts(1_000_000, 20.0));
+    carry.take(5000, 0.4, false, Time(10.0));
+    assert_eq!(
+        carry.most(),
+        Some(most),
+        "it still waits: no more are rented"
+    );
+    for second in 0..60 {
+        carry.take(4500, 0.0, false, Time(10.0 + f64::from(second)));
+    }
+    assert!(carry.most().is_some_and(|m| m > most));
+    for second in 0..60 {
+        carry.take(300, 0.0, false, Time(80.0 + f64::from(second)));
+    }
+    assert_eq!(carry.most(), None);
+}
+
+/// Workers are sent elsewhere before the sockets are full, always the same
+/// ones first, evenly over the helpers, and come back once there is room.
+#[test]
+fn workers_are_spread_before_the_sockets_are_full() {
+    let crowd = |machines: usize, wait_s: f64, helpers: usize| Crowd {
+        machines,
+        room: 2000,
+        wait_s,
+        helpers,
+    };
+    let helpers: Vec<NodeId> = ["n-1", "n-2", "n-3"].map(NodeId::from).to_vec();
+    let machines: Vec<MachineId> = (0..6000)
+        .map(|n| MachineId::from(format!("vm-{n:06}").as_str()))
+        .collect();
+    let homes = |spread: &Spread, helpers: &[NodeId]| -> Vec<Option<NodeId>> {
+        let home = |m| spread.home(m, helpers.iter()).cloned();
+        machines.iter().map(home).collect()
+    };
+    let mut spread = Spread::default();
+    spread.take(crowd(1500, 0.0, 3), Time(0.0));
+    assert_eq!(spread.share(), 0.0, "one controller is enough");
+    assert!(homes(&spread, &helpers).iter().all(Option::is_none));
+    spread.take(crowd(6000, 0.0, 0), Time(1.0));
+    assert_eq!(spread.share(), 0.0, "nobody helps");
+    spread.take(crowd(6000, 0.0, 3), Time(2.0));
+    let first = homes(&spread, &helpers);
+    let here = first.iter().filter(|h| h.is_none()).count();
+    assert!(here <= 1700, "{here} stay, of room for 2,000");
+    for helper in &helpers {
+        let there = first.iter().filter(|h| h.as_ref() == Some(helper)).count();
+        assert!((1200..1800).contains(&there), "{there} at {helper}");
+    }
+    for second in 3..10 {
+        spread.take(crowd(6000, 0.5, 3), Time(f64::from(second)));
+    }
+    let more = homes(&spread, &helpers);
+    for (before, after) in first.iter().zip(&more) {
+        assert!(before.is_none() || before == after, "nobody is moved about");
+    }
+    // One helper goes: only its workers have a new home.
+    let fewer = homes(&spread, &helpers[..2]);
+    for (before, after) in more.iter().zip(&fewer) {
+        let lost = before.as_ref() == Some(&helpers[2]);
+        assert!(lost || before == after);
+    }
+    for second in 10..600 {
+        spread.take(crowd(800, 0.0, 3), Time(f64::from(second)));
+    }
+    assert_eq!(spread.share(), 0.0, "all are back");
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -21,6 +21,7 @@
 use crate::state::view::Summary;
 use crate::types::{JobId, JobSpec, NodeId, Revision};
 use crate::worker::{Report, TaskPhase};
+use sorrelhinge_overload::pressure::Level;
 use sorrelhinge_overload::turnstile::Class;
 use sorrelhinge_protocol::operators::UndrainAsked;
 use sorrelhinge_protocol::users::job_id;
@@ -45,6 +46,14 @@
     response
 }
 
+/// Not now, but after so many seconds.
+fn later(seconds: u32, why: &str) -> Reply {
+    let mut response = refuse(503, why);
+    let after = hyper::header::HeaderValue::from(seconds);
+    response.headers_mut().insert("retry-after", after);
+    response
+}
+
 fn refuse(status: u16, why: &str) -> Reply {
     reply(status, json!({ "error": why }))
 }
@@ -170,6 +179,12 @@
     let Some(id) = job_id(id) else {
         return refuse(404, "no such job");
     };
+    // While too much is asked for, every second poll of a job that is not over
+    // is told to come back; which, is drawn, so that nobody always loses.
+    if node.load().level() >= Level::Polls && !node.is_over(&id) && rand::random() {
+        count(&node.load().counts.shed);
+        return later(2, "too much is asked for now");
+    }
     match node.status(&id).await {
         None => refuse(503, "can't tell now, ask again"),
         Some(None) => refuse(404, "no such job"),
@@ -323,6 +338,11 @@
             here_or_there(node, peer::Kind::Withdraw, id.as_bytes(), here).await
         }
         None if operators => operate(node, &path, &body).await,
+        None if node.load().level() >= Level::Submissions => {
+            // Read no further: nothing costs less than this answer.
+            count(&node.load().counts.shed);
+            later(3, "too much is asked for now")
+        }
         None => {
             count(&node.load().counts.submissions);
             let here = submit(node, &body);
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -1,5 +1,7 @@
 //! The cloud's interface.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,6 +9,7 @@
 use bytes::Bytes;
 use hyper::Method;
 use serde::Deserialize;
+use tokio::time::Instant;
 
 use crate::http::{Limits, Pool};
 use crate::state::Budget;
@@ -29,6 +32,8 @@
 pub struct CloudClient {
     pool: Pool,
     budget: Budget,
+    /// When the first of the calls that wait for the budget began to.
+    waiting: RefCell<BTreeSet<Instant>>,
 }
 
 impl CloudClient {
@@ -37,11 +42,22 @@
         Rc::new(Self {
             pool: Pool::new(address),
             budget: Budget::new(rps),
+            waiting: RefCell::default(),
         })
     }
 
+    /// How long a call has waited for its share, in seconds.
+    pub fn wait_s(&self) -> f64 {
+        let waiting = self.waiting.borrow();
+        waiting.first().map_or(0.0, |t| t.elapsed().as_secs_f64())
+    }
+
     async fn call(&self, method: Method, path: &str, body: Bytes) -> Result<Bytes, CloudError> {
-        if !self.budget.wait(1.0, Duration::from_secs(5)).await {
+        let since = Instant::now();
+        self.waiting.borrow_mut().insert(since);
+        let allowed = self.budget.wait(1.0, Duration::from_secs(5)).await;
+        self.waiting.borrow_mut().remove(&since);
+        if !allowed {
             return Err(CloudError::Failed("over this controller's share".into()));
         }
         let limits = Limits {
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -11,6 +11,7 @@
 mod record;
 mod renting;
 
+use sorrelhinge_overload::carry::Uptake;
 use sorrelhinge_topology::drain::Drain;
 use sorrelhinge_topology::renting::Memory;
 use sorrelhinge_topology::repair::Stability;
@@ -144,6 +145,9 @@
     renting: u32,
     /// How many machines can be served, if that was found to be a bound.
     most_machines: Option<usize>,
+    /// What is claimed a second, and since that was last looked at.
+    uptake: Uptake,
+    claimed_cpu: i64,
     /// Until then silence tells nothing.
     deaf_until: Time,
     missing: BTreeMap<MachineId, u32>,
@@ -238,6 +242,8 @@
             rentals: 0,
             renting: 0,
             most_machines: None,
+            uptake: Uptake::default(),
+            claimed_cpu: 0,
             deaf_until: now,
             missing: BTreeMap::new(),
             arrivals: BTreeMap::new(),
@@ -530,10 +536,9 @@
     fn launched(&mut self, launches: Vec<Launch>, now: Time) {
         for launch in launches {
             tracing::debug!(task = %launch.task, machine = %launch.machine, cached = launch.cached, "claim");
-            let hurry = self
-                .board
-                .job(&launch.task.job)
-                .is_some_and(|j| j.start_within.is_some());
+            let job = self.board.job(&launch.task.job);
+            let hurry = job.is_some_and(|j| j.start_within.is_some());
+            self.claimed_cpu += job.map_or(0, |j| j.spec.each.cpu);
             self.pending
                 .claimed(self.chunk_of(&launch.task), hurry, now);
         }
--- a/src/control/core/renting.rs
+++ b/src/control/core/renting.rs
@@ -166,6 +166,20 @@
         self.deaf_until = now.after(self.cfg.silent_s());
     }
 
+    /// Whether no work of the lowest rank that waits is placed, while work of a
+    /// higher rank waits too. A team below its guarantee is not held back.
+    pub fn shed_placements(&mut self, shed: bool) {
+        let lowest = if shed {
+            self.board.lowest_of_ranks()
+        } else {
+            None
+        };
+        if self.board.held_rank != lowest {
+            self.board.held_rank = lowest;
+            self.walk_all = true;
+        }
+    }
+
     /// How many jobs may have claims that wait to be recorded.
     pub fn set_most_claiming(&mut self, most: usize) {
         self.board.most_claiming = Some(most);
@@ -355,9 +369,17 @@
             self.refresh_machine(&id, now);
         }
         let mut rentals = Vec::new();
-        let mut left = self
-            .most_machines
-            .map_or(usize::MAX, |most| most.saturating_sub(self.machines()));
+        // Nor is it of use to rent for work that can't be claimed meanwhile.
+        self.uptake.take(std::mem::take(&mut self.claimed_cpu), now);
+        let bound = self.board.claims_bind();
+        let free =
+            self.board.capacity().cpu - self.board.teams().iter().map(|t| t.used.cpu).sum::<i64>();
+        let mut left = if bound && self.uptake.lasts(free, boot_s) {
+            0
+        } else {
+            self.most_machines
+                .map_or(usize::MAX, |most| most.saturating_sub(self.machines()))
+        };
         for mut want in plan.rent {
             want.count = want.count.min(u32::try_from(left).unwrap_or(u32::MAX));
             if want.count == 0 {
--- a/src/control/load.rs
+++ b/src/control/load.rs
@@ -180,7 +180,7 @@
                     .borrow()
                     .as_ref()
                     .map_or(0.0, |c| c.claims_wait(now)),
-                cloud_wait_s: 0.0,
+                cloud_wait_s: self.cloud.wait_s(),
             };
             let changed = self.load.pressure.borrow_mut().take(sample, now);
             let binds = self.load.pressure.borrow().binds(Resource::Processor);
@@ -199,6 +199,7 @@
                 let mut carry = self.load.carry.borrow_mut();
                 carry.take(machines, sample.wait_s, binds && alone, now);
                 c.set_most_machines(carry.most());
+                c.shed_placements(self.load.level() >= Level::Placements);
                 let claims = (self.state.writes.rate() * CLAIMS_S) as usize;
                 c.set_most_claiming(claims.max(2 * self.cfg.txn_ops));
                 if binds {
--- a/src/control/users.rs
+++ b/src/control/users.rs
@@ -58,6 +58,12 @@
         core.as_ref()?.board.why_waits(id, self.now())
     }
 
+    /// Whether a job is known to be over: that never changes.
+    pub fn is_over(&self, id: &JobId) -> bool {
+        let summary = self.view.borrow().summary(id);
+        summary.is_some_and(|s| s.phase != Phase::Live)
+    }
+
     /// What users see of a job, as of now; none if that can't be confirmed.
     pub async fn status(&self, id: &JobId) -> Option<Option<Summary>> {
         {
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -235,6 +235,8 @@
     teams: Vec<Team>,
     /// Sizes of tasks seen of late.
     pub shapes: Vec<Amount>,
+    /// Jobs of this rank are not placed, but for teams below their guarantee.
+    pub held_rank: Option<Priority>,
     /// Jobs with claims that wait to be recorded.
     pub claiming: BTreeSet<JobId>,
     /// How many there may be; none: any number. What is claimed faster than it
--- a/src/sched/walk.rs
+++ b/src/sched/walk.rs
@@ -118,9 +118,15 @@
         job.spec.each.fits_team(left)
     }
 
-    /// Whether a task of a job may be claimed before others' claims are
-    /// recorded. Those whose users wait for the start may be twice as many.
+    /// Whether a task of a job may be claimed now: not while its rank is held
+    /// back, nor before others' claims are recorded. Those whose users wait for the start may be twice as many.
     pub(super) fn may_claim(&self, id: &JobId, job: &Job) -> bool {
+        if self.held_rank == Some(job.spec.priority) {
+            let team = &self.teams[job.team];
+            if !(team.used + job.spec.each).fits_team(team.guarantee) {
+                return false;
+            }
+        }
         let held = self.claiming.len();
         self.most_claiming.is_none_or(|most| {
             held < most
@@ -129,6 +135,18 @@
         })
     }
 
+    /// Whether as many claims wait to be recorded as may.
+    pub fn claims_bind(&self) -> bool {
+        self.most_claiming
+            .is_some_and(|most| self.claiming.len() >= most)
+    }
+
+    /// The lowest rank that waits, if others wait too.
+    pub fn lowest_of_ranks(&self) -> Option<Priority> {
+        let ranks: BTreeSet<Priority> = self.wanting().map(|(_, j)| j.spec.priority).collect();
+        ranks.first().copied().filter(|_| ranks.len() > 1)
+    }
+
     /// Leaves part of a team's limit to jobs whose users wait for the start.
     pub fn hold_back(&mut self, team: usize, amount: Amount) {
         self.teams[team].held_back = amount;
