Tests: controllers with few sockets against a crowd; stand-ins on free ports

Stand-in workers keep their connections, machines listen on free ports, and a controller that ends by itself fails the test at once, with its last line.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -22,7 +22,7 @@
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use serde_json::{json, Value};
-use sorrelhinge::http::{call_once, Limits};
+use sorrelhinge::http::{call_once, Limits, Pool};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -86,6 +86,21 @@
     Some((answer.status.as_u16(), told))
 }
 
+/// The same over a connection that stays open.
+pub async fn ask_over(pool: &Pool, method: Method, path: &str, body: &Value) -> Option<Told> {
+    let limits = Limits {
+        connect: Duration::from_millis(500),
+        answer: Duration::from_secs(2),
+    };
+    let body = match body {
+        Value::Null => Bytes::new(),
+        body => Bytes::from(body.to_string()),
+    };
+    let answer = pool.call(method, path, body, limits).await.ok()?;
+    let told = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+    Some((answer.status.as_u16(), told))
+}
+
 /// How a world is laid out.
 pub struct Plan {
     /// Second part of all machines' addresses is this and the zone.
@@ -96,6 +111,9 @@
     pub machines: u8,
     /// The operator's file, if the feature is on.
     pub topology: Option<String>,
+    /// How many sockets each controller may have; the operating system refuses
+    /// more. None: as many as it likes.
+    pub sockets: Option<usize>,
     /// The program, and a folder for files and logs.
     pub program: PathBuf,
     pub folder: PathBuf,
@@ -109,21 +127,27 @@
     program: PathBuf,
     folder: PathBuf,
     topology: Option<PathBuf>,
+    sockets: Option<usize>,
 }
 
 struct Controller {
     name: String,
     users: SocketAddr,
     config: PathBuf,
-    process: Option<Child>,
+    /// One that ends by itself fails whatever waits.
+    process: RefCell<Option<Child>>,
 }
 
-/// An address on loopback that nobody uses.
-fn free_port() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+/// An address on loopback that nobody uses. Clients' connections come from
+/// 127.0.0.1 and take ports there, so others are served elsewhere.
+fn free_port(net: u8, last: u8) -> SocketAddr {
+    let listener = std::net::TcpListener::bind(([127, net, 200, last], 0)).expect("a port");
     listener.local_addr().expect("its address")
 }
 
+/// Files that a controller has open besides its sockets.
+const FILES: usize = 24;
+
 pub const ZONES: [&str; 3] = ["za", "zb", "zc"];
 
 impl World {
@@ -131,10 +155,10 @@
     pub async fn start(plan: Plan) -> Self {
         let (program, folder) = (plan.program, plan.folder);
         std::fs::create_dir_all(&folder).expect("a folder");
-        let store = store::start(&free_port()).await;
+        let store = store::start(&free_port(plan.net, 1)).await;
         let state = store.borrow().addr;
-        let users: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
-        let peers: Vec<SocketAddr> = (0..3).map(|_| free_port()).collect();
+        let users: Vec<SocketAddr> = (2..5).map(|last| free_port(plan.net, last)).collect();
+        let peers: Vec<SocketAddr> = (5..8).map(|last| free_port(plan.net, last)).collect();
         let nodes = Rc::new(RefCell::new(Nodes::new(users.clone())));
         let cloud = Cloud::start(nodes.clone(), plan.net, plan.switches).await;
         for zone in 0..3 {
@@ -149,6 +173,9 @@
             std::fs::write(&path, text).expect("written");
             path
         });
+        let sockets = plan.sockets.map_or(String::new(), |n| {
+            format!("[params.machine_limits]\nmax_sockets = {n}\n")
+        });
         let controllers = (0..3)
             .map(|i| {
                 let others: String = (0..3)
@@ -167,7 +194,7 @@
                      [[params.teams]]\nname = \"crew\"\ncpus = 200.0\ncpus_max = 400.0\n\
                      [params.workers]\nreport_s = {REPORT_S:?}\nlease_s = {LEASE_S:?}\ncancel_s = {CANCEL_S:?}\n\
                      [params.state]\nrps = 500.0\nwrite_rps = 300.0\nvalue_kb = 8.0\ntxn_ops = 16\n\
-                     [params.cloud]\nrps = 50.0\nlist_lag_s = 0.2\n",
+                     [params.cloud]\nrps = 50.0\nlist_lag_s = 0.2\n{sockets}",
                     ZONES[i], users[i], peers[i]
                 );
                 let config = folder.join(format!("c-{i}.toml"));
@@ -176,7 +203,7 @@
                     name: format!("c-{i}"),
                     users: users[i],
                     config,
-                    process: None,
+                    process: RefCell::new(None),
                 }
             })
             .collect();
@@ -188,6 +215,7 @@
             program,
             folder,
             topology,
+            sockets: plan.sockets,
         };
         for i in 0..3 {
             world.start_controller(i);
@@ -203,7 +231,16 @@
             .append(true)
             .open(self.folder.join(format!("{}.log", controller.name)))
             .expect("a log");
-        let mut command = Command::new(&self.program);
+        let mut command = match self.sockets {
+            None => Command::new(&self.program),
+            // Its files and the runtime's own take some more.
+            Some(n) => {
+                let mut shell = Command::new("sh");
+                let limit = format!("ulimit -n {} && exec \"$0\" \"$@\"", n + FILES);
+                shell.arg("-c").arg(limit).arg(&self.program);
+                shell
+            }
+        };
         command
             .arg("--config")
             .arg(&controller.config)
@@ -219,17 +256,42 @@
             .stderr(log)
             .spawn()
             .expect("the program starts");
-        controller.process = Some(process);
+        controller.process.replace(Some(process));
     }
 
     /// Kills a controller at once.
     pub fn kill_controller(&mut self, i: usize) {
-        if let Some(mut process) = self.controllers[i].process.take() {
+        if let Some(mut process) = self.controllers[i].process.borrow_mut().take() {
             let _ = process.kill();
             let _ = process.wait();
         }
     }
 
+    /// Fails the test if a controller ended by itself, with what it said last.
+    fn all_run(&self) {
+        for c in &self.controllers {
+            let ended = c
+                .process
+                .borrow_mut()
+                .as_mut()
+                .and_then(|p| p.try_wait().ok()?);
+            if let Some(status) = ended {
+                let log = self.folder.join(format!("{}.log", c.name));
+                let log = std::fs::read_to_string(log).unwrap_or_default();
+                let last = log.lines().last().unwrap_or("nothing");
+                panic!(
+                    "controller {} ended, {status}; it said last: {last}",
+                    c.name
+                );
+            }
+        }
+    }
+
+    /// Where a controller takes users' and workers' requests.
+    pub fn address(&self, i: usize) -> SocketAddr {
+        self.controllers[i].users
+    }
+
     /// Which controller leads, as the record has it.
     pub fn leader(&self) -> Option<usize> {
         let record = self.store.borrow().get("h/leader")?;
@@ -248,6 +310,7 @@
                     return told;
                 }
             }
+            self.all_run();
             assert!(Instant::now() < end, "nobody answers {path}");
             sleep(Duration::from_millis(200)).await;
         }
@@ -281,6 +344,7 @@
     pub async fn until(&self, what: &str, seconds: u64, so: impl Fn(&Self) -> bool) {
         let end = Instant::now() + Duration::from_secs(seconds);
         while !so(self) {
+            self.all_run();
             assert!(
                 Instant::now() < end,
                 "not within {seconds} s: {what}; logs in {}",
@@ -295,7 +359,7 @@
         let file = self.topology.as_ref().expect("the feature is on");
         std::fs::write(file, text).expect("written");
         for c in &self.controllers {
-            if let Some(process) = &c.process {
+            if let Some(process) = &*c.process.borrow() {
                 let id = process.id().to_string();
                 let told = Command::new("kill").args(["-HUP", &id]).status();
                 assert!(told.expect("kill").success());
--- a/crates/standins/src/nodes.rs
+++ b/crates/standins/src/nodes.rs
@@ -9,12 +9,13 @@
 
 use hyper::Method;
 use serde_json::{json, Value};
+use sorrelhinge::http::Pool;
 use sorrelhinge_protocol::worker::{Command, Orders, Reply};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use crate::{ask, serve, Told, LEASE_S, REPORT_S, ZONES};
+use crate::{ask_over, serve, Told, LEASE_S, REPORT_S, ZONES};
 
 /// A task on a machine.
 pub struct Task {
@@ -59,6 +60,8 @@
     pub starts: usize,
     /// Tasks that ended `done`.
     pub done: BTreeSet<String>,
+    /// Machines whose reports every controller turns away.
+    pub turned_away: BTreeSet<String>,
     /// The cloud has nothing to rent.
     pub full: bool,
     controllers: Vec<SocketAddr>,
@@ -77,6 +80,7 @@
             wrong: Vec::new(),
             starts: 0,
             done: BTreeSet::new(),
+            turned_away: BTreeSet::new(),
             full: false,
             controllers,
             count: 0,
@@ -256,13 +260,16 @@
 
 /// A machine comes up behind a switch after `boot`.
 pub fn add(nodes: &Rc<RefCell<Nodes>>, net: u8, zone: u8, switch: u8, boot: Duration) -> String {
-    let (id, addr) = {
+    let listener;
+    let id = {
         let mut n = nodes.borrow_mut();
         n.count += 1;
         let id = format!("vm-{:06}", n.count);
         let last = (n.count % 250 + 1) as u8;
-        let port = 20_000 + (n.count % 20_000) as u16;
-        let addr = SocketAddr::from(([127, net + zone, switch, last], port));
+        // A free port, so that two runs on one machine do not meet. Nobody is
+        // told of it before the machine is up.
+        listener = bind(([127, net + zone, switch, last], 0).into());
+        let addr = listener.local_addr().expect("its address");
         let now = Instant::now();
         let node = Node {
             id: id.clone(),
@@ -282,12 +289,12 @@
             tasks: BTreeMap::new(),
         };
         n.all.insert(id.clone(), node);
-        (id, addr)
+        id
     };
     let (all, name) = (nodes.clone(), id.clone());
     spawn_local(async move {
         sleep(boot).await;
-        let listener = TcpListener::bind(addr).await.expect("an address");
+        let listener = TcpListener::from_std(listener).expect("a listener");
         let (served, me) = (all.clone(), name.clone());
         serve(listener, move |_, path, body| {
             let (nodes, id) = (served.clone(), me.clone());
@@ -298,6 +305,19 @@
     id
 }
 
+/// Binds an address. If that fails the whole run ends at once and says why: in
+/// a routine of its own the failure would go unnoticed, and the test wait.
+fn bind(addr: SocketAddr) -> std::net::TcpListener {
+    let bound = std::net::TcpListener::bind(addr).and_then(|l| {
+        l.set_nonblocking(true)?;
+        Ok(l)
+    });
+    bound.unwrap_or_else(|error| {
+        eprintln!("the stand-ins can't listen on {addr}: {error}");
+        std::process::exit(101)
+    })
+}
+
 async fn orders(nodes: Rc<RefCell<Nodes>>, id: String, path: String, body: &[u8]) -> Told {
     let silent = {
         let n = nodes.borrow();
@@ -326,9 +346,16 @@
 
 /// The worker's own routine: time passes, and reports go out.
 async fn work(nodes: Rc<RefCell<Nodes>>, id: String) {
+    // Connections stay open as PROTOCOL has it, unless a controller ends them.
+    let pools: Vec<Pool> = nodes
+        .borrow()
+        .controllers
+        .iter()
+        .map(|c| Pool::new(*c))
+        .collect();
     loop {
         sleep(Duration::from_millis(25)).await;
-        let (due, to, report, sent, session) = {
+        let (due, target, report, sent, session) = {
             let mut n = nodes.borrow_mut();
             if n.all[&id].gone {
                 return;
@@ -343,14 +370,17 @@
                 node.reported = Instant::now();
                 node.dirty = false;
             }
-            let to = n.controllers[target];
             let report = if due { n.report(&id) } else { Value::Null };
-            (due, to, report, Instant::now(), session)
+            (due, target, report, Instant::now(), session)
         };
         if !due {
             continue;
         }
-        let told = ask(to, Method::POST, "/agent/beat", &report).await;
+        let away = nodes.borrow().turned_away.contains(&id);
+        let told = match away {
+            true => Some((503, Value::Null)),
+            false => ask_over(&pools[target], Method::POST, "/agent/beat", &report).await,
+        };
         let mut n = nodes.borrow_mut();
         if n.all[&id].gone || n.is_cut(&id) {
             continue;
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -29,6 +29,8 @@
     log: Vec<(u64, String, Value)>,
     leases: BTreeMap<u64, (Duration, Instant)>,
     changed: Rc<Notify>,
+    /// Nobody is served; leases have their full time again afterwards.
+    down: bool,
 }
 
 fn query(path: &str, name: &str) -> Option<String> {
@@ -43,7 +45,19 @@
         self.keys.get(key).map(|h| h.value.clone())
     }
 
+    /// Begins or ends an outage.
+    pub fn set_down(&mut self, down: bool) {
+        self.down = down;
+        let now = Instant::now();
+        for (life, end) in self.leases.values_mut() {
+            *end = now + *life;
+        }
+    }
+
     fn expire(&mut self) {
+        if self.down {
+            return;
+        }
         let now = Instant::now();
         let over: Vec<u64> = self
             .leases
@@ -172,6 +186,7 @@
         log: Vec::new(),
         leases: BTreeMap::new(),
         changed: Rc::default(),
+        down: false,
     }));
     let kept = store.clone();
     spawn_local(async move {
@@ -184,6 +199,9 @@
     serve(listener, move |method, path, body| {
         let store = served.clone();
         Box::pin(async move {
+            if store.borrow().down {
+                return (503, json!({"error": "trouble"}));
+            }
             if path.starts_with("/follow") {
                 return follow(store, path).await;
             }
--- a/tests/switch_loss.rs
+++ b/tests/switch_loss.rs
@@ -51,6 +51,7 @@
         switches: SWITCHES,
         machines: 2,
         topology,
+        sockets: None,
         program: env!("CARGO_BIN_EXE_sorrelhinge").into(),
         folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("switch_loss_{mode:?}")),
     };
