--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -141,7 +141,8 @@
 /// An address on loopback that nobody uses. Clients' connections come from
 /// 127.0.0.1 and take ports there, so others are served elsewhere.
 fn free_port(net: u8, last: u8) -> SocketAddr {
-    let listener = std::net::TcpListener::bind(([127, net, 200, last], 0)).expect("a port");
+    let listener =
+        std::net::TcpListener::bind(SocketAddr::from(([127, net, 200, last], 0))).expect("a port");
     listener.local_addr().expect("its address")
 }
 
