Hurry means a start aim that no rented machine could meet; gone machines noted; walks once a pass

On the fleet sites every class has a start aim, of 35 to 150 s for arrays, so all of them counted as work whose users wait for the start: claims in no order, room held back, others stopped after seconds. Only an aim below the boot time counts as that now.

At four times the fleet and after a takeover, records claimed 40,000 CPUs on machines long given back: results wait while changes are short. Owners now note deleted machines (h/gone/N), and ghosts are settled after twice the list's lag.

A pass over the waiting jobs began anew after each launch: with 900 jobs that was the owner's largest cost. Each team's queue is gone through once.

--- a/crates/overload/src/pressure.rs
+++ b/crates/overload/src/pressure.rs
@@ -97,16 +97,16 @@
 struct Bounds {
     enter: f64,
     leave: f64,
-    /// Above this it is worth turning users away, until it binds no more.
+    /// Above this it is worth turning users away, until it is half as much.
     shed: f64,
 }
 
 /// Time constant of the averages, in seconds.
-const SMOOTH_S: f64 = 2.0;
+const SMOOTH_S: f64 = 1.5;
 /// A resource has to bind for so long before the next level sheds.
-const UP_S: f64 = 2.0;
+const UP_S: f64 = 4.0;
 /// None may bind for so long before a level is left.
-const DOWN_S: f64 = 6.0;
+const DOWN_S: f64 = 3.0;
 
 fn bounds(resource: Resource) -> Bounds {
     match resource {
@@ -129,7 +129,7 @@
         Resource::Changes => Bounds {
             enter: 4.0,
             leave: 1.5,
-            shed: 12.0,
+            shed: 30.0,
         },
         Resource::Cloud => Bounds {
             enter: 10.0,
@@ -171,11 +171,12 @@
             let value = if value.is_finite() { value } else { 0.0 };
             // One long measurement says no more than a few of the least that
             // would bind: a process that stood still is not overloaded.
-            let value = value.clamp(0.0, 3.5 * enter.max(shed.min(1e3)));
+            let value = value.clamp(0.0, 3.5 * if shed.is_finite() { shed } else { enter });
             self.means[i] += (value - self.means[i]) * part;
             let bound = if self.binds[i] { leave } else { enter };
             self.binds[i] = self.means[i] >= bound;
-            self.sheds[i] = self.binds[i] && (self.sheds[i] || self.means[i] >= shed);
+            let still = self.sheds[i] && self.means[i] >= 0.5 * shed;
+            self.sheds[i] = self.binds[i] && (still || self.means[i] >= shed);
         }
         let bound = self.sheds.contains(&true);
         if bound != sheds_before {
--- /dev/null
+++ b/src/control/core/gone.rs
@@ -0,0 +1,71 @@
+//! Machines that are gone, noted for the owners to come.
+//!
+//! While changes are short, results wait, and records claim tasks on machines
+//! that were given back long ago. A new owner would count them against limits
+//! until the machine list and the cloud have told it what this owner knew.
+
+use super::*;
+use crate::state::record::{gone_key, GoneRecord, GONE_SLOTS};
+
+/// Names wait so long for company, in seconds.
+const WAIT_S: f64 = 3.0;
+/// But so many are written at once.
+const MANY: usize = 60;
+
+/// The names to write, and where.
+pub(super) struct Gone {
+    slot: u32,
+    written: GoneRecord,
+    fresh: Vec<MachineId>,
+    since: Time,
+}
+
+impl Gone {
+    /// Goes on where the last owner was: in the list that was written last.
+    pub(super) fn load(view: &View) -> Self {
+        let last = view.gone.iter().max_by_key(|(_, held)| held.stamp);
+        Self {
+            slot: last.map_or(0, |(slot, _)| *slot),
+            written: last.map_or(
+                GoneRecord {
+                    version: GoneRecord::VERSION,
+                    machines: Vec::new(),
+                },
+                |(_, held)| held.value.clone(),
+            ),
+            fresh: Vec::new(),
+            since: Time(0.0),
+        }
+    }
+
+    /// One more is gone.
+    pub(super) fn add(&mut self, machine: &MachineId, now: Time) {
+        if self.fresh.is_empty() {
+            self.since = now;
+        }
+        self.fresh.push(machine.clone());
+    }
+
+    /// The change to make, if it is time: a list with the new names, in the
+    /// next slot if this one is full.
+    pub(super) fn change(&mut self, value_bytes: usize, now: Time) -> Option<Change> {
+        let due = self.fresh.len() >= MANY || now.since(self.since) >= WAIT_S;
+        if self.fresh.is_empty() || !due {
+            return None;
+        }
+        let weight = |names: &[MachineId]| names.iter().map(GoneRecord::weight).sum::<usize>();
+        let room = value_bytes * 3 / 4;
+        if weight(&self.written.machines) + weight(&self.fresh) > room {
+            self.slot = (self.slot + 1) % GONE_SLOTS;
+            self.written.machines.clear();
+        }
+        let mut left = room;
+        let fits = |name: &&MachineId| {
+            left = left.saturating_sub(GoneRecord::weight(name));
+            left > 0
+        };
+        let take = self.fresh.iter().take_while(fits).count();
+        self.written.machines.extend(self.fresh.drain(..take));
+        Some(Change::write(gone_key(self.slot), &self.written, None))
+    }
+}
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+mod gone;
 mod links;
 mod moving;
 mod record;
@@ -17,6 +18,7 @@
 use sorrelhinge_topology::repair::Stability;
 use sorrelhinge_topology::Topology;
 
+use self::gone::Gone;
 use super::pending::{ChunkId, Due, Pending};
 use crate::cloud::{Listed, MachinePhase, Rental};
 use crate::config::Config;
@@ -156,6 +158,9 @@
     arrivals: BTreeMap<(Rc<str>, Option<TypeName>), Arrivals>,
     /// Deleted machines that a late list may still show.
     deleted: BTreeMap<MachineId, Time>,
+    /// Those to note for later owners, and those that earlier ones noted.
+    gone: Gone,
+    gone_before: BTreeSet<MachineId>,
     started: Time,
     /// The time of day when it started, in milliseconds.
     started_ms: u64,
@@ -248,6 +253,12 @@
             missing: BTreeMap::new(),
             arrivals: BTreeMap::new(),
             deleted: BTreeMap::new(),
+            gone: Gone::load(view),
+            gone_before: view
+                .gone
+                .values()
+                .flat_map(|held| held.value.machines.iter().cloned())
+                .collect(),
             started: now,
             started_ms: wall_ms,
             drains: Vec::new(),
@@ -312,6 +323,11 @@
             }
             for (place, attempt, machine) in &held.claims {
                 let index = chunk * record.chunk + place;
+                if self.gone_before.contains(machine) {
+                    // Its task went with it, recorded or not.
+                    self.pending.released((id.clone(), chunk), now);
+                    continue;
+                }
                 if index < record.tasks {
                     let units = held.units.iter().find(|(p, _)| p == place);
                     let units = units.map(|(_, u)| u.clone());
@@ -333,7 +349,7 @@
             cancelled: record.phase == Phase::Cancelled,
             patience_s,
             late_s,
-            start_within: self.cfg.start_aims.get(&class).copied(),
+            start_within: self.starts_within(&class),
             policy: Board::policy_of(self.board.topology().map(|t| &**t), &spec),
             ..Job::new(spec, team, submitted, tasks)
         };
@@ -403,6 +419,14 @@
             .fold(f64::INFINITY, f64::min)
     }
 
+    /// How soon a class's jobs are to start, if that is sooner than a machine
+    /// that is rented for them could be up: their users wait for the start.
+    /// Others with a start aim have time, as those with a finish aim have.
+    fn starts_within(&self, class: &str) -> Option<f64> {
+        let within = self.cfg.start_aims.get(class).copied();
+        within.filter(|s| *s < self.boot_s())
+    }
+
     /// When a job should be done, by its class's aims and its deadline.
     fn aims(&self, spec: &JobSpec, submitted: Time) -> Vec<Time> {
         let within = self.cfg.finish_aims.get(&spec.class);
--- a/src/control/core/record.rs
+++ b/src/control/core/record.rs
@@ -153,6 +153,10 @@
                 Due::Chunk(chunk) => self.pending.released(chunk, now),
             }
         }
+        if batch.txn.apply.len() < most_ops {
+            let change = self.gone.change(self.cfg.value_bytes, now);
+            batch.txn.apply.extend(change);
+        }
         (!batch.txn.apply.is_empty()).then_some(batch)
     }
 
--- a/src/control/core/renting.rs
+++ b/src/control/core/renting.rs
@@ -43,7 +43,7 @@
     pub(super) fn hold_back(&mut self) {
         let mut most: HashMap<Arc<str>, Amount> = HashMap::new();
         for a in self.arrivals.values() {
-            if self.cfg.start_aims.contains_key(&a.spec.class) {
+            if self.starts_within(&a.spec.class).is_some() {
                 let largest = a.recent.iter().map(|(_, n)| *n).max().unwrap_or(0);
                 let job = a.spec.each.times(i64::from(largest.min(1000)));
                 let held = most.entry(a.spec.team.clone()).or_default();
@@ -127,8 +127,11 @@
                 }
             }
         }
-        // Claims can name machines that neither list nor report shows.
-        if now.since(self.started) > 3.0 * self.cfg.list_lag_s + 2.0 * self.cfg.report_s {
+        // Claims can name machines that neither list nor report shows. A list
+        // is late by twice its usual lag at most (PROTOCOL), so by now it
+        // tells of a time at which every machine that a former owner claimed
+        // was there. Until they are gone these claims count against limits.
+        if now.since(self.started) > 2.0 * self.cfg.list_lag_s + 2.0 {
             let ghosts: Vec<MachineId> = self
                 .board
                 .unknown_machines()
@@ -442,6 +445,7 @@
             }
             self.walk_all = true;
             self.deleted.insert(id.clone(), now);
+            self.gone.add(id, now);
             self.links.remove(id);
             self.coming.remove(id);
             self.missing.remove(id);
--- a/src/control/load.rs
+++ b/src/control/load.rs
@@ -28,6 +28,8 @@
     pub polls: Cell<u64>,
     /// Cancellations.
     pub cancellations: Cell<u64>,
+    /// Seconds that duties over the whole fleet took.
+    pub spent: Cell<f64>,
     /// Answered with 503 because of the load.
     pub shed: Cell<u64>,
 }
@@ -227,6 +229,7 @@
                     polls = rate(&counts.polls),
                     cancellations = rate(&counts.cancellations),
                     shed = rate(&counts.shed),
+                    duties = (counts.spent.replace(0.0) / over * 100.0).round() / 100.0,
                     late = late - late_before,
                     spread = self.load.spread.borrow().share(),
                     most_machines = self.load.most_machines(),
--- a/src/control/owning.rs
+++ b/src/control/owning.rs
@@ -8,7 +8,9 @@
         let now = self.now();
         let mut core = self.core.borrow_mut();
         let Some(c) = core.as_mut() else { return };
-        c.place(now);
+        if self.paces.walk.borrow().due(now) {
+            self.timed(&self.paces.walk, || c.place(now));
+        }
         self.place_all(c, now);
         if c.has_urgent() {
             self.record.notify_one();
@@ -52,6 +54,8 @@
         let result = duty();
         let cost = begun.elapsed().as_secs_f64();
         pace.borrow_mut().done(cost, self.now());
+        let spent = &self.load.counts.spent;
+        spent.set(spent.get() + cost);
         result
     }
 
--- a/src/sched/walk.rs
+++ b/src/sched/walk.rs
@@ -1,6 +1,8 @@
 //! The order of the teams and jobs, where a task may go, and the walk of
 //! Algorithm 1 (section 4.2).
 
+use std::ops::Bound;
+
 use super::sites::Ask;
 use super::*;
 use crate::types::Kind;
@@ -451,7 +453,9 @@
                 .machines
                 .get(m_id)
                 .is_some_and(|m| m.usable && m.free().cpu > 0);
-            if !usable || !self.has_work() {
+            // Nothing more can be claimed now but by those few jobs whose users
+            // wait for a start; they are offered the best machine there is.
+            if !usable || !self.has_work() || self.claims_bind() {
                 return launches;
             }
             let mut skipped = Vec::new();
@@ -529,35 +533,52 @@
     /// Offers every job that waits the best machine for it: what the walks of
     /// all machines come to, when work arrived or waits passed that no report
     /// shows. Within a pass room only shrinks, so a job that found none is not
-    /// asked again.
+    /// asked again: each team's queue is gone through once, however often the
+    /// teams take turns.
     pub fn place(&mut self, rule: DelayRule, now: Time) -> Vec<Launch> {
         let needy = OnceCell::from(self.needy(now));
         let mut launches = Vec::new();
         let mut tried: HashSet<JobId> = HashSet::new();
+        let mut from: Vec<Bound<Place>> = vec![Bound::Unbounded; self.teams.len()];
         self.drop_old_holds(now);
         loop {
             let mut gangs = Vec::new();
             let mut skipped = Vec::new();
             let mut found = None;
-            for (id, job) in self.in_order(now) {
-                if tried.contains(id) || !self.may_claim(id, job) {
-                    continue;
-                }
-                self.rooms.steps.set(self.rooms.steps.get() + 1);
-                if job.spec.kind == Kind::Gang {
-                    gangs.push(id.clone());
+            'teams: for team in self.team_order() {
+                let queue = &self.queues[team];
+                let mut passed = None;
+                for place in queue.range((from[team].clone(), Bound::Unbounded)) {
+                    let id = &place.id;
+                    let Some(job) = self.jobs.get(id) else {
+                        continue;
+                    };
+                    // What may not be claimed now may not be later in the pass.
+                    if now < job.hold_until || !self.may_claim(id, job) {
+                        passed = Some(place);
+                        continue;
+                    }
+                    self.rooms.steps.set(self.rooms.steps.get() + 1);
+                    if job.spec.kind == Kind::Gang {
+                        gangs.push(id.clone());
+                    } else {
+                        match self.best(id, job, &needy, now) {
+                            Some(offer) if self.may_launch(job, &offer.machine, rule, now) => {
+                                found = Some((id.clone(), offer.machine));
+                                from[team] =
+                                    passed.cloned().map_or(from[team].clone(), Bound::Excluded);
+                                break 'teams;
+                            }
+                            Some(_) => skipped.push(id.clone()),
+                            None => {}
+                        }
+                    }
                     tried.insert(id.clone());
-                    continue;
+                    passed = Some(place);
                 }
-                match self.best(id, job, &needy, now) {
-                    Some(offer) if self.may_launch(job, &offer.machine, rule, now) => {
-                        found = Some((id.clone(), offer.machine));
-                        break;
-                    }
-                    Some(_) => skipped.push(id.clone()),
-                    None => {}
+                if let Some(place) = passed {
+                    from[team] = Bound::Excluded(place.clone());
                 }
-                tried.insert(id.clone());
             }
             self.skip(skipped, now);
             // A gang has its turn before whatever comes after it, and what was
@@ -572,6 +593,10 @@
             match self.launch(&id, &machine, now) {
                 Some(launch) => launches.push(launch),
                 None => {
+                    let job = self.jobs.get(&id);
+                    if let Some((team, place)) = job.map(|j| (j.team, j.place(&id))) {
+                        from[team] = Bound::Excluded(place);
+                    }
                     tried.insert(id);
                 }
             }
--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -6,6 +6,7 @@
 //! | `h/grant` | [`GrantRecord`] | whoever becomes leader |
 //! | `h/job/ID` | [`JobRecord`] | any controller accepts and cancels; the block's owner claims and completes |
 //! | `h/drain/N` | [`Drain`](sorrelhinge_topology::drain::Drain), N any number | any controller, for an operator |
+//! | `h/gone/N` | [`GoneRecord`], N below [`GONE_SLOTS`], filled in turn | the block's owner |
 //! | `h/task/ID/N` | [`ChunkRecord`], tasks N·chunk and on, of a job that does not keep them in its own record | the block's owner |
 
 use serde::{Deserialize, Serialize};
@@ -30,6 +31,14 @@
     format!("h/task/{job}/{chunk:06}")
 }
 
+/// Lists of machines that are gone; the oldest is overwritten.
+pub const GONE_SLOTS: u32 = 16;
+
+/// Key of a list of machines that are gone.
+pub fn gone_key(slot: u32) -> String {
+    format!("h/gone/{slot}")
+}
+
 /// Key of a drain.
 pub fn drain_key(number: u64) -> String {
     format!("h/drain/{number}")
@@ -48,6 +57,8 @@
     Chunk(JobId, u32),
     /// A drain.
     Drain(u64),
+    /// Machines that are gone.
+    Gone(u32),
 }
 
 impl Key {
@@ -65,6 +76,13 @@
         if let Some(number) = rest.strip_prefix("drain/") {
             return Some(Self::Drain(number.parse().ok()?));
         }
+        if let Some(slot) = rest.strip_prefix("gone/") {
+            return slot
+                .parse()
+                .ok()
+                .filter(|s| *s < GONE_SLOTS)
+                .map(Self::Gone);
+        }
         let (job, chunk) = rest.strip_prefix("task/")?.rsplit_once('/')?;
         Some(Self::Chunk(JobId::from(job), chunk.parse().ok()?))
     }
@@ -92,6 +110,28 @@
     pub number: u64,
 }
 
+/// Machines whose deletion the cloud has answered with 200: whatever a record
+/// still claims on them is gone (PROTOCOL, "POST /rentals/delete"). A later
+/// owner need not find that out again. Names are never given twice.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GoneRecord {
+    /// Of the format.
+    #[serde(rename = "v")]
+    pub version: u32,
+    /// Their names.
+    #[serde(rename = "m")]
+    pub machines: Vec<MachineId>,
+}
+
+impl GoneRecord {
+    /// The format that this version writes.
+    pub const VERSION: u32 = 1;
+    /// Bytes that one more name takes, about.
+    pub fn weight(name: &MachineId) -> usize {
+        name.as_str().len() + 3
+    }
+}
+
 /// A job's phase, as far as it is recorded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -8,7 +8,7 @@
 use sorrelhinge_topology::drain::Drain;
 
 use super::history::History;
-use super::record::{ChunkRecord, GrantRecord, JobRecord, Key, LeaderRecord, Phase};
+use super::record::{ChunkRecord, GoneRecord, GrantRecord, JobRecord, Key, LeaderRecord, Phase};
 use super::{Events, Item};
 use crate::types::{JobId, Revision};
 
@@ -77,6 +77,8 @@
     pub history: History,
     /// What operators drain.
     pub drains: BTreeMap<u64, Versioned<Drain>>,
+    /// Machines that are gone.
+    pub gone: BTreeMap<u32, Versioned<GoneRecord>>,
     jobs: HashMap<JobId, JobEntry>,
     orphans: HashMap<JobId, BTreeMap<u32, Versioned<ChunkRecord>>>,
     changed: Vec<JobId>,
@@ -202,6 +204,15 @@
                     }
                 }
             }
+            Some(Key::Gone(slot)) => {
+                // One of a later format is left alone: it only saves time.
+                let record = parse::<GoneRecord>(key, value);
+                let record = record.filter(|r| r.version <= GoneRecord::VERSION);
+                let newer = self.gone.get(&slot).is_none_or(|h| stamp > h.stamp);
+                if let (Some(value), true) = (record, newer) {
+                    self.gone.insert(slot, Versioned { stamp, value });
+                }
+            }
             Some(Key::Chunk(id, chunk)) => {
                 if let Some(record) = parse(key, value) {
                     self.put_chunk(
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -876,6 +876,48 @@
     }
 }
 
+/// What ran on a machine that was given back is not recorded as ended for long
+/// while changes are short. The next owner knows it all the same, and does not
+/// count it against limits.
+#[test]
+fn claims_on_machines_that_an_owner_gave_back_count_for_no_later_owner() {
+    let mut world = World::new(11);
+    let claimed = |o: &Owner| {
+        let teams = o.core.board.teams().iter();
+        teams.map(|t| t.used.cpu).sum::<i64>()
+    };
+    while world.on_machines().count() == 0 {
+        world.step(true);
+        assert!(world.now < 600.0, "nothing ever ran");
+    }
+    let all: Vec<MachineId> = world
+        .workers
+        .iter()
+        .map(|w| MachineId::from(w.id.as_str()))
+        .collect();
+    // A list of a later format is left alone.
+    world.store.write("h/gone/1", json!({"v": 9, "m": all}));
+    world.take_over();
+    let o = world.owners.last_mut().expect("an owner");
+    assert!(claimed(o) > 0);
+    o.core.deleted(&all, Time(world.now));
+    assert!(o
+        .core
+        .next_batch(&o.view, 4, false, Time(world.now + 0.1))
+        .is_none());
+    let now = Time(world.now + 4.0);
+    let batch = o.core.next_batch(&o.view, 4, false, now);
+    let batch = batch.expect("their names, before any result");
+    let txn = serde_json::to_value(&batch.txn).expect("txn");
+    assert_eq!(txn["apply"].as_array().map(Vec::len), Some(1));
+    assert_eq!(txn["apply"][0]["write"], "h/gone/0");
+    assert!(matches!(world.store.txn(&txn), Outcome::Done(_)));
+    world.take_over();
+    let o = world.owners.last().expect("an owner");
+    assert_eq!(claimed(o), 0);
+    assert_eq!(o.core.board.unknown_machines().count(), 0);
+}
+
 /// Owners that change faster than workers report: every report carries a token
 /// that the present owner has not raised, so it proves nothing. Each answer
 /// renews the lease all the same, so each must take the kill along
