--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -272,6 +272,8 @@
             last_plan: now,
             last_look: now,
         };
+        let others = core.cfg.others.iter().map(|o| o.zone.clone());
+        core.board.served = others.chain([core.cfg.zone.clone()]).collect();
         core.set_types(types);
         core.board.set_topology(topology, |_| None);
         core.set_drains(view, now);
--- a/src/control/load.rs
+++ b/src/control/load.rs
@@ -87,14 +87,16 @@
             .unwrap_or_default()
     }
 
-    /// Controllers that can take reports for this one.
-    fn helpers(&self) -> Vec<NodeId> {
+    /// Controllers that take reports for this one; if `room`, only those that
+    /// have room for more workers. Who is crowded goes on with those it has: if
+    /// they all came back here, this one would be crowded and send them again.
+    fn helpers(&self, room: bool) -> Vec<NodeId> {
         let mut helpers: Vec<NodeId> = self
             .peers
             .reachable()
             .filter(|n| {
                 let s = self.standing_of(n);
-                s.helps && !s.crowded
+                s.helps && !(room && s.crowded)
             })
             .cloned()
             .collect();
@@ -133,7 +135,7 @@
         if self.core.borrow().is_none() || self.load.spread.borrow().share() == 0.0 {
             return None;
         }
-        let helpers = self.helpers();
+        let helpers = self.helpers(true);
         let home = self
             .load
             .spread
@@ -193,7 +195,7 @@
                     machines,
                     room: self.connections.limits().workers,
                     wait_s: sample.wait_s,
-                    helpers: self.helpers().len(),
+                    helpers: self.helpers(false).len(),
                 };
                 spread.take(crowd, now);
                 // The others' help comes first.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -214,7 +214,7 @@
         barred: &dyn Fn(&Zone) -> bool,
         pass: &dyn Fn(&Room) -> bool,
     ) -> Option<usize> {
-        let mut best: Option<((bool, bool, i64), usize)> = None;
+        let mut best: Option<((bool, bool, bool, i64), usize)> = None;
         for (bin, rooms) in &self.bins[usize::from(soon)] {
             if barred(&bin.zone) {
                 continue;
@@ -227,7 +227,8 @@
                 if !spec.each.fits(room.available(soon)) || !pass(room) {
                     continue;
                 }
-                let rank = (spec.spot && !bin.spot, !bin.used, cpu);
+                let apart = spec.kind == Kind::Service && !self.input.board.is_served(&bin.zone);
+                let rank = (spec.spot && !bin.spot, apart, !bin.used, cpu);
                 if best.as_ref().is_none_or(|(r, _)| rank < *r) {
                     best = Some((rank, at));
                 }
@@ -265,7 +266,9 @@
                     // the zone with the fewest machines, so that work spreads.
                     let useful = kind.total.cpu.min(left_cpu.max(spec.each.cpu)).max(1);
                     let crowd = self.crowd.get(zone).copied().unwrap_or(0);
-                    let score = price / useful as f64 * (1.0 + 1e-4 * f64::from(crowd));
+                    let apart = spec.kind == Kind::Service && !self.input.board.is_served(zone);
+                    let apart = if apart { UNSERVED } else { 1.0 };
+                    let score = price / useful as f64 * (1.0 + 1e-4 * f64::from(crowd)) * apart;
                     if best.as_ref().is_none_or(|(s, _)| score < *s) {
                         best = Some((score, room));
                     }
@@ -336,6 +339,8 @@
     }
 }
 
+/// How much dearer a machine counts for a service in a zone without a controller.
+const UNSERVED: f64 = 2.0;
 /// Part of a boot that work waits for tasks to end.
 const QUEUED: f64 = 0.5;
 /// Most machines in one request.
--- a/src/sched/gangs.rs
+++ b/src/sched/gangs.rs
@@ -126,7 +126,7 @@
             } else {
                 Nearness::Absent
             };
-            let cost = self.place_cost(spec, near, (m.spot, m.retiring, m.slow, &m.kind));
+            let cost = self.place_cost(spec, near, &m.zone, (m.spot, m.retiring, m.slow, &m.kind));
             slots.push(Slot {
                 machine: m_id.clone(),
                 place: m.place,
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -47,6 +47,8 @@
 const SLOW_S: f64 = 4.0;
 /// The same for a large machine that others' tasks need.
 const SCARCE_S: f64 = 3.0;
+/// The same for a zone without a controller, for a service.
+const UNSERVED_S: f64 = 4.0;
 /// A machine that is cheaper by this many seconds is clearly better.
 const CLEARLY_S: f64 = 0.5;
 /// The same for a machine with devices, for work that needs none.
@@ -235,6 +237,10 @@
     teams: Vec<Team>,
     /// Sizes of tasks seen of late.
     pub shapes: Vec<Amount>,
+    /// Zones with a controller; none known: all count as such. A zone that is
+    /// cut off goes on if a controller there reaches the owner or is it, and
+    /// loses all its tasks with their leases if there is none.
+    pub served: BTreeSet<Zone>,
     /// Jobs of this rank are not placed, but for teams below their guarantee.
     pub held_rank: Option<Priority>,
     /// Jobs with claims that wait to be recorded.
--- a/src/sched/walk.rs
+++ b/src/sched/walk.rs
@@ -191,12 +191,18 @@
             .any(|k| k.total.cpu < kind.total.cpu && each.fits(k.total))
     }
 
+    /// Whether a zone has a controller.
+    pub fn is_served(&self, zone: &Zone) -> bool {
+        self.served.is_empty() || self.served.contains(zone)
+    }
+
     /// What placing a job on a machine of this sort costs, in seconds: its
     /// image's fetch, and for taking what others need more.
     pub(super) fn place_cost(
         &self,
         spec: &JobSpec,
         near: Nearness,
+        zone: &Zone,
         (spot, retiring, slow, kind): (bool, bool, bool, &MachineType),
     ) -> f64 {
         let fetch = spec.image_gb / kind.fetch_gb_per_s.max(1e-3);
@@ -208,6 +214,9 @@
         if spec.spot && !spot {
             cost += ORDINARY_S;
         }
+        if spec.kind == Kind::Service && !self.is_served(zone) {
+            cost += UNSERVED_S;
+        }
         if retiring {
             cost += RETIRING_S;
         }
@@ -350,8 +359,13 @@
                 DEVICES_S
             };
             for near in [Nearness::Ready, Nearness::Coming, Nearness::Absent] {
-                let cost =
-                    spare + self.place_cost(spec, near, (key.spot, key.retiring, key.slow, kind));
+                let cost = spare
+                    + self.place_cost(
+                        spec,
+                        near,
+                        &key.zone,
+                        (key.spot, key.retiring, key.slow, kind),
+                    );
                 if best.as_ref().is_some_and(|b| cost > b.cost) {
                     break;
                 }
@@ -511,7 +525,7 @@
             } else {
                 Nearness::Absent
             };
-            let mut cost = self.place_cost(&job.spec, near, sort);
+            let mut cost = self.place_cost(&job.spec, near, &machine.zone, sort);
             if !machine.working.is_empty() && job.policy.devices.is_empty() {
                 cost += DEVICES_S;
             }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -262,6 +262,10 @@
                 }
             }
             Opened::Full => {
+                // The others wait to be accepted, which a load balancer sees.
+                while all.turned_away.get() >= MOST_TURNED_AWAY {
+                    sleep(Duration::from_millis(20)).await;
+                }
                 spawn_local(turn_away(all.clone(), stream));
                 continue;
             }
@@ -326,16 +330,13 @@
     const TOLD: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 2\r\n\
         connection: close\r\ncontent-type: application/json\r\ncontent-length: 38\r\n\r\n\
         {\"error\":\"no room for a connection now\"}";
-    let held = all.turned_away.get();
-    all.turned_away.set(held + 1);
+    all.turned_away.set(all.turned_away.get() + 1);
     async move {
-        if held < MOST_TURNED_AWAY {
-            // What was sent is read, or the answer would be lost with it.
-            let mut asked = [0; 2048];
-            let _ = timeout(Duration::from_millis(300), stream.read(&mut asked)).await;
-            let _ = timeout(Duration::from_millis(300), stream.write_all(TOLD)).await;
-            let _ = stream.shutdown().await;
-        }
+        // What was sent is read, or the answer would be lost with it.
+        let mut asked = [0; 2048];
+        let _ = timeout(Duration::from_millis(300), stream.read(&mut asked)).await;
+        let _ = timeout(Duration::from_millis(300), stream.write_all(TOLD)).await;
+        let _ = stream.shutdown().await;
         all.turned_away.set(all.turned_away.get() - 1);
     }
 }
