Machines that hang are given back before their lease ends; who is asked first at a takeover

Need: 107 machines that hang for 36 s cost the replicas on them 28 s, as silence alone can't tell a hang from a cut, whose tasks run on. But a machine that hangs takes the connection and does not answer, and one that is cut off can't be reached. Silent machines with tasks are now asked directly, and those that hang are given back: a delete proves their tasks gone.

After a takeover machines with replicas are asked first, then those with other tasks; the log tells when the first task was placed and when all machines were heard.

--- a/src/control/core/links.rs
+++ b/src/control/core/links.rs
@@ -51,6 +51,8 @@
                 flying: false,
                 direct_retry: now,
                 direct_failures: 0,
+                suspect: false,
+                hangs: 0,
                 doubted: false,
                 passed: false,
                 leaving: false,
@@ -60,11 +62,42 @@
                 kill_sent: BTreeMap::new(),
             };
             self.links.insert(id.clone(), link);
-            self.active.insert(id.clone());
+            self.wake(id);
         }
         self.links.get_mut(id)
     }
 
+    fn has_tasks(&self, id: &MachineId) -> bool {
+        let machine = self.board.machines().get(id);
+        machine.is_some_and(|m| !m.claims.is_empty())
+    }
+
+    /// Whether tasks of services are on a machine.
+    fn has_replicas(&self, id: &MachineId) -> bool {
+        let machine = self.board.machines().get(id);
+        machine.is_some_and(|m| {
+            m.claims.iter().any(|t| {
+                let job = self.board.job(&t.job);
+                job.is_some_and(|j| j.spec.kind == Kind::Service)
+            })
+        })
+    }
+
+    /// Commands may have to go to a machine. After a takeover thousands are to
+    /// be asked at once, so then those with replicas come first, then those
+    /// with other tasks.
+    pub(super) fn wake(&mut self, id: &MachineId) {
+        let rank = match self.board.machines().get(id) {
+            Some(m) if self.young => match (self.has_replicas(id), m.claims.is_empty()) {
+                (true, _) => 0,
+                (false, false) => 1,
+                (false, true) => 2,
+            },
+            _ => 0,
+        };
+        self.active.insert((rank, id.clone()));
+    }
+
     /// Takes in a worker's report. False if a newer grant than ours commands
     /// the worker.
     pub fn report(&mut self, report: &Report, source: Source, now: Time) -> bool {
@@ -91,6 +124,7 @@
         link.seq = report.tick;
         link.seen = link.seen.max(report.baton);
         link.last_heard = now;
+        (link.suspect, link.hangs) = (false, 0);
         link.doubted = false;
         link.passed = source == Source::Passed;
         if source == Source::Beat {
@@ -111,7 +145,7 @@
         if fenced {
             self.reconcile(&report.machine, source, now);
         }
-        self.active.insert(report.machine.clone());
+        self.wake(&report.machine);
         self.refresh_machine(&report.machine, now);
         true
     }
@@ -121,6 +155,16 @@
         let Some(link) = self.links.get(id) else {
             return;
         };
+        let quiet_s = now.since(link.last_heard);
+        if !link.suspect && quiet_s >= SUSPECT_REPORTS * self.cfg.report_s && self.has_tasks(id) {
+            if let Some(link) = self.links.get_mut(id) {
+                link.suspect = true;
+            }
+            self.wake(id);
+        }
+        let Some(link) = self.links.get(id) else {
+            return;
+        };
         let draining = self.board.machines().get(id).is_some_and(|m| m.draining);
         let silent = now.since(link.last_heard) >= silence;
         let usable = link.fenced()
@@ -149,7 +193,7 @@
         if !leaving && !doubted && !draining {
             return;
         }
-        self.active.insert(id.clone());
+        self.wake(id);
         for task in self.board.claims_on(id) {
             let unsent = self
                 .board
@@ -424,7 +468,7 @@
         let mut out = Vec::new();
         let mut waiting = BTreeSet::new();
         while self.flying < MOST_FLYING {
-            let Some(id) = self.active.pop_first() else {
+            let Some((_, id)) = self.active.pop_first() else {
                 break;
             };
             let Some(link) = self.links.get(&id) else {
@@ -439,7 +483,12 @@
                 self.retries.insert((at, id));
                 continue;
             }
-            if link.direct_failures > 0 && self.flying >= MOST_FLYING / 4 {
+            let most = if link.suspect {
+                MOST_FLYING * 3 / 4
+            } else {
+                MOST_FLYING / 4
+            };
+            if link.direct_failures > 0 && self.flying >= most {
                 // Those that may hang must not keep the others waiting.
                 waiting.insert(((now.after(0.5).0 * 1000.0) as u64, id));
                 continue;
@@ -456,7 +505,7 @@
             // Forgetting waits for the next report; a worker that does not
             // know our token is told at once, and one that a command did not
             // reach is tried again.
-            if forgets_only && link.fenced() && link.direct_failures == 0 {
+            if forgets_only && link.fenced() && link.direct_failures == 0 && !link.suspect {
                 if !link.kill_sent.is_empty() {
                     waiting.insert(((now.after(KILL_AGAIN_S).0 * 1000.0) as u64, id));
                 }
@@ -486,7 +535,7 @@
             return true;
         };
         link.flying = false;
-        self.active.insert(id.clone());
+        self.active.insert((0, id.clone()));
         let mut mark = |from: Sent, to: Sent| {
             for task in &claims {
                 if let Some(c) = self.board.claim_mut(task).filter(|c| c.sent == from) {
@@ -522,11 +571,13 @@
                     if link.fenced() {
                         mark(Sent::Flying, Sent::No);
                     }
+                    link.hangs = 0;
                 } else {
                     // The commands may be carried out minutes late, unless a
                     // higher token gets there first. Until a report carries
                     // it, nothing on this machine is settled.
                     link.token = link.token.raised();
+                    link.hangs += 1;
                 }
                 link.direct_failures += 1;
                 link.doubted = true;
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -61,6 +61,10 @@
     /// Direct commands don't get through; next try at this time.
     direct_retry: Time,
     direct_failures: u32,
+    /// It is silent and has tasks: it is asked directly.
+    suspect: bool,
+    /// How often in a row it took a connection and did not answer.
+    hangs: u32,
     /// A direct command failed: no new tasks until a report comes.
     doubted: bool,
     /// Its last report was passed on by another controller.
@@ -135,8 +139,13 @@
     pending: Pending,
     /// Images that machines ran before this owner knew them.
     ran_before: HashMap<MachineId, Vec<(Image, f64)>>,
-    /// Machines that commands may have to go to.
-    active: BTreeSet<MachineId>,
+    /// Machines that commands may have to go to, the most important first.
+    active: BTreeSet<(u8, MachineId)>,
+    /// The takeover was a moment ago.
+    young: bool,
+    /// Nothing was placed yet; not all machines were heard.
+    idle_yet: bool,
+    unheard_yet: bool,
     /// Machines to try again at a time, in milliseconds.
     retries: BTreeSet<(u64, MachineId)>,
     /// Machines where room appeared.
@@ -193,7 +202,15 @@
 const UNUSED_SHARE: f64 = 0.6;
 /// Once nothing has run for so long, and nothing waits, machines go.
 const IDLE_S: f64 = 20.0;
+/// A machine with tasks that is silent for this many report intervals is asked
+/// directly. One that takes the connection and does not answer hangs, and its
+/// tasks with it, while one that can't be reached may only be cut off.
+const SUSPECT_REPORTS: f64 = 1.6;
+/// Asked twice in vain it is given back, or once and silent for so many.
+const HANGS_REPORTS: f64 = 2.2;
 const FLEET_LOG_S: f64 = 10.0;
+/// For how long after a takeover machines are asked by what is on them.
+const YOUNG_S: f64 = 60.0;
 const KILL_AGAIN_S: f64 = 2.0;
 const TXN_BYTES: usize = 48 << 10;
 /// Direct commands under way at a time.
@@ -240,6 +257,9 @@
             pending: Pending::default(),
             ran_before: view.history.images(),
             active: BTreeSet::new(),
+            young: true,
+            idle_yet: true,
+            unheard_yet: true,
             retries: BTreeSet::new(),
             touched: BTreeSet::new(),
             flying: 0,
@@ -523,7 +543,7 @@
         let mut stop = Vec::new();
         for (&index, claim) in job.tasks.claims() {
             // Whatever is to happen there, its machine is told.
-            self.active.insert(claim.machine.clone());
+            self.active.insert((0, claim.machine.clone()));
             let task = TaskId {
                 job: id.clone(),
                 index,
@@ -559,7 +579,28 @@
         Some(claim)
     }
 
+    /// Tells how long it took to hear of all machines, for the log.
+    fn look_who_is_heard(&mut self, now: Time) {
+        let unheard = self.links.values().filter(|l| !l.fenced()).count();
+        let missing = self.board.unknown_machines().count();
+        let all = self.links.len() + missing;
+        if self.unheard_yet && all > 0 && (unheard + missing) * 50 <= all {
+            self.unheard_yet = false;
+            let after_s = (now.since(self.started) * 10.0).round() / 10.0;
+            tracing::info!(
+                after_s,
+                machines = all,
+                "heard of all machines but one in fifty"
+            );
+        }
+    }
+
     fn launched(&mut self, launches: Vec<Launch>, now: Time) {
+        if self.idle_yet && !launches.is_empty() {
+            self.idle_yet = false;
+            let after_s = (now.since(self.started) * 10.0).round() / 10.0;
+            tracing::info!(after_s, "first task placed");
+        }
         for launch in launches {
             tracing::debug!(task = %launch.task, machine = %launch.machine, cached = launch.cached, "claim");
             let job = self.board.job(&launch.task.job);
@@ -606,11 +647,17 @@
         let due = ((now.0 * 1000.0) as u64 + 1, MachineId::from(""));
         let later = self.retries.split_off(&due);
         let retries = std::mem::replace(&mut self.retries, later);
-        self.active.extend(retries.into_iter().map(|(_, id)| id));
+        for (_, id) in retries {
+            self.wake(&id);
+        }
+        self.young = now.since(self.started) < YOUNG_S;
         if now.since(self.last_look) >= LOOK_S {
             self.last_look = now;
             self.board.look_at_dues(now);
             self.look_at_drains(now);
+            if self.unheard_yet {
+                self.look_who_is_heard(now);
+            }
             let ids: Vec<MachineId> = self.links.keys().cloned().collect();
             for id in ids {
                 self.refresh_machine(&id, now);
--- a/src/control/core/record.rs
+++ b/src/control/core/record.rs
@@ -197,7 +197,7 @@
             if let Some(claim) = self.board.claim_mut(&task) {
                 if claim.attempt == *attempt && !claim.committed {
                     claim.committed = true;
-                    self.active.insert(machine.clone());
+                    self.wake(machine);
                 }
             }
         }
@@ -205,7 +205,9 @@
         if let Some(job) = job.filter(|j| j.spec.kind == Kind::Gang) {
             // Its last claim is recorded: all start together.
             let machines = job.tasks.claims().values().map(|c| c.machine.clone());
-            self.active.extend(machines.collect::<Vec<_>>());
+            for machine in machines.collect::<Vec<_>>() {
+                self.wake(&machine);
+            }
         }
         self.settle_stopped(id, now);
     }
--- a/src/control/core/renting.rs
+++ b/src/control/core/renting.rs
@@ -255,7 +255,14 @@
             if link.leaving && empty && link.tasks.values().all(|(p, _)| *p == TaskPhase::Ended) {
                 link.deleting = true;
             }
-            if hearing && now.since(link.last_heard) > self.cfg.silent_s() {
+            let quiet_s = now.since(link.last_heard);
+            let hangs = link.suspect
+                && (link.hangs >= 2
+                    || link.hangs == 1 && quiet_s > HANGS_REPORTS * self.cfg.report_s);
+            if hearing && (quiet_s > self.cfg.silent_s() || hangs) {
+                if hangs && !link.deleting {
+                    tracing::info!(machine = %id, quiet_s, "it hangs: given back");
+                }
                 link.deleting = true;
             }
             if link.deleting {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1249,6 +1249,58 @@
     assert!(core.fleet(Time(58.0)).0.contains(&silent));
 }
 
+/// A machine that takes the connection and does not answer hangs, and its tasks
+/// with it: it is given back long before the lease ends. One that can't be
+/// reached may only be cut off, and one without tasks does no harm.
+#[test]
+fn a_machine_that_hangs_is_given_back_before_its_lease_ends() {
+    for (outcome, early) in
+        [(|| Sending::Unknown, true), (|| Sending::NotSent, false)] as [(fn() -> Sending, bool); 2]
+    {
+        let mut world = World::new(1);
+        one_job(&mut world);
+        let World {
+            workers,
+            owners,
+            store,
+            ..
+        } = &mut world;
+        let Owner { core, view, .. } = &mut owners[0];
+        regular(core, Time(2.0));
+        let batch = core.next_batch(view, 4, false, Time(2.0)).expect("a claim");
+        let txn = serde_json::to_value(&batch.txn).expect("txn");
+        let Outcome::Done(revision) = store.txn(&txn) else {
+            panic!("the claim is refused");
+        };
+        core.committed(batch, revision, view, Time(2.0));
+        let silent = core.dispatch(view, Time(2.0))[0].machine.clone();
+        core.dispatched(&silent, outcome(), Time(2.5));
+        let mut gone_at = None;
+        for step in 6..100 {
+            let now = Time(f64::from(step) / 2.0);
+            for w in workers.iter_mut().filter(|w| w.id != silent.as_str()) {
+                core.report(&w.report(), Source::Beat, now);
+            }
+            regular(core, now);
+            for send in core.dispatch(view, now) {
+                let sent = match send.machine == silent {
+                    true => outcome(),
+                    false => Sending::NotSent,
+                };
+                core.dispatched(&send.machine, sent, now);
+            }
+            let gone = core.fleet(now).0;
+            if gone.contains(&silent) {
+                gone_at.get_or_insert(now.0);
+            }
+            // Whatever is silent without tasks waits for its lease, see above.
+        }
+        let gone_at = gone_at.expect("given back at last");
+        let hearing = 20.5;
+        assert_eq!(gone_at <= hearing + 1.0, early, "at {gone_at}");
+    }
+}
+
 /// Changes are few: claims go first, then done jobs; results wait for company,
 /// but not for ever.
 #[test]
