--- a/src/control/core/links.rs
+++ b/src/control/core/links.rs
@@ -156,7 +156,10 @@
             return;
         };
         let quiet_s = now.since(link.last_heard);
-        if !link.suspect && quiet_s >= SUSPECT_REPORTS * self.cfg.report_s && self.has_tasks(id) {
+        if !link.suspect
+            && quiet_s >= (SUSPECT_REPORTS * self.cfg.report_s).max(SUSPECT_LEAST_S)
+            && self.has_tasks(id)
+        {
             if let Some(link) = self.links.get_mut(id) {
                 link.suspect = true;
             }
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -206,6 +206,8 @@
 /// directly. One that takes the connection and does not answer hangs, and its
 /// tasks with it, while one that can't be reached may only be cut off.
 const SUSPECT_REPORTS: f64 = 1.6;
+/// But not before this, in seconds: anything may stand still for a moment.
+const SUSPECT_LEAST_S: f64 = 5.0;
 /// Asked twice in vain it is given back, or once and silent for so many.
 const HANGS_REPORTS: f64 = 2.2;
 const FLEET_LOG_S: f64 = 10.0;
