--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -22,7 +22,7 @@
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use serde_json::{json, Value};
-use sorrelhinge::http::{call_once, Limits, Pool};
+use sorrelhinge::http::{self, call_once, CallError, Limits, Pool};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -71,34 +71,32 @@
     });
 }
 
-/// Asks over HTTP; none without an answer.
-pub async fn ask(to: SocketAddr, method: Method, path: &str, body: &Value) -> Option<Told> {
-    let limits = Limits {
-        connect: Duration::from_millis(500),
-        answer: Duration::from_secs(2),
-    };
-    let body = match body {
+const LIMITS: Limits = Limits {
+    connect: Duration::from_millis(500),
+    answer: Duration::from_secs(2),
+};
+
+fn text(body: &Value) -> Bytes {
+    match body {
         Value::Null => Bytes::new(),
         body => Bytes::from(body.to_string()),
-    };
-    let answer = call_once(to, method, path, body, limits).await.ok()?;
+    }
+}
+
+fn told(answer: Result<http::Answer, CallError>) -> Option<Told> {
+    let answer = answer.ok()?;
     let told = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
     Some((answer.status.as_u16(), told))
 }
 
+/// Asks over HTTP; none without an answer.
+pub async fn ask(to: SocketAddr, method: Method, path: &str, body: &Value) -> Option<Told> {
+    told(call_once(to, method, path, text(body), LIMITS).await)
+}
+
 /// The same over a connection that stays open.
 pub async fn ask_over(pool: &Pool, method: Method, path: &str, body: &Value) -> Option<Told> {
-    let limits = Limits {
-        connect: Duration::from_millis(500),
-        answer: Duration::from_secs(2),
-    };
-    let body = match body {
-        Value::Null => Bytes::new(),
-        body => Bytes::from(body.to_string()),
-    };
-    let answer = pool.call(method, path, body, limits).await.ok()?;
-    let told = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
-    Some((answer.status.as_u16(), told))
+    told(pool.call(method, path, text(body), LIMITS).await)
 }
 
 /// How a world is laid out.
