--- a/crates/overload/src/pace.rs
+++ b/crates/overload/src/pace.rs
@@ -13,6 +13,9 @@
     next: Time,
 }
 
+/// How many times longer the pauses are for each second that requests wait.
+const YIELDS: f64 = 4.0;
+
 impl Pace {
     /// Every `least_s` seconds, and for at most this `share` of the time; but
     /// never put off for more than `most_s`, as one turn in which the process
@@ -31,9 +34,12 @@
         now >= self.next
     }
 
-    /// It was done just now and took `cost_s` seconds.
-    pub fn done(&mut self, cost_s: f64, now: Time) {
-        let pause = (cost_s / self.share).clamp(self.least_s, self.most_s);
+    /// It was done just now and took `cost_s` seconds, while requests wait for
+    /// `wait_s` seconds: the longer they do, the smaller its part, as an answer
+    /// that comes too late costs a connection and a lease.
+    pub fn done(&mut self, cost_s: f64, wait_s: f64, now: Time) {
+        let pause = (cost_s / self.share * (1.0 + YIELDS * wait_s.clamp(0.0, 2.0)))
+            .clamp(self.least_s, self.most_s);
         self.next = now.after(pause);
     }
 }
--- a/crates/overload/tests/model.rs
+++ b/crates/overload/tests/model.rs
@@ -225,17 +225,22 @@
 fn a_duty_takes_no_more_than_its_part() {
     let mut pace = Pace::new(0.5, 5.0, 0.1);
     assert!(pace.due(Time(0.0)));
-    pace.done(0.001, Time(0.0));
+    pace.done(0.001, 0.0, Time(0.0));
     assert!(
         !pace.due(Time(0.4)) && pace.due(Time(0.5)),
         "its usual pause"
     );
-    pace.done(0.2, Time(1.0));
+    pace.done(0.2, 0.0, Time(1.0));
     assert!(
         !pace.due(Time(2.9)) && pace.due(Time(3.0)),
         "ten times its cost"
     );
-    pace.done(600.0, Time(10.0));
+    pace.done(0.1, 0.5, Time(5.0));
+    assert!(
+        !pace.due(Time(7.9)) && pace.due(Time(8.0)),
+        "a third of its part while requests wait"
+    );
+    pace.done(600.0, 0.0, Time(10.0));
     assert!(
         pace.due(Time(15.0)),
         "the process stood still: not for ever"
--- a/src/control/load.rs
+++ b/src/control/load.rs
@@ -44,6 +44,8 @@
 pub struct Load {
     /// What is asked for.
     pub counts: Counts,
+    /// How long requests wait to be read, in seconds, when last measured.
+    pub wait_s: Cell<f64>,
     pressure: RefCell<Pressure>,
     carry: RefCell<Carry>,
     spread: RefCell<Spread>,
@@ -186,6 +188,7 @@
                     .map_or(0.0, |c| c.claims_wait(now)),
                 cloud_wait_s: self.cloud.wait_s(),
             };
+            self.load.wait_s.set(sample.wait_s.max(0.0));
             let changed = self.load.pressure.borrow_mut().take(sample, now);
             let binds = self.load.pressure.borrow().binds(Resource::Processor);
             if let Some(c) = self.core.borrow_mut().as_mut() {
--- a/src/control/owning.rs
+++ b/src/control/owning.rs
@@ -53,7 +53,8 @@
         let begun = Instant::now();
         let result = duty();
         let cost = begun.elapsed().as_secs_f64();
-        pace.borrow_mut().done(cost, self.now());
+        pace.borrow_mut()
+            .done(cost, self.load.wait_s.get(), self.now());
         let spent = &self.load.counts.spent;
         spent.set(spent.get() + cost);
         result
