--- a/src/control/load.rs
+++ b/src/control/load.rs
@@ -205,7 +205,10 @@
                 let alone = crowd.helpers == 0 || spread.share() >= 1.0;
                 let mut carry = self.load.carry.borrow_mut();
                 carry.take(machines, sample.wait_s, binds && alone, now);
-                c.set_most_machines(carry.most());
+                // Nor more than all controllers together have sockets for.
+                let sockets = crowd.room * (self.cfg.others.len() + 1);
+                let most = carry.most().unwrap_or(usize::MAX).min(sockets);
+                c.set_most_machines(Some(most));
                 c.shed_placements(self.load.level() >= Level::Placements);
                 let claims = (self.state.writes.rate() * CLAIMS_S) as usize;
                 c.set_most_claiming(claims.max(2 * self.cfg.txn_ops));
