Sockets: a request refused unread leaves no second place among the idle

Seen on reading the change again: an unknown path, a wrong method or a broken body is answered without being noted as asked, so the connection was filed as idle twice, and the stale place could later be chosen to end in the place of a live one. Filing it again now removes the earlier place.

--- a/crates/overload/src/sockets.rs
+++ b/crates/overload/src/sockets.rs
@@ -142,6 +142,10 @@
         };
         if let Some(before) = self.all.insert(id, entry) {
             self.held[before.class as usize] -= 1;
+            // A request that was refused unread was never noted as asked.
+            if let Some(place) = before.idle {
+                self.idle[before.class as usize].remove(&place);
+            }
         }
         self.held[class as usize] += 1;
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -339,7 +339,7 @@
         }
         None if operators => operate(node, &path, &body).await,
         None if node.load().level() >= Level::Submissions => {
-            // Read no further: nothing costs less than this answer.
+            // Not even parsed: nothing costs less than this answer.
             count(&node.load().counts.shed);
             later(3, "too much is asked for now")
         }
