--- /dev/null
+++ b/crates/blocks/src/lib.rs
@@ -0,0 +1,15 @@
+//! The machines shared among the controllers, without I/O or clock:
+//!
+//! - [`served`]: what each class and team gets, and who starves;
+//! - [`shard`]: which block a machine or a job belongs to;
+//! - [`owners`]: who is granted which block, and which one moves next;
+//! - [`slices`]: each block's part of the teams' limits;
+//! - [`yields`]: tasks that one block leaves to another that has room.
+//!
+//! See `docs/blocks.md`.
+
+pub mod owners;
+pub mod served;
+pub mod shard;
+pub mod slices;
+pub mod yields;
--- /dev/null
+++ b/crates/blocks/src/yields.rs
@@ -0,0 +1,90 @@
+//! Tasks that one block leaves to another that has room.
+//!
+//! Jobs are placed by one block each, and machines come and go: one block's
+//! queue waits while another's machines idle. So a block says how much room it
+//! has beyond its own work, and others leave it tasks that found no place. That
+//! is a hint on both sides, with an end: whoever claims a task first in the
+//! job's record has it, and the other's claim fails there.
+
+use std::collections::BTreeMap;
+
+use sorrelhinge_protocol::types::{JobId, Time};
+
+use crate::shard::BlockId;
+
+/// A task is left to another for so long, in seconds; after that its own block
+/// places it again.
+pub const LEFT_S: f64 = 6.0;
+/// The other drops what it could not claim a little earlier.
+pub const TAKEN_S: f64 = 4.0;
+/// A job's tasks are left to others once they have waited so long, in seconds.
+const WAITED_S: f64 = 0.6;
+/// What is known of another's room is of use for so long, in seconds.
+const KNOWN_S: f64 = 2.5;
+
+/// A job whose tasks wait.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// Which.
+    pub job: JobId,
+    /// Since when tasks of it have found no place.
+    pub since: Time,
+    /// Tasks that wait.
+    pub tasks: u32,
+    /// Thousandths of a CPU that each takes.
+    pub cpu: i64,
+}
+
+/// So many tasks of a job are left to a block.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leave {
+    /// Of which job.
+    pub job: JobId,
+    /// To which block.
+    pub to: BlockId,
+    /// How many.
+    pub tasks: u32,
+}
+
+/// What is known of the other blocks' room.
+#[derive(Debug, Default)]
+pub struct Yields {
+    /// Thousandths of a CPU that are free there, less what was left there since.
+    room: BTreeMap<BlockId, (i64, Time)>,
+}
+
+impl Yields {
+    /// A block said how much room it has beyond its own work, in thousandths of
+    /// a CPU.
+    pub fn has_room(&mut self, block: BlockId, cpu: i64, now: Time) {
+        self.room.insert(block, (cpu.max(0), now));
+    }
+
+    /// Which tasks to leave to others, the first of `waiting` first.
+    pub fn leave(&mut self, waiting: &[Waiting], now: Time) -> Vec<Leave> {
+        self.room.retain(|_, (_, at)| now.since(*at) <= KNOWN_S);
+        let mut left = Vec::new();
+        for w in waiting.iter().filter(|w| now.since(w.since) >= WAITED_S) {
+            let cpu = w.cpu.max(1);
+            let mut tasks = w.tasks;
+            while tasks > 0 {
+                let most = self
+                    .room
+                    .iter_mut()
+                    .max_by_key(|(b, (free, _))| (*free, **b));
+                let Some((to, (free, _))) = most.filter(|(_, (free, _))| *free >= cpu) else {
+                    break;
+                };
+                let some = u32::try_from(*free / cpu).unwrap_or(u32::MAX).min(tasks);
+                *free -= cpu * i64::from(some);
+                tasks -= some;
+                left.push(Leave {
+                    job: w.job.clone(),
+                    to: *to,
+                    tasks: some,
+                });
+            }
+        }
+        left
+    }
+}
--- /dev/null
+++ b/crates/blocks/tests/model.rs
@@ -0,0 +1,470 @@
+//! The decisions over generated losses, moves and late messages, against slow
+//! plain models; and checkers that must reject a planner which hands out a
+//! machine or a limit twice.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use sorrelhinge_blocks::owners::{how_many, Held, Member, Owners, Step};
+use sorrelhinge_blocks::served::{Served, Sort, Waits};
+use sorrelhinge_blocks::shard::{of_job, of_machine, BlockId, Shard, MOST_BLOCKS};
+use sorrelhinge_blocks::slices::{divide, gift, Gift, Need};
+use sorrelhinge_blocks::yields::{Waiting, Yields};
+use sorrelhinge_protocol::types::{Amount, JobId, MachineId, NodeId, Time};
+
+fn cpu(cpu: i64) -> Amount {
+    Amount {
+        cpu,
+        gpu: cpu / 8,
+        ram: 0,
+    }
+}
+
+// ---- shards ---------------------------------------------------------------
+
+/// Every name belongs to exactly one block, evenly; with one block more, names
+/// only move to that one. Some are written down: another version must draw the
+/// same, or two owners would command one machine.
+#[test]
+fn names_are_divided_evenly_and_for_good() {
+    let machines: Vec<MachineId> = (0..6000)
+        .map(|n| MachineId::from(&*format!("vm-{n:06}")))
+        .collect();
+    for of in 1..=MOST_BLOCKS {
+        let mut count = vec![0; of as usize];
+        for m in &machines {
+            let block = of_machine(m, of);
+            count[block.0 as usize] += 1;
+            let covering = (0..of).filter(|b| {
+                Shard {
+                    block: BlockId(*b),
+                    of,
+                }
+                .covers(m)
+            });
+            assert_eq!(covering.count(), 1);
+            if of > 1 {
+                let before = of_machine(m, of - 1);
+                assert!(
+                    block == before || block.0 == of - 1,
+                    "moved to an old block"
+                );
+            }
+        }
+        let even = 6000 / of as i32;
+        assert!(
+            count.iter().all(|c| (c - even).abs() < even / 10),
+            "{count:?}"
+        );
+    }
+    let drawn: Vec<u32> = machines[..12].iter().map(|m| of_machine(m, 3).0).collect();
+    assert_eq!(drawn, DRAWN, "as every version draws");
+    assert_eq!(of_job(&JobId::from("run-000412"), 3), BlockId(DRAWN_JOB));
+}
+
+const DRAWN: [u32; 12] = [0, 1, 0, 1, 0, 0, 0, 0, 2, 1, 1, 0];
+const DRAWN_JOB: u32 = 1;
+
+// ---- owners ---------------------------------------------------------------
+
+/// What the state service holds, with transactions that may be late.
+#[derive(Clone, Debug, Default)]
+struct World {
+    blocks: BTreeMap<BlockId, (Held, u64)>,
+    alive: BTreeMap<NodeId, Member>,
+    /// What each process believes to own, by the number it was granted.
+    believes: BTreeMap<(NodeId, u64), BTreeMap<BlockId, u64>>,
+    late: Vec<(BlockId, u64, Held)>,
+    stamp: u64,
+}
+
+impl World {
+    fn held(&self) -> BTreeMap<BlockId, Held> {
+        self.blocks
+            .iter()
+            .map(|(b, (h, _))| (*b, h.clone()))
+            .collect()
+    }
+    /// A conditional write: carried out only if nobody wrote since.
+    fn write(&mut self, block: BlockId, stamp: u64, held: Held) -> bool {
+        let fits = self.blocks.get(&block).is_some_and(|(_, s)| *s == stamp);
+        if fits {
+            self.stamp += 1;
+            self.blocks.insert(block, (held, self.stamp));
+        }
+        fits
+    }
+    fn carry_out(&mut self, step: &Step, late: bool) {
+        let (block, held) = match step {
+            Step::Grant(b, to) => {
+                let run = self.alive[to].run;
+                (
+                    *b,
+                    Held {
+                        owner: to.clone(),
+                        run,
+                        to: None,
+                        pin: None,
+                    },
+                )
+            }
+            Step::Offer(b, to) => (
+                *b,
+                Held {
+                    to: Some(to.clone()),
+                    ..self.blocks[b].0.clone()
+                },
+            ),
+            Step::TakeBack(b) => (
+                *b,
+                Held {
+                    to: None,
+                    ..self.blocks[b].0.clone()
+                },
+            ),
+        };
+        let stamp = self.blocks[&block].1;
+        if late {
+            self.late.push((block, stamp, held));
+        } else {
+            self.write(block, stamp, held);
+        }
+    }
+    /// Owners read the records: who is not named any more stops.
+    fn read(&mut self) {
+        self.believes.clear();
+        for (block, (held, stamp)) in &self.blocks {
+            let key = (held.owner.clone(), held.run);
+            self.believes.entry(key).or_default().insert(*block, *stamp);
+        }
+    }
+    /// The checker: no block has two owners, each that is owned by somebody who
+    /// lives is owned by one process.
+    fn check(&self) -> Result<(), String> {
+        let mut seen = BTreeSet::new();
+        for blocks in self.believes.values() {
+            for block in blocks.keys() {
+                if !seen.insert(*block) {
+                    return Err(format!("block {block} is owned twice"));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn node(n: u8) -> NodeId {
+    NodeId::from(&*format!("c-{n}"))
+}
+
+proptest! {
+    /// Controllers die, come back, and steps are late or carried out by two
+    /// leaders: no block is ever owned twice, and once nothing fails any more
+    /// all are owned by those who live, as evenly as can be.
+    #[test]
+    fn blocks_have_one_owner_and_settle(
+        blocks in 1..=MOST_BLOCKS,
+        events in prop::collection::vec((0..5_u8, 0..5_u8, any::<bool>()), 0..120),
+        forced in any::<bool>(),
+    ) {
+        let mut world = World::default();
+        for n in 0..5 {
+            world.alive.insert(node(n), Member { run: 1 });
+        }
+        for b in 0..blocks {
+            let first = Held { owner: node(0), run: 1, to: None, pin: None };
+            world.blocks.insert(BlockId(b), (first, 0));
+        }
+        let mut leaders = [Owners::default(), Owners::default()];
+        let mut runs = 1;
+        let mut now = 0.0;
+        for (what, who, late) in events {
+            now += 0.4;
+            match what {
+                0 if world.alive.len() > 1 => { world.alive.remove(&node(who)); }
+                1 => {
+                    runs += 1;
+                    world.alive.insert(node(who), Member { run: runs });
+                }
+                2 if !world.late.is_empty() => {
+                    let (block, stamp, held) = world.late.remove(0);
+                    world.write(block, stamp, held);
+                }
+                3 => {
+                    // A giver hands on what is offered.
+                    let offered = world.blocks.iter().find_map(|(b, (h, s))| Some((*b, *s, h.to.clone()?)));
+                    if let Some((block, stamp, to)) = offered {
+                        if let Some(run) = world.alive.get(&to).map(|m| m.run) {
+                            let held = Held { owner: to, run, to: None, pin: None };
+                            world.write(block, stamp, held);
+                        }
+                    }
+                }
+                _ => {
+                    let leader = &mut leaders[usize::from(who % 2)];
+                    let every = forced.then_some(2.0);
+                    if let Some(step) = leader.next(&world.held(), &world.alive, every, Time(now)) {
+                        if let Step::Grant(b, _) = &step {
+                            let held = &world.blocks[b].0;
+                            let lives = world.alive.get(&held.owner).is_some_and(|m| m.run == held.run);
+                            prop_assert!(!lives, "granted away from one who lives");
+                        }
+                        if let Step::Grant(_, to) | Step::Offer(_, to) = &step {
+                            prop_assert!(world.alive.contains_key(to));
+                        }
+                        world.carry_out(&step, late);
+                    }
+                }
+            }
+            world.read();
+            prop_assert_eq!(world.check(), Ok(()));
+        }
+        world.late.clear();
+        let mut leader = Owners::default();
+        for _ in 0..200 {
+            now += 0.5;
+            if let Some(step) = leader.next(&world.held(), &world.alive, None, Time(now)) {
+                world.carry_out(&step, false);
+            }
+            let offered: Vec<_> = world.blocks.iter()
+                .filter_map(|(b, (h, s))| Some((*b, *s, h.to.clone()?))).collect();
+            for (block, stamp, to) in offered {
+                let Some(run) = world.alive.get(&to).map(|m| m.run) else {
+                    continue;
+                };
+                world.write(block, stamp, Held { owner: to, run, to: None, pin: None });
+            }
+        }
+        let mut count: BTreeMap<NodeId, usize> = world.alive.keys().map(|n| (n.clone(), 0)).collect();
+        for (held, _) in world.blocks.values() {
+            prop_assert_eq!(world.alive.get(&held.owner).map(|m| m.run), Some(held.run));
+            *count.get_mut(&held.owner).expect("alive") += 1;
+        }
+        let (most, least) = (count.values().max(), count.values().min());
+        prop_assert!(most.unwrap_or(&0) - least.unwrap_or(&0) <= 1, "{:?}", count);
+    }
+
+    // ---- slices -----------------------------------------------------------
+
+    /// Parts of limits move between blocks while claims come and go, gifts are
+    /// late, lost or carried out after the giver was told nothing: the parts
+    /// always add up to the limit, and what is used never passes it.
+    #[test]
+    fn what_is_used_never_passes_the_limit(
+        blocks in 2..=5_usize,
+        limit in 10..2000_i64,
+        events in prop::collection::vec((0..4_u8, 0..5_usize, 1..400_i64, 0..3_u8), 1..200),
+    ) {
+        let limits = [cpu(limit * 8)];
+        let none = vec![vec![Amount::default()]; blocks];
+        let parts = divide(&limits, &none).expect("nothing is used");
+        let mut slices: Vec<Amount> = parts.iter().map(|p| p[0]).collect();
+        // What each owner places up to: lowered before a gift is sent.
+        let mut bound = slices.clone();
+        let mut used = vec![0_i64; blocks];
+        let mut wants = vec![0_i64; blocks];
+        // A gift under way, sent with these slices as its condition.
+        let mut under_way: Option<(usize, Gift, Vec<Amount>)> = None;
+        for (what, block, n, fate) in events {
+            let b = block % blocks;
+            match what {
+                0 => {
+                    wants[b] = n;
+                    let room = bound[b].cpu - used[b];
+                    used[b] += n.min(room).max(0);
+                }
+                1 => used[b] -= n.min(used[b]),
+                2 if under_way.is_none() => {
+                    let needs: Vec<Vec<Need>> = (0..blocks).map(|i| vec![Need {
+                        slice: slices[i],
+                        used: cpu(used[i]),
+                        waits: cpu(wants[i]),
+                    }]).collect();
+                    if let Some(given) = gift(BlockId(b as u32), &needs) {
+                        let left = slices[b] - given.amounts[0];
+                        prop_assert!(cpu(used[b]).fits_team(left), "gave what is used");
+                        prop_assert!(given.to.0 as usize != b);
+                        bound[b] = left;
+                        under_way = Some((b, given, slices.clone()));
+                    }
+                }
+                _ => {
+                    if let Some((from, given, seen)) = under_way.take() {
+                        let to = given.to.0 as usize;
+                        let fits = seen[from] == slices[from] && seen[to] == slices[to];
+                        match fate {
+                            // Lost: the giver learns that, and takes up its part.
+                            0 => bound[from] = slices[from],
+                            // Carried out, but nobody knows yet.
+                            1 if fits => {
+                                slices[from] -= given.amounts[0];
+                                slices[to] += given.amounts[0];
+                                bound[to] += given.amounts[0];
+                            }
+                            // Late: it is still under way.
+                            _ => under_way = Some((from, given, seen)),
+                        }
+                    }
+                }
+            }
+            let sum = slices.iter().fold(Amount::default(), |s, a| s + *a);
+            prop_assert_eq!(sum, Amount { ram: 0, ..limits[0] });
+            prop_assert!(used.iter().sum::<i64>() <= limits[0].cpu, "more is used than allowed");
+        }
+    }
+
+    /// Parts follow demand: what one block needs alone it gets, but for what is
+    /// not worth a change.
+    #[test]
+    fn parts_go_where_work_waits(blocks in 2..=5_usize, hungry in 0..5_usize, limit in 100..5000_i64) {
+        let hungry = hungry % blocks;
+        let limits = [cpu(limit * 40)];
+        let none = vec![vec![Amount::default()]; blocks];
+        let mut slices: Vec<Amount> = divide(&limits, &none).expect("nothing is used")
+            .into_iter().map(|p| p[0]).collect();
+        for _ in 0..12 {
+            for b in 0..blocks {
+                let needs: Vec<Vec<Need>> = (0..blocks).map(|i| vec![Need {
+                    slice: slices[i],
+                    used: Amount::default(),
+                    waits: if i == hungry { limits[0] } else { Amount::default() },
+                }]).collect();
+                if let Some(given) = gift(BlockId(b as u32), &needs) {
+                    slices[b] -= given.amounts[0];
+                    slices[given.to.0 as usize] += given.amounts[0];
+                }
+            }
+        }
+        let others = (blocks - 1) as i64;
+        let least = limits[0].cpu - others * (limits[0].cpu / 40 + 1);
+        prop_assert!(slices[hungry].cpu >= least, "{:?}", slices);
+    }
+
+    // ---- served ---------------------------------------------------------
+
+    /// Whoever waits for longer than twice the usual wait starves, and nobody
+    /// else, by a plain list of all that happened.
+    #[test]
+    fn who_starves_is_told(
+        events in prop::collection::vec((0..3_u8, 0..2_u8, 0.0..120.0_f64), 0..80),
+        oldest in 0.0..400.0_f64,
+    ) {
+        let sort = |n: u8| -> Sort { (Arc::from(format!("class-{n}")), Arc::from("crew")) };
+        let mut served = Served::default();
+        let mut plain: BTreeMap<Sort, (u64, Vec<f64>)> = BTreeMap::new();
+        for (what, n, wait) in events {
+            let held = plain.entry(sort(n)).or_default();
+            match what {
+                0 => { served.accepted(&sort(n)); held.0 += 1; }
+                1 => { served.started(&sort(n), Some(wait)); held.1.push(wait); }
+                _ => served.done(&sort(n)),
+            }
+        }
+        let waits: BTreeMap<Sort, Waits> =
+            plain.keys().map(|s| (s.clone(), Waits { jobs: 1, oldest_s: oldest })).collect();
+        for line in served.lines(&waits) {
+            let (accepted, started) = &plain[&line.sort];
+            let usual = started.iter().copied().reduce(|mean, w| mean + 0.1 * (w - mean));
+            prop_assert_eq!((line.accepted, line.started), (*accepted, started.len() as u64));
+            prop_assert_eq!(line.starves, oldest > (2.0 * usual.unwrap_or(0.0)).max(30.0));
+        }
+    }
+
+    // ---- yields -----------------------------------------------------------
+
+    /// No more is left to a block than it has room for, nor more of a job than
+    /// waits; old news of room is not used.
+    #[test]
+    fn tasks_are_left_only_where_there_is_room(
+        rooms in prop::collection::vec((1..5_u32, 0..20_000_i64, 0.0..5.0_f64), 0..5),
+        jobs in prop::collection::vec((1..40_u32, 1..8_i64, 0.0..3.0_f64), 0..10),
+    ) {
+        let now = 5.0;
+        let mut yields = Yields::default();
+        let mut room: BTreeMap<u32, i64> = BTreeMap::new();
+        let mut in_order = rooms.clone();
+        in_order.sort_by(|a, b| a.2.total_cmp(&b.2));
+        for (block, free, at) in in_order {
+            yields.has_room(BlockId(block), free, Time(at));
+            room.insert(block, if now - at <= 2.5 { free } else { 0 });
+        }
+        let waiting: Vec<Waiting> = jobs.iter().enumerate().map(|(i, (tasks, cpus, age))| Waiting {
+            job: JobId::from(&*format!("run-{i:06}")),
+            since: Time(now - age),
+            tasks: *tasks,
+            cpu: cpus * 1000,
+        }).collect();
+        let mut left: BTreeMap<JobId, u32> = BTreeMap::new();
+        for leave in yields.leave(&waiting, Time(now)) {
+            let job = waiting.iter().find(|w| w.job == leave.job).expect("it waits");
+            prop_assert!(now - job.since.0 >= 0.6);
+            *room.entry(leave.to.0).or_insert(0) -= job.cpu * i64::from(leave.tasks);
+            *left.entry(leave.job).or_insert(0) += leave.tasks;
+        }
+        prop_assert!(room.values().all(|r| *r >= 0), "{:?}", room);
+        for w in &waiting {
+            prop_assert!(left.get(&w.job).copied().unwrap_or(0) <= w.tasks);
+            // Whoever waits long enough gets what room there is.
+            let all = left.get(&w.job).copied().unwrap_or(0) == w.tasks;
+            let none_fits = room.values().all(|r| *r < w.cpu);
+            prop_assert!(all || none_fits || now - w.since.0 < 0.6);
+        }
+    }
+}
+
+/// The checkers find what they are for: a planner that grants a block while its
+/// owner still believes in it, and a gift of what is used.
+#[test]
+fn the_checkers_reject_what_is_handed_out_twice() {
+    let mut world = World::default();
+    world.alive.insert(node(0), Member { run: 1 });
+    world
+        .believes
+        .entry((node(0), 1))
+        .or_default()
+        .insert(BlockId(0), 1);
+    world
+        .believes
+        .entry((node(1), 1))
+        .or_default()
+        .insert(BlockId(0), 2);
+    assert!(world.check().is_err());
+    assert_eq!(divide(&[cpu(800)], &[vec![cpu(500)], vec![cpu(400)]]), None);
+}
+
+/// A write that is late never undoes a newer one.
+#[test]
+fn a_late_step_of_a_deposed_leader_changes_nothing() {
+    let mut world = World::default();
+    for n in 0..3 {
+        world.alive.insert(node(n), Member { run: 1 });
+    }
+    let held = Held {
+        owner: node(0),
+        run: 1,
+        to: None,
+        pin: None,
+    };
+    world.blocks.insert(BlockId(0), (held, 0));
+    world.carry_out(&Step::Offer(BlockId(0), node(1)), true);
+    world.alive.remove(&node(0));
+    let step = Owners::default().next(&world.held(), &world.alive, None, Time(9.0));
+    let Some(step @ Step::Grant(..)) = step else {
+        panic!("{step:?}");
+    };
+    world.carry_out(&step, false);
+    let granted = world.blocks[&BlockId(0)].clone();
+    let (block, stamp, late) = world.late.remove(0);
+    assert!(!world.write(block, stamp, late));
+    assert_eq!(world.blocks[&BlockId(0)], granted);
+}
+
+#[test]
+fn there_are_no_more_blocks_than_controllers() {
+    assert_eq!(how_many(1, 5), 1);
+    assert_eq!(how_many(3, 5), 3);
+    assert_eq!(how_many(5, 3), 3);
+    assert_eq!(how_many(9, 9), MOST_BLOCKS);
+    assert_eq!(how_many(0, 0), 1);
+}
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -135,3 +135,69 @@
     /// Drains.
     pub drains: Vec<DrainShown>,
 }
+
+/// One team in one block.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TeamShown {
+    /// Its name.
+    pub team: String,
+    /// CPUs of its limit that are this block's part.
+    pub part_cpus: f64,
+    /// CPUs used; none: the block's owner has not told of late.
+    pub used_cpus: Option<f64>,
+    /// CPUs that wait to be placed; likewise.
+    pub waiting_cpus: Option<f64>,
+}
+
+/// One block.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct BlockShown {
+    /// Its number.
+    pub block: u32,
+    /// Its owner, as recorded.
+    pub owner: Option<String>,
+    /// Whether that lives.
+    pub alive: bool,
+    /// Its grant's number.
+    pub grant: u64,
+    /// To whom it is offered.
+    pub to: Option<String>,
+    /// Where an operator wants it.
+    pub pin: Option<String>,
+    /// Machines, up and on their way; none: its owner has not told of late.
+    pub machines: Option<u32>,
+    /// Why its owner has it.
+    pub why: String,
+    /// Teams.
+    pub teams: Vec<TeamShown>,
+}
+
+/// The answer of `GET /v1/blocks`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct BlocksShown {
+    /// Who leads.
+    pub leader: Option<String>,
+    /// All blocks.
+    pub blocks: Vec<BlockShown>,
+}
+
+/// The body of `POST /v1/blocks`: pins a block, or takes its pin off.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct PinAsked {
+    /// Which.
+    #[garde(range(max = 1_000))]
+    pub block: u32,
+    /// To which controller; none: to none.
+    #[serde(default)]
+    #[garde(inner(length(bytes, min = 1, max = 200)))]
+    pub to: Option<String>,
+}
+
+impl PinAsked {
+    /// Whether all values are within their ranges.
+    pub fn check(&self) -> Result<(), String> {
+        self.validate()
+            .map_err(|report| first_error(&report, "blocks"))
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -112,6 +112,8 @@
     /// How many sockets each controller may have; the operating system refuses
     /// more. None: as many as it likes.
     pub sockets: Option<usize>,
+    /// More of the operators' own settings.
+    pub properties: &'static str,
     /// The program, and a folder for files and logs.
     pub program: PathBuf,
     pub folder: PathBuf,
@@ -206,7 +208,8 @@
                 }
             })
             .collect();
-        std::fs::write(folder.join("local.properties"), "leader.lease.s=1\n").expect("written");
+        let properties = format!("leader.lease.s=1\n{}", plan.properties);
+        std::fs::write(folder.join("local.properties"), properties).expect("written");
         let mut world = Self {
             store,
             nodes,
--- a/src/api.rs
+++ b/src/api.rs
@@ -89,9 +89,9 @@
 }
 
 impl Heard for ForPeers {
-    fn hint(&self, revision: Revision, from: &NodeId, standing: peer::Standing) {
+    fn hint(&self, revision: Revision, from: &NodeId, standing: peer::Standing, flags: u16) {
         self.0.hinted(revision);
-        self.0.stands(from, standing);
+        self.0.stands(from, standing, flags);
     }
 
     fn homed(&self, text: &[u8]) -> Answered {
@@ -113,6 +113,10 @@
         }
     }
 
+    fn share(&self, kind: peer::Kind, text: &[u8]) {
+        self.0.told_of_shares(kind, text);
+    }
+
     fn heard(&self, machines: &[peer::HeardOf]) {
         self.0.heard_of(machines);
     }
@@ -135,9 +139,13 @@
                     Ok(report) => beat_reply(node.passed_via(&report, &text).await),
                     Err(_) => refuse(400, "malformed report"),
                 },
-                peer::Kind::Hint | peer::Kind::Answer | peer::Kind::Homed | peer::Kind::Heard => {
-                    refuse(400, "not a request")
-                }
+                peer::Kind::Hint
+                | peer::Kind::Answer
+                | peer::Kind::Homed
+                | peer::Kind::Heard
+                | peer::Kind::Needs
+                | peer::Kind::Rented
+                | peer::Kind::Left => refuse(400, "not a request"),
             };
             let status = answer.status().as_u16();
             let text = match answer.into_body().collect().await {
@@ -209,6 +217,11 @@
 async fn operate(node: &Node, path: &str, body: &[u8]) -> Reply {
     let answer = match path {
         "/v1/topology" => node.show().map(|shown| json!(shown)),
+        "/v1/blocks" if body.is_empty() => Ok(json!(node.show_blocks())),
+        "/v1/blocks" => match serde_json::from_slice(body) {
+            Ok(asked) => node.pin(&asked).await.map(|()| json!({})),
+            Err(error) => Err(Refused::Wrong(format!("blocks: {error}"))),
+        },
         "/v1/drains" => match serde_json::from_slice(body) {
             Ok(asked) => node.drain(&asked).await.map(|n| json!({ "number": n })),
             Err(error) => Err(Refused::Wrong(format!("drain: {error}"))),
@@ -300,11 +313,11 @@
     let post = method == Method::POST;
     let job = path.strip_prefix("/v1/jobs/");
     let cancel = job.and_then(|rest| rest.strip_suffix("/withdraw"));
-    if path == "/v1/topology" && method == Method::GET {
+    if matches!(path.as_str(), "/v1/topology" | "/v1/blocks") && method == Method::GET {
         conn.asked(Class::User);
         return operate(node, &path, &[]).await;
     }
-    let operators = matches!(path.as_str(), "/v1/drains" | "/v1/undrains");
+    let operators = matches!(path.as_str(), "/v1/drains" | "/v1/undrains" | "/v1/blocks");
     let known = operators
         || matches!(path.as_str(), "/healthz" | "/v1/jobs" | "/agent/beat")
         || cancel
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -11,7 +11,9 @@
 use hyper::Method;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
-use sorrelhinge_protocol::operators::{DrainAsked, Target, TopologyShown, UndrainAsked};
+use sorrelhinge_protocol::operators::{
+    BlocksShown, DrainAsked, PinAsked, Target, TopologyShown, UndrainAsked,
+};
 use sorrelhinge_topology::settings::Settings;
 use sorrelhinge_topology::Topology;
 
@@ -60,6 +62,43 @@
     /// Failure domains and devices.
     #[command(subcommand)]
     Topology(TopologyCommand),
+    /// The machines' blocks and who owns them.
+    #[command(subcommand)]
+    Blocks(BlocksCommand),
+}
+
+/// The machines' blocks and who owns them.
+#[derive(Subcommand, Debug)]
+pub enum BlocksCommand {
+    /// Show blocks, owners, machines, parts of limits, moves under way, and why
+    /// each is where it is.
+    Show {
+        /// As JSON.
+        #[arg(long)]
+        json: bool,
+        /// Whom to ask.
+        #[command(flatten)]
+        controllers: Controllers,
+    },
+    /// Move a block to a controller, and keep it there while that lives.
+    Move {
+        /// The block's number.
+        block: u32,
+        /// The controller's name.
+        #[arg(long, value_name = "NODE")]
+        to: String,
+        /// Whom to ask.
+        #[command(flatten)]
+        controllers: Controllers,
+    },
+    /// Let a block go wherever balance takes it.
+    Free {
+        /// The block's number.
+        block: u32,
+        /// Whom to ask.
+        #[command(flatten)]
+        controllers: Controllers,
+    },
 }
 
 /// Failure domains and devices.
@@ -269,5 +308,64 @@
             ))
         }
         Command::Topology(TopologyCommand::Schema) => Ok(Settings::schema()),
+        Command::Blocks(BlocksCommand::Show { json, controllers }) => {
+            let shown: BlocksShown =
+                ask(&controllers, Method::GET, "/v1/blocks", Bytes::new()).await?;
+            if json {
+                let text = serde_json::to_string_pretty(&shown).map_err(|e| e.to_string())?;
+                return Ok(text + "\n");
+            }
+            Ok(blocks_table(&shown))
+        }
+        Command::Blocks(BlocksCommand::Move {
+            block,
+            to,
+            controllers,
+        }) => {
+            let told = format!("block {block} goes to {to}, and stays there\n");
+            pin(&controllers, block, Some(to)).await.map(|()| told)
+        }
+        Command::Blocks(BlocksCommand::Free { block, controllers }) => {
+            let told = format!("block {block} goes wherever balance takes it\n");
+            pin(&controllers, block, None).await.map(|()| told)
+        }
+    }
+}
+
+async fn pin(controllers: &Controllers, block: u32, to: Option<String>) -> Result<(), String> {
+    let asked = PinAsked { block, to };
+    asked.check()?;
+    let body = serde_json::to_vec(&asked).map_err(|e| e.to_string())?;
+    let _: serde_json::Value = ask(controllers, Method::POST, "/v1/blocks", body.into()).await?;
+    Ok(())
+}
+
+fn blocks_table(shown: &BlocksShown) -> String {
+    let mut out = String::new();
+    let told = |n: Option<f64>| n.map_or("?".into(), |n| format!("{n:.1}"));
+    // Writing to a string does not fail.
+    let _ = writeln!(out, "leader: {}", shown.leader.as_deref().unwrap_or("none"));
+    for b in &shown.blocks {
+        let machines = b.machines.map_or("?".into(), |n| n.to_string());
+        let _ = writeln!(
+            out,
+            "block {}: {}{}, grant {}, {machines} machines; {}",
+            b.block,
+            b.owner.as_deref().unwrap_or("nobody"),
+            if b.alive { "" } else { " (gone)" },
+            b.grant,
+            b.why
+        );
+        for t in &b.teams {
+            let _ = writeln!(
+                out,
+                "  {:<24} part {:>8.1} CPUs, used {:>8}, waiting {:>8}",
+                t.team,
+                t.part_cpus,
+                told(t.used_cpus),
+                told(t.waiting_cpus)
+            );
+        }
     }
+    out
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -207,6 +207,11 @@
     pub floor: f64,
     /// Whether lower priorities and borrowers are stopped for others.
     pub preempt: bool,
+    /// The machines are divided into at least so many blocks.
+    pub blocks_least: u32,
+    /// A block moves to another controller so often, in seconds, even if nothing
+    /// asks for it; none: only if something does.
+    pub move_every_s: Option<f64>,
 }
 
 impl Default for Tuning {
@@ -220,6 +225,8 @@
             headroom: 0.5,
             floor: 0.35,
             preempt: true,
+            blocks_least: 1,
+            move_every_s: None,
         }
     }
 }
@@ -258,6 +265,13 @@
                 "fleet.idle.s" => t.idle_s = number(key, value, 0.0, 86_400.0)?,
                 "fleet.headroom" => t.headroom = number(key, value, 0.0, 10.0)?,
                 "fleet.floor" => t.floor = number(key, value, 0.0, 10.0)?,
+                "blocks.least" => {
+                    let most = f64::from(sorrelhinge_blocks::shard::MOST_BLOCKS);
+                    t.blocks_least = number(key, value, 1.0, most)? as u32;
+                }
+                "blocks.move.every.s" => {
+                    t.move_every_s = Some(number(key, value, 2.0, 86_400.0)?);
+                }
                 "preempt" => {
                     t.preempt = value
                         .trim()
--- a/src/control/core/gone.rs
+++ b/src/control/core/gone.rs
@@ -14,6 +14,7 @@
 
 /// The names to write, and where.
 pub(super) struct Gone {
+    step: u32,
     slot: u32,
     written: GoneRecord,
     fresh: Vec<MachineId>,
@@ -22,10 +23,14 @@
 
 impl Gone {
     /// Goes on where the last owner was: in the list that was written last.
-    pub(super) fn load(view: &View) -> Self {
-        let last = view.gone.iter().max_by_key(|(_, held)| held.stamp);
+    /// Each of several owners has slots of its own.
+    pub(super) fn load(view: &View, shard: Shard) -> Self {
+        let own = |slot: &u32| slot % shard.of == shard.block.0;
+        let last = view.gone.iter().filter(|(slot, _)| own(slot));
+        let last = last.max_by_key(|(_, held)| held.stamp);
         Self {
-            slot: last.map_or(0, |(slot, _)| *slot),
+            step: shard.of,
+            slot: last.map_or(shard.block.0, |(slot, _)| *slot),
             written: last.map_or(
                 GoneRecord {
                     version: GoneRecord::VERSION,
@@ -56,7 +61,10 @@
         let weight = |names: &[MachineId]| names.iter().map(GoneRecord::weight).sum::<usize>();
         let room = value_bytes * 3 / 4;
         if weight(&self.written.machines) + weight(&self.fresh) > room {
-            self.slot = (self.slot + 1) % GONE_SLOTS;
+            self.slot += self.step;
+            if self.slot >= GONE_SLOTS {
+                self.slot %= self.step;
+            }
             self.written.machines.clear();
         }
         let mut left = room;
--- a/src/control/core/links.rs
+++ b/src/control/core/links.rs
@@ -104,6 +104,9 @@
         if report.baton.grant() > self.grant {
             return false;
         }
+        if !self.shard.covers(&report.machine) {
+            return true;
+        }
         let Some(link) = self.link(
             &report.machine,
             report.addr,
@@ -308,7 +311,8 @@
                     job.failures = 0;
                     job.tasks.all_done()
                 });
-                if all_done == Some(true) {
+                // Another block's jobs are done when that has read so.
+                if all_done == Some(true) && self.shard.homes(&task.job) {
                     self.pending.finished(task.job.clone());
                 }
                 if let Some(link) = self.links.get_mut(id) {
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -12,7 +12,10 @@
 mod moving;
 mod record;
 mod renting;
+mod sharing;
 
+use sorrelhinge_blocks::served::{Served, Sort, Waits};
+use sorrelhinge_blocks::shard::Shard;
 use sorrelhinge_overload::carry::Uptake;
 use sorrelhinge_topology::drain::Drain;
 use sorrelhinge_topology::renting::Memory;
@@ -20,6 +23,7 @@
 use sorrelhinge_topology::Topology;
 
 use self::gone::Gone;
+pub use self::sharing::{LeftTo, Places};
 use super::pending::{ChunkId, Due, Pending};
 use crate::cloud::{Listed, MachinePhase, Rental};
 use crate::config::Config;
@@ -27,7 +31,7 @@
 use crate::sched::{
     Board, Claim, DelayRule, Job, Launch, Machine, Pass, Progress, Sent, Tasks, Team,
 };
-use crate::state::record::{chunk_key, job_key, ChunkRecord, JobRecord, Phase, GRANT};
+use crate::state::record::{block_key, chunk_key, job_key, ChunkRecord, JobRecord, Phase};
 use crate::state::view::{JobEntry, Versioned, View};
 use crate::state::{Change, Txn, When};
 use crate::types::{
@@ -136,6 +140,17 @@
     /// The grant's number and the revision that wrote it.
     pub grant: u64,
     grant_stamp: Revision,
+    /// Which block it is.
+    pub shard: Shard,
+    /// It is handed on: nothing more is claimed, and what is under way settles.
+    frozen_since: Option<Time>,
+    /// Room that others' tasks may take, and what was left to others.
+    sharing: sharing::Sharing,
+    places: Places,
+    served: Served,
+    last_served: Time,
+    /// Who starved when that was last told.
+    starved: BTreeSet<Sort>,
     types: HashMap<TypeName, Rc<MachineType>>,
     links: BTreeMap<MachineId, Link>,
     coming: BTreeMap<MachineId, Coming>,
@@ -197,6 +212,16 @@
     last_look: Time,
 }
 
+/// How often it is told who is served, in seconds, and how often at the most if
+/// that changes.
+const SERVED_S: f64 = 30.0;
+const SERVED_LEAST_S: f64 = 5.0;
+
+/// What a job counts as among those that are served.
+fn sort_of(job: &Job) -> Sort {
+    (job.spec.class.clone(), job.spec.team.clone())
+}
+
 /// Part of its start aim after which room is made for a job.
 const PREEMPT_START: f64 = 0.15;
 /// The same for other jobs, as a multiple of their patience.
@@ -234,13 +259,35 @@
 const SERVICE_ROOM: f64 = 1.7;
 
 impl Core {
-    /// Takes up the grant: everything recorded is on the board, and every
-    /// claim counts until a report that carries the new token says otherwise.
+    /// Takes up the grant of all machines.
     pub fn load(
         cfg: Rc<Config>,
         types: &[MachineType],
         view: &View,
-        (grant, grant_stamp): (u64, Revision),
+        grant: (u64, Revision),
+        topology: Option<Rc<Topology>>,
+        now: Time,
+        wall_ms: u64,
+    ) -> Self {
+        Self::load_block(
+            cfg,
+            types,
+            view,
+            (Shard::WHOLE, grant, Places::default()),
+            topology,
+            now,
+            wall_ms,
+        )
+    }
+
+    /// Takes up the grant of a block: everything recorded of it is on the board,
+    /// and every claim counts until a report that carries the new token says
+    /// otherwise.
+    pub fn load_block(
+        cfg: Rc<Config>,
+        types: &[MachineType],
+        view: &View,
+        (shard, (grant, grant_stamp), places): (Shard, (u64, Revision), Places),
         topology: Option<Rc<Topology>>,
         now: Time,
         wall_ms: u64,
@@ -251,8 +298,8 @@
             .map(|t| Team {
                 name: t.name.clone(),
                 guarantee: t.guarantee,
-                // One block holds all machines, so its slice of a limit is
-                // the whole limit.
+                // Of one block that holds all machines; of several each has
+                // its part, see `look_at_limits`.
                 limit: t.limit,
                 used: Amount::default(),
                 held_back: Amount::default(),
@@ -263,6 +310,13 @@
             board: Board::new(teams),
             grant,
             grant_stamp,
+            shard,
+            frozen_since: None,
+            sharing: sharing::Sharing::default(),
+            places,
+            served: Served::default(),
+            last_served: now,
+            starved: BTreeSet::new(),
             types: HashMap::new(),
             links: BTreeMap::new(),
             coming: BTreeMap::new(),
@@ -287,7 +341,7 @@
             missing: BTreeMap::new(),
             arrivals: BTreeMap::new(),
             deleted: BTreeMap::new(),
-            gone: Gone::load(view),
+            gone: Gone::load(view, shard),
             gone_before: view
                 .gone
                 .values()
@@ -311,7 +365,11 @@
         core.set_types(types);
         core.board.set_topology(topology, |_| None);
         core.set_drains(view, now);
-        for (accepted_ms, spec) in view.history.arrivals() {
+        core.look_at_limits(view);
+        // Of several blocks each places an equal part of what comes.
+        let part = view.history.arrivals().enumerate();
+        let part = part.filter(|(n, _)| *n as u32 % shard.of == shard.block.0);
+        for (_, (accepted_ms, spec)) in part {
             let age = wall_ms.saturating_sub(*accepted_ms) as f64 / 1000.0;
             core.arrived(spec, Time(now.0 - age));
         }
@@ -329,12 +387,19 @@
     }
 
     fn add_job(&mut self, id: &JobId, entry: &JobEntry, now: Time, wall_ms: u64) {
+        if self.shard.homes(id) || self.claims_here(entry) {
+            self.add_known(id, entry, now, wall_ms);
+        }
+    }
+
+    fn add_known(&mut self, id: &JobId, entry: &JobEntry, now: Time, wall_ms: u64) {
         let record = &entry.record.value;
         let over = record.phase != Phase::Live;
+        let homed = self.shard.homes(id);
         // A done job's tasks have all ended, whatever a chunk that was not
         // deleted yet still claims.
-        if record.phase == Phase::Done || over && !entry.claims_any() {
-            for &chunk in entry.chunks.keys() {
+        if record.phase == Phase::Done || over && !self.claims_here(entry) {
+            for &chunk in entry.chunks.keys().filter(|_| homed) {
                 self.pending.useless((id.clone(), chunk), now);
             }
             return;
@@ -359,6 +424,9 @@
             }
             for (place, attempt, machine) in &held.claims {
                 let index = chunk * record.chunk + place;
+                if !self.shard.covers(machine) {
+                    continue;
+                }
                 if self.gone_before.contains(machine) {
                     // Its task went with it, recorded or not.
                     self.pending.released((id.clone(), chunk), now);
@@ -393,7 +461,14 @@
         let devices = job.spec.wishes.as_ref();
         let holds = devices.is_some_and(|w| w.lost || !w.devices.is_empty());
         let all_done = job.tasks.all_done();
-        self.board.add_job(id.clone(), job);
+        if homed && !over {
+            self.served.accepted(&sort_of(&job));
+            if !claims.is_empty() || job.tasks.done() > 0 {
+                self.served.started(&sort_of(&job), None);
+            }
+        }
+        let started = !claims.is_empty() || job.tasks.done() > 0;
+        self.board.add_job(id.clone(), Job { started, ..job });
         for (index, attempt, machine, units) in claims {
             let claim = Claim {
                 attempt,
@@ -414,7 +489,8 @@
                 claim,
             );
         }
-        if all_done && !over {
+        self.share(id, entry);
+        if all_done && !over && homed {
             self.pending.finished(id.clone());
         }
         // A gang that was claimed in part, or lost a part, starts anew.
@@ -499,7 +575,7 @@
             let Some(entry) = view.job(id) else { continue };
             match self.board.job(id) {
                 None => {
-                    if entry.record.value.phase == Phase::Live {
+                    if entry.record.value.phase == Phase::Live && self.shard.homes(id) {
                         self.add_job(id, entry, now, wall_ms);
                         if let Some(job) = self.board.job(id) {
                             let (spec, at) = (job.spec.clone(), job.submitted);
@@ -508,7 +584,9 @@
                     }
                 }
                 Some(job) => {
-                    if entry.record.value.phase == Phase::Cancelled && !job.cancelled {
+                    let cancelled = job.cancelled;
+                    self.catch_up(id, entry, now);
+                    if entry.record.value.phase == Phase::Cancelled && !cancelled {
                         self.board.edit_job(id, |job| job.cancelled = true);
                         self.pending.not_finished(id);
                         self.settle_stopped(id, now);
@@ -521,27 +599,29 @@
 
     /// Removes a job that is over and leaves nothing behind.
     fn forget_job(&mut self, view: &View, id: &JobId, now: Time) {
-        let over = view
-            .job(id)
-            .is_some_and(|e| e.record.value.phase != Phase::Live);
-        if !over {
-            return;
-        }
+        let Some(entry) = view.job(id) else { return };
+        let over = entry.record.value.phase != Phase::Live;
         let Some(job) = self.board.job(id) else {
             return;
         };
-        if !job.tasks.claims().is_empty() {
+        let homed = job.tasks.at_home();
+        if !over && (homed || job.tasks.pending() > 0) || !job.tasks.claims().is_empty() {
             return;
         }
-        if let Some(entry) = view.job(id) {
-            // The job's own record is not to claim anything for ever.
-            if entry.record.value.inline.is_some() && entry.claims_any() {
-                self.pending.released((id.clone(), 0), now);
-                return;
-            }
-            for &chunk in entry.chunks.keys() {
-                self.pending.useless((id.clone(), chunk), now);
+        if !homed {
+            // What it claimed here is first taken out of the record.
+            if !self.claims_here(entry) {
+                self.board.remove_job(id);
             }
+            return;
+        }
+        // The job's own record is not to claim anything for ever.
+        if entry.record.value.inline.is_some() && self.claims_here(entry) {
+            self.pending.released((id.clone(), 0), now);
+            return;
+        }
+        for &chunk in entry.chunks.keys() {
+            self.pending.useless((id.clone(), chunk), now);
         }
         self.board.remove_job(id);
     }
@@ -619,6 +699,12 @@
             tracing::debug!(task = %launch.task, machine = %launch.machine, cached = launch.cached, "claim");
             let job = self.board.job(&launch.task.job);
             let hurry = job.is_some_and(|j| j.start_within.is_some());
+            let first = job.filter(|j| !j.started && j.tasks.at_home());
+            if let Some((sort, wait_s)) = first.map(|j| (sort_of(j), now.since(j.submitted))) {
+                self.served.started(&sort, Some(wait_s));
+                self.board.edit_job(&launch.task.job, |j| j.started = true);
+            }
+            let job = self.board.job(&launch.task.job);
             self.claimed_cpu += job.map_or(0, |j| j.spec.each.cpu);
             self.pending
                 .claimed(self.chunk_of(&launch.task), hurry, now);
@@ -636,6 +722,9 @@
 
     /// Walks one machine, after its report.
     pub fn walk(&mut self, id: &MachineId, now: Time) {
+        if self.is_frozen() {
+            return;
+        }
         if self
             .pass
             .as_ref()
@@ -669,7 +758,7 @@
     /// Places what can be placed anywhere, if work arrived or waits may have
     /// passed.
     pub fn place_all(&mut self, now: Time) {
-        if std::mem::take(&mut self.walk_all) && self.board.has_work() {
+        if !self.is_frozen() && std::mem::take(&mut self.walk_all) && self.board.has_work() {
             let launches = self.board.place(self.rule(), now);
             self.launched(launches, now);
         }
@@ -688,6 +777,7 @@
             self.last_look = now;
             self.board.look_at_dues(now);
             self.look_at_drains(now);
+            self.tell_served(now);
             if self.unheard_yet {
                 self.look_who_is_heard(now);
             }
@@ -702,9 +792,46 @@
         self.place(now);
     }
 
+    /// Says in the log what each class and team gets, now and then and when it
+    /// changes who starves.
+    fn tell_served(&mut self, now: Time) {
+        let mut waits: BTreeMap<Sort, Waits> = BTreeMap::new();
+        for (_, job) in self.board.wanting().filter(|(_, j)| !j.started) {
+            let w = waits.entry(sort_of(job)).or_default();
+            w.jobs += 1;
+            w.oldest_s = w.oldest_s.max(now.since(job.submitted));
+        }
+        let lines = self.served.lines(&waits);
+        let starving = lines.iter().filter(|l| l.starves);
+        let starving: BTreeSet<Sort> = starving.map(|l| l.sort.clone()).collect();
+        let due = match starving == self.starved {
+            true => SERVED_S,
+            false => SERVED_LEAST_S,
+        };
+        if now.since(self.last_served) < due {
+            return;
+        }
+        self.last_served = now;
+        self.starved = starving;
+        for l in lines {
+            tracing::info!(
+                block = %self.shard.block,
+                class = %l.sort.0,
+                team = %l.sort.1,
+                accepted = l.accepted,
+                started = l.started,
+                done = l.done,
+                waiting = l.waits.jobs,
+                oldest_s = (l.waits.oldest_s * 10.0).round() / 10.0,
+                starves = l.starves,
+                "served"
+            );
+        }
+    }
+
     /// Stops tasks for others that have waited too long.
     pub fn preempt(&mut self, now: Time) {
-        if self.cfg.tuning.preempt && now.since(self.started) > 3.0 {
+        if self.cfg.tuning.preempt && now.since(self.started) > 3.0 && !self.is_frozen() {
             // Stopping costs more than it brings unless the wait is long for
             // the job's own aims: whoever is stopped waits in turn, and its
             // image may have to be fetched again.
--- a/src/control/core/record.rs
+++ b/src/control/core/record.rs
@@ -13,11 +13,18 @@
         self.pending.claims_wait(now)
     }
 
-    pub(super) fn snapshot(&self, id: &JobId, chunk: u32) -> Option<ChunkRecord> {
+    /// A chunk as it should be recorded: what other blocks hold of it, as in
+    /// `held`, stays as it is.
+    pub(super) fn snapshot(
+        &self,
+        id: &JobId,
+        chunk: u32,
+        held: Option<&ChunkRecord>,
+    ) -> Option<ChunkRecord> {
         let job = self.board.job(id)?;
         let size = job.tasks.chunk_size();
         let from = chunk * size;
-        let claims = job
+        let mut claims: Vec<(u32, Attempt, MachineId)> = job
             .tasks
             .claims()
             .range(from..from + size)
@@ -30,16 +37,29 @@
             .wishes
             .as_ref()
             .is_some_and(|w| !w.devices.is_empty());
-        let units = job
+        let mut units: Vec<_> = job
             .tasks
             .claims()
             .range(from..from + size)
             .filter(|(_, c)| devices && !c.unnamed)
             .map(|(&i, c)| (i - from, c.units.clone()))
             .collect();
+        let mut next_attempt = job.tasks.next_attempt(chunk);
+        let mut done = job.tasks.done_bits(chunk);
+        if let Some(held) = held.filter(|_| self.shard.is_part()) {
+            let theirs = |c: &&(u32, Attempt, MachineId)| !self.shard.covers(&c.2);
+            let theirs: Vec<_> = held.claims.iter().filter(theirs).cloned().collect();
+            let of = |place: u32| theirs.iter().any(|c| c.0 == place);
+            units.extend(held.units.iter().filter(|(p, _)| of(*p)).cloned());
+            units.sort_by_key(|(place, _)| *place);
+            claims.extend(theirs);
+            claims.sort_by_key(|c| c.0);
+            next_attempt = next_attempt.max(held.next_attempt);
+            done |= held.done;
+        }
         Some(ChunkRecord {
-            next_attempt: job.tasks.next_attempt(chunk),
-            done: job.tasks.done_bits(chunk),
+            next_attempt,
+            done,
             claims,
             units,
         })
@@ -58,7 +78,7 @@
         let mut batch = Batch {
             txn: Txn {
                 when: vec![When {
-                    key: GRANT.into(),
+                    key: self.grant_key(),
                     stamp: self.grant_stamp,
                 }],
                 apply: Vec::new(),
@@ -90,7 +110,7 @@
                 // A completed job's record alone says it; its chunks can go.
                 Due::Finished(_) => Some(held.done()),
                 Due::Chunk((_, chunk)) if held.inline.is_some() => {
-                    let Some(inline) = self.snapshot(&id, *chunk) else {
+                    let Some(inline) = self.snapshot(&id, *chunk, held.inline.as_ref()) else {
                         continue;
                     };
                     if held.inline.as_ref() == Some(&inline) || held.phase == Phase::Done {
@@ -112,7 +132,7 @@
                     let over = held.phase != Phase::Live;
                     let held = entry.chunks.get(&chunk);
                     let keep = self
-                        .snapshot(&id, chunk)
+                        .snapshot(&id, chunk, held.map(|h| &h.value))
                         .filter(|r| !over || !r.claims.is_empty());
                     let change = match &keep {
                         Some(record) if held.is_some_and(|h| h.value == *record) => None,
@@ -174,6 +194,9 @@
         }
         for (id, value) in batch.jobs {
             if value.phase == Phase::Done {
+                if let Some(sort) = self.board.job(&id).map(sort_of) {
+                    self.served.done(&sort);
+                }
                 tracing::info!(job = %id, "done");
             }
             if let Some(inline) = &value.inline {
@@ -238,7 +261,7 @@
                 (None, _) => self.pending.useless((id, chunk), now),
             }
         }
-        view.grant.stamp == self.grant_stamp
+        self.still_granted(view)
     }
 }
 
--- a/src/control/core/renting.rs
+++ b/src/control/core/renting.rs
@@ -55,7 +55,7 @@
         for (i, team) in self.cfg.teams.iter().enumerate() {
             let held = most.get(&team.name).copied().unwrap_or_default();
             // A small part of the limit only.
-            let held = if held.cpu * 10 <= team.limit.cpu {
+            let held = if held.cpu * 10 <= self.board.teams()[i].limit.cpu {
                 held
             } else {
                 Amount::default()
@@ -232,6 +232,9 @@
 
     /// Machines to delete now, and machines to rent.
     pub fn fleet(&mut self, now: Time) -> (Vec<MachineId>, Vec<Rental>) {
+        if self.is_frozen() {
+            return (Vec::new(), Vec::new());
+        }
         if now.since(self.last_fleet) >= FLEET_LOG_S {
             self.last_fleet = now;
             self.log_fleet();
@@ -400,8 +403,12 @@
             self.renting += 1;
             rentals.push(Rental {
                 // Unique: the grant's number was written before, and this
-                // owner counts its own requests.
-                hire: format!("r-{}-{}", self.grant, self.rentals),
+                // owner counts its own requests. Two blocks' grants may have the
+                // same number.
+                hire: match self.shard.is_part() {
+                    true => format!("r-{}-{}-{}", self.grant, self.shard.block, self.rentals),
+                    false => format!("r-{}-{}", self.grant, self.rentals),
+                },
                 build: want.kind,
                 rack: want.zone,
                 loaners: want.spot,
@@ -422,7 +429,7 @@
                 if short(machines.len()) {
                     self.refused.insert(key, now.after(10.0));
                 }
-                for id in machines {
+                for id in machines.into_iter().filter(|m| self.shard.covers(m)) {
                     if !self.links.contains_key(&id) {
                         self.coming.insert(
                             id,
@@ -443,6 +450,21 @@
         }
     }
 
+    /// Another owner rented machines, some of which belong to this block.
+    pub fn rented_for(&mut self, sort: (&TypeName, &Zone, bool), machine: &MachineId, now: Time) {
+        let known = self.links.contains_key(machine) || self.deleted.contains_key(machine);
+        if self.shard.covers(machine) && !known {
+            let (kind, zone, spot) = sort;
+            let coming = || Coming {
+                kind: kind.clone(),
+                zone: zone.clone(),
+                spot,
+                since: now,
+            };
+            self.coming.entry(machine.clone()).or_insert_with(coming);
+        }
+    }
+
     /// Machines were deleted: they and their tasks are gone.
     pub fn deleted(&mut self, machines: &[MachineId], now: Time) {
         for id in machines {
--- a/src/control/drains.rs
+++ b/src/control/drains.rs
@@ -34,7 +34,7 @@
             return Ok(What::Domain(text.to_owned()));
         }
         let known = |c: &Core| c.board.machines().contains_key(&MachineId::from(text));
-        match self.core.borrow().as_ref() {
+        match self.cores.borrow().values().next() {
             Some(c) if known(c) => Ok(What::Machine(text.to_owned())),
             Some(_) => Err(Refused::Wrong(format!(
                 "there is no domain {text:?} in the file, and no machine of that name"
@@ -163,8 +163,9 @@
     /// Domains, devices and drains, with what only the owner knows.
     pub fn show(&self) -> Result<TopologyShown, Refused> {
         let topology = self.topology().ok_or(Refused::Off)?;
-        let core = self.core.borrow();
-        let Some(core) = core.as_ref() else {
+        let cores = self.cores.borrow();
+        // With a topology all machines are one block.
+        let Some(core) = cores.values().next() else {
             return Err(self.elsewhere());
         };
         let tree = &topology.tree;
--- a/src/control/following.rs
+++ b/src/control/following.rs
@@ -66,7 +66,7 @@
     pub(super) async fn follow(self: Rc<Self>) {
         loop {
             let ok = self.read_new(FOLLOW).await;
-            let leading = self.core.borrow().is_some();
+            let leading = !self.cores.borrow().is_empty();
             let pause = match (ok, leading) {
                 (false, _) => 250,
                 (true, true) => 50,
@@ -131,31 +131,45 @@
             self.behind_since.set(None);
         }
         let changed = view.take_changed();
-        let mut core = self.core.borrow_mut();
-        if let Some(c) = core.as_mut() {
-            if view.grant.value.number > c.grant {
-                tracing::info!(
-                    grant = view.grant.value.number,
-                    "the block was granted anew: standing down"
-                );
-                *core = None;
-                self.lease.set(None);
-                self.set_share(false);
-            } else {
-                c.set_drains(&view, self.now());
+        let mut cores = self.cores.borrow_mut();
+        let before = cores.len();
+        cores.retain(|block, c| {
+            let kept = match c.shard.is_part() || view.block_count() > 1 {
+                true => c.still_granted(&view),
+                false => view.grant.value.number <= c.grant,
+            };
+            if !kept {
+                tracing::info!(%block, grant = c.grant, "the block was granted anew: standing down");
             }
+            kept
+        });
+        let mut shares = cores.len() < before;
+        if shares && view.block_count() == 1 {
+            // Without a block it does not lead either.
+            self.lease.set(None);
         }
-        if let Some(c) = core.as_mut() {
+        for c in cores.values_mut() {
+            c.set_drains(&view, self.now());
+            c.look_at_limits(&view);
             if !changed.is_empty() {
                 c.jobs_changed(&view, &changed, self.now(), wall_ms());
-                self.work.notify_one();
             }
         }
+        drop(cores);
+        shares |= self.take_up(&view);
+        self.heed_offers(&view);
         let leaderless = view.leader.value.is_none();
-        drop(core);
         drop(view);
+        if shares {
+            self.set_share();
+            self.shares_changed.notify_one();
+        }
+        if !changed.is_empty() {
+            self.work.notify_one();
+        }
         if leaderless {
             self.leader_changed.notify_one();
+            self.shares_changed.notify_one();
         }
     }
 }
--- a/src/control/leading.rs
+++ b/src/control/leading.rs
@@ -32,6 +32,10 @@
             if !loaded {
                 continue;
             }
+            if self.view.borrow().block_count() > 1 {
+                self.enlist(life).await;
+                continue;
+            }
             // The key goes with its lease, unless an earlier run of this very
             // controller wrote it: that run is over.
             let stamp = match &leader.value {
@@ -54,7 +58,7 @@
         let Ok(lease) = self.state.lease(life).await else {
             return;
         };
-        let held = self.core.borrow().as_ref().map(|c| c.grant);
+        let held = self.cores.borrow().values().next().map(|c| c.grant);
         let kept = held == Some(grant.value.number);
         let term = Term(grant.value.term.0 + u64::from(!kept));
         let leader = LeaderRecord {
@@ -114,7 +118,6 @@
             return;
         }
         tracing::info!(term = %grant.term, grant = grant.number, "leading");
-        self.set_share(true);
         let core = Core::load(
             self.cfg.clone(),
             &self.types.borrow(),
@@ -124,7 +127,8 @@
             self.now(),
             wall_ms(),
         );
-        *self.core.borrow_mut() = Some(core);
+        self.cores.borrow_mut().insert(BlockId(0), core);
+        self.set_share();
         self.inherit_spread();
         self.work.notify_one();
     }
@@ -133,10 +137,19 @@
     /// leader's, who claims and completes; the others accept and cancel, a few
     /// at a time, so they may ask for some at once. Where that comes to too
     /// much together, the service says so, and who asked waits.
-    pub(super) fn set_share(&self, leading: bool) {
+    ///
+    /// Of several blocks, each owner has the leader's part of it for its block,
+    /// and each controller an equal part of what is left.
+    pub(super) fn set_share(&self) {
         let others = self.cfg.others.len() as f64;
-        let part = |leader: f64| match (leading, others > 0.0) {
+        let cores = self.cores.borrow();
+        let blocks = cores.values().next().map_or(1, |c| c.shard.of);
+        let blocks = f64::from(blocks.max(self.view_blocks()));
+        let here = cores.len() as f64;
+        drop(cores);
+        let part = |leader: f64| match (here > 0.0, others > 0.0) {
             (_, false) => 1.0,
+            _ if blocks > 1.0 => leader * here / blocks + (1.0 - leader) / (others + 1.0),
             (true, true) => leader,
             (false, true) => (1.0 - leader) / others,
         };
@@ -153,15 +166,17 @@
 
     /// A worker has seen the token of a newer grant, so there is one, whether
     /// or not the state service can be asked about it.
-    pub(super) fn deposed(&self) {
-        tracing::info!("a newer grant commands: standing down");
-        self.stand_down();
+    pub(super) fn deposed(&self, block: BlockId) {
+        tracing::info!(%block, "a newer grant commands: standing down");
+        self.stand_down(block);
         self.sync_wanted.notify_one();
     }
 
-    pub(super) fn stand_down(&self) {
-        *self.core.borrow_mut() = None;
-        self.lease.set(None);
-        self.set_share(false);
+    pub(super) fn stand_down(&self, block: BlockId) {
+        let core = self.cores.borrow_mut().remove(&block);
+        if core.is_some_and(|c| !c.shard.is_part()) {
+            self.lease.set(None);
+        }
+        self.set_share();
     }
 }
--- a/src/control/load.rs
+++ b/src/control/load.rs
@@ -76,13 +76,13 @@
 
 impl Node {
     /// Another controller said how it stands.
-    pub fn stands(&self, node: &NodeId, standing: peer::Standing) {
+    pub fn stands(&self, node: &NodeId, standing: peer::Standing, flags: u16) {
         let known = self.cfg.others.iter().any(|o| o.node == *node);
         if known {
             let now = Instant::now();
             self.standings
                 .borrow_mut()
-                .insert(node.clone(), (now, standing));
+                .insert(node.clone(), (now, standing, flags));
         }
     }
 
@@ -90,8 +90,8 @@
         let standings = self.standings.borrow();
         standings
             .get(node)
-            .filter(|(at, _)| at.elapsed() < STANDING)
-            .map(|(_, s)| *s)
+            .filter(|(at, ..)| at.elapsed() < STANDING)
+            .map(|(_, s, _)| *s)
             .unwrap_or_default()
     }
 
@@ -113,7 +113,7 @@
     }
 
     fn tell_standing(&self) {
-        let leading = self.core.borrow().is_some();
+        let leading = !self.cores.borrow().is_empty();
         let share = if leading {
             (self.load.spread.borrow().share() * 1000.0).round() as u16
         } else {
@@ -130,7 +130,7 @@
     /// A new owner goes on where the last one was.
     pub(super) fn inherit_spread(&self) {
         let before = self.standings.borrow();
-        let share = before.values().map(|(_, s)| s.share).max().unwrap_or(0);
+        let share = before.values().map(|(_, s, _)| s.share).max().unwrap_or(0);
         *self.load.spread.borrow_mut() = Spread::from_share(f64::from(share) / 1000.0);
     }
 
@@ -141,7 +141,7 @@
 
     /// The controller that a worker of ours is to report to instead.
     pub(super) fn home_of(&self, machine: &MachineId) -> Option<NodeId> {
-        if self.core.borrow().is_none() || self.load.spread.borrow().share() == 0.0 {
+        if !self.owns(machine) || self.load.spread.borrow().share() == 0.0 {
             return None;
         }
         let helpers = self.helpers(true);
@@ -189,17 +189,19 @@
                     .max(passed - LOOK.as_secs_f64() - 0.02),
                 sockets: self.connections.used(),
                 change_wait_s: self
-                    .core
+                    .cores
                     .borrow()
-                    .as_ref()
-                    .map_or(0.0, |c| c.claims_wait(now)),
+                    .values()
+                    .map(|c| c.claims_wait(now))
+                    .fold(0.0, f64::max),
                 cloud_wait_s: self.cloud.wait_s(),
             };
             self.load.wait_s.set(sample.wait_s.max(0.0));
             let changed = self.load.pressure.borrow_mut().take(sample, now);
             let binds = self.load.pressure.borrow().binds(Resource::Processor);
-            if let Some(c) = self.core.borrow_mut().as_mut() {
-                let machines = c.machines();
+            let mut cores = self.cores.borrow_mut();
+            if !cores.is_empty() {
+                let machines: usize = cores.values().map(Core::machines).sum();
                 let mut spread = self.load.spread.borrow_mut();
                 let crowd = Crowd {
                     machines,
@@ -215,16 +217,21 @@
                 let mut carry = self.load.carry.borrow_mut();
                 carry.take(machines, sample.wait_s, binds && alone, now);
                 // Nor more than all controllers together have sockets for.
-                let sockets = crowd.room * (self.cfg.others.len() + 1);
+                let here = cores.len();
+                let blocks = cores.values().next().map_or(1, |c| c.shard.of as usize);
+                let sockets = crowd.room * (self.cfg.others.len() + 1) * here / blocks.max(1);
                 let most = carry.most().unwrap_or(usize::MAX).min(sockets);
-                c.set_most_machines(Some(most));
-                c.shed_placements(self.load.level() >= Level::Placements);
-                let claims = (self.state.writes.rate() * CLAIMS_S) as usize;
-                c.set_most_claiming(claims.max(2 * self.cfg.txn_ops));
-                if binds {
-                    c.hears_badly(now);
+                let claims = (self.state.writes.rate() * CLAIMS_S) as usize / here;
+                for c in cores.values_mut() {
+                    c.set_most_machines(Some(most / here));
+                    c.shed_placements(self.load.level() >= Level::Placements);
+                    c.set_most_claiming(claims.max(2 * self.cfg.txn_ops));
+                    if binds {
+                        c.hears_badly(now);
+                    }
                 }
             }
+            drop(cores);
             self.tell_standing();
             if changed || logged.elapsed() >= LOG {
                 let over = logged.elapsed().as_secs_f64().max(1e-3);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,14 +8,17 @@
 mod owning;
 pub mod pending;
 mod renewing;
+mod sharing;
 mod users;
 mod workers;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use sorrelhinge_blocks::owners::Owners;
+use sorrelhinge_blocks::shard::{of_machine, BlockId, Shard};
 use sorrelhinge_overload::pace::Pace;
 use sorrelhinge_overload::renewal::Renewals;
 use sorrelhinge_overload::sockets::Limits;
@@ -29,7 +32,10 @@
 use crate::config::Config;
 use crate::peer::{self, Peers};
 use crate::serve::Connections;
-use crate::state::record::{job_key, GrantRecord, JobRecord, LeaderRecord, Phase, GRANT, LEADER};
+use crate::state::record::{
+    block_key, job_key, member_key, slice_key, BlockRecord, Fence, GrantRecord, JobRecord,
+    LeaderRecord, MapRecord, MemberRecord, Phase, SliceRecord, GRANT, LEADER, MAP,
+};
 use crate::state::view::{Summary, Versioned, View};
 use crate::state::{Change, Outcome, StateClient, StateError, Txn, Urgency, When};
 use crate::types::{JobId, JobSpec, LeaseId, MachineId, MachineType, NodeId, Revision, Term, Time};
@@ -72,7 +78,15 @@
     paces: Paces,
     load: load::Load,
     view: RefCell<View>,
-    core: RefCell<Option<Core>>,
+    /// What this controller knows of each block that it owns; while there is one
+    /// block, it has number 0.
+    cores: RefCell<BTreeMap<BlockId, Core>>,
+    /// Where machines are, of all blocks.
+    places: core::Places,
+    /// What it remembers as leader of who owns what.
+    owners: RefCell<Owners>,
+    /// What other blocks use and want, and since when that is known.
+    needs: RefCell<HashMap<BlockId, (Instant, crate::shares::Needs)>>,
     types: RefCell<Vec<MachineType>>,
     /// Failure domains and devices, if the feature is on.
     topology: RefCell<Option<Rc<Topology>>>,
@@ -90,13 +104,14 @@
     work: Notify,
     record: Notify,
     leader_changed: Notify,
+    shares_changed: Notify,
     submissions: Cell<usize>,
     sent_on: RefCell<HashMap<MachineId, SentOn>>,
     /// What was answered for owners, and the machines to tell them of.
     renewals: RefCell<Renewals>,
     heard_for: RefCell<Vec<(NodeId, peer::HeardOf)>>,
     /// How the other controllers stand, and since when that is known.
-    standings: RefCell<HashMap<NodeId, (Instant, peer::Standing)>>,
+    standings: RefCell<HashMap<NodeId, (Instant, peer::Standing, u16)>>,
 }
 
 /// Duties that look at the whole fleet.
@@ -176,7 +191,10 @@
             cloud,
             peers,
             view: RefCell::default(),
-            core: RefCell::new(None),
+            cores: RefCell::default(),
+            places: core::Places::default(),
+            owners: RefCell::default(),
+            needs: RefCell::default(),
             types: RefCell::default(),
             topology: RefCell::new(topology),
             run: rand::random(),
@@ -192,6 +210,7 @@
             work: Notify::new(),
             record: Notify::new(),
             leader_changed: Notify::new(),
+            shares_changed: Notify::new(),
             submissions: Cell::new(0),
             sent_on: RefCell::default(),
             renewals: RefCell::default(),
@@ -199,7 +218,7 @@
             standings: RefCell::default(),
             cfg,
         });
-        node.set_share(false);
+        node.set_share();
         node
     }
 
@@ -226,8 +245,8 @@
     /// Takes up the operator's file, new or changed.
     pub fn set_topology(&self, topology: Rc<Topology>) {
         *self.topology.borrow_mut() = Some(topology.clone());
-        if let Some(c) = self.core.borrow_mut().as_mut() {
-            c.set_topology(Some(topology), self.now());
+        for c in self.cores.borrow_mut().values_mut() {
+            c.set_topology(Some(topology.clone()), self.now());
         }
         self.work.notify_one();
     }
@@ -248,5 +267,7 @@
         spawn_local(self.clone().learn_types());
         spawn_local(self.clone().watch_load());
         spawn_local(self.clone().tell_heard());
+        spawn_local(self.clone().share_out());
+        spawn_local(self.clone().tell_needs());
     }
 }
--- a/src/control/owning.rs
+++ b/src/control/owning.rs
@@ -5,23 +5,29 @@
 /// A look at the whole fleet that takes so long, in seconds, is told of in the
 /// log: everything else waits for it.
 const LONG_S: f64 = 0.4;
+/// Machines whose place is remembered beyond twice those that are listed.
+const PLACES_MORE: usize = 1000;
 
 impl Node {
     /// Runs what is due on the core: walks, recording, commands.
     pub(super) fn drive(self: &Rc<Self>) {
         let now = self.now();
-        let mut core = self.core.borrow_mut();
-        let Some(c) = core.as_mut() else { return };
-        if self.paces.walk.borrow().due(now) {
-            self.timed("walk", &self.paces.walk, || c.place(now));
-        }
-        self.place_all(c, now);
-        if c.has_urgent() {
-            self.record.notify_one();
+        let mut cores = self.cores.borrow_mut();
+        let walks = self.paces.walk.borrow().due(now);
+        let mut sends = Vec::new();
+        for (block, c) in cores.iter_mut() {
+            if walks {
+                self.timed("walk", &self.paces.walk, || c.place(now));
+            }
+            self.place_all(c, now);
+            if c.has_urgent() {
+                self.record.notify_one();
+            }
+            let some = c.dispatch(&self.view.borrow(), now);
+            sends.extend(some.into_iter().map(|send| (*block, send)));
         }
-        let sends = c.dispatch(&self.view.borrow(), now);
-        drop(core);
-        for send in sends {
+        drop(cores);
+        for (block, send) in sends {
             let node = self.clone();
             spawn_local(async move {
                 let outcome = match send_orders(send.addr, &send.orders).await {
@@ -33,13 +39,13 @@
                 };
                 let now = node.now();
                 let mine = node
-                    .core
+                    .cores
                     .borrow_mut()
-                    .as_mut()
+                    .get_mut(&block)
                     .filter(|c| c.grant == send.orders.baton.grant())
                     .map(|c| c.dispatched(&send.machine, outcome, now));
                 if mine == Some(false) {
-                    node.deposed();
+                    node.deposed(block);
                 }
                 node.drive();
             });
@@ -80,45 +86,63 @@
 
     /// Records claims and results, one transaction at a time.
     pub(super) async fn pump(self: Rc<Self>) {
+        let mut last = BlockId(0);
         loop {
             // Also now and then for what is not urgent.
             let _ = timeout(TICK, self.record.notified()).await;
             loop {
                 let batch = {
-                    let mut core = self.core.borrow_mut();
+                    let mut cores = self.cores.borrow_mut();
                     let view = self.view.borrow();
                     let spare = self.state.writes.spare();
                     let now = self.now();
-                    core.as_mut().and_then(|c| {
+                    // The blocks take turns.
+                    let (before, after): (Vec<_>, Vec<_>) =
+                        cores.iter_mut().partition(|(block, _)| **block <= last);
+                    let mut turns = after.into_iter().chain(before);
+                    turns.find_map(|(block, c)| {
                         let batch = c.next_batch(&view, self.cfg.txn_ops, spare, now)?;
-                        Some((c.grant, batch))
+                        Some((*block, c.grant, batch))
                     })
                 };
-                let Some((grant, batch)) = batch else { break };
-                self.record_batch(grant, batch).await;
+                let Some((block, grant, batch)) = batch else {
+                    break;
+                };
+                last = block;
+                self.record_batch(block, grant, batch).await;
                 self.drive();
             }
+            self.hand_on().await;
         }
     }
 
-    pub(super) async fn record_batch(self: &Rc<Self>, grant: u64, batch: core::Batch) {
-        let ours = |c: &mut Option<Core>| c.as_ref().is_some_and(|c| c.grant == grant);
+    pub(super) async fn record_batch(
+        self: &Rc<Self>,
+        block: BlockId,
+        grant: u64,
+        batch: core::Batch,
+    ) {
+        let ours = || {
+            let cores = self.cores.borrow();
+            cores.get(&block).is_some_and(|c| c.grant == grant)
+        };
         loop {
             let result = self
                 .state
                 .txn(&batch.txn, Urgency::Within(Duration::from_secs(3)))
                 .await;
-            if !ours(&mut self.core.borrow_mut()) {
+            if !ours() {
                 return;
             }
             match result {
                 Ok(Outcome::Done(revision)) => {
-                    let mut core = self.core.borrow_mut();
+                    let mut cores = self.cores.borrow_mut();
                     let mut view = self.view.borrow_mut();
-                    if let Some(c) = core.as_mut() {
+                    if let Some(c) = cores.get_mut(&block) {
                         c.committed(batch, revision, &mut view, self.now());
                     }
                     drop(view);
+                    drop(cores);
                     self.peers.announce(revision);
                     return;
                 }
@@ -127,18 +151,18 @@
                         if !self.fresh().await {
                             sleep(Duration::from_millis(100)).await;
                         }
-                        if !ours(&mut self.core.borrow_mut()) {
+                        if !ours() {
                             return;
                         }
                     }
-                    let mut core = self.core.borrow_mut();
-                    let kept = core
-                        .as_mut()
+                    let mut cores = self.cores.borrow_mut();
+                    let kept = cores
+                        .get_mut(&block)
                         .is_none_or(|c| c.conflicted(batch, &self.view.borrow(), self.now()));
-                    drop(core);
+                    drop(cores);
                     if !kept {
-                        tracing::info!("the grant is not ours any more");
-                        self.stand_down();
+                        tracing::info!(%block, "the grant is not ours any more");
+                        self.stand_down(block);
                     }
                     return;
                 }
@@ -159,11 +183,12 @@
             if last.elapsed() >= TICK {
                 last = Instant::now();
                 let now = self.now();
-                if let Some(c) = self.core.borrow_mut().as_mut() {
+                let preempts = self.paces.preempt.borrow().due(now);
+                for c in self.cores.borrow_mut().values_mut() {
                     c.tick(now);
                     // What has a place needs nobody stopped.
                     self.place_all(c, now);
-                    if self.paces.preempt.borrow().due(now) {
+                    if preempts {
                         self.timed("preempt", &self.paces.preempt, || c.preempt(now));
                     }
                 }
@@ -176,7 +201,7 @@
         loop {
             match self.cloud.types().await {
                 Ok(types) => {
-                    if let Some(c) = self.core.borrow_mut().as_mut() {
+                    for c in self.cores.borrow_mut().values_mut() {
                         c.set_types(&types);
                     }
                     *self.types.borrow_mut() = types;
@@ -200,16 +225,36 @@
         loop {
             sleep(Duration::from_secs_f64(pause)).await;
             pause = 0.5;
-            if self.core.borrow().is_none() {
+            if self.cores.borrow().is_empty() {
                 continue;
             }
             match self.cloud.list().await {
                 Ok(list) => {
-                    pause = least.max(list.len() as f64 / LISTED_A_SECOND);
+                    // Of several owners each reads it, so each less often.
+                    let owners = self.owners_of_blocks() as f64;
+                    pause = least.max(list.len() as f64 / LISTED_A_SECOND) * owners.sqrt();
                     let now = self.now();
-                    if let Some(c) = self.core.borrow_mut().as_mut() {
-                        c.listed(&list, now);
+                    if self.view_blocks() > 1 {
+                        let zones = list.iter().map(|m| (m.uid.clone(), m.rack.clone()));
+                        let mut places = self.places.borrow_mut();
+                        // Those that were rented since are not listed yet.
+                        if places.len() > 2 * list.len() + PLACES_MORE {
+                            places.clear();
+                        }
+                        places.extend(zones);
                     }
+                    let mut cores = self.cores.borrow_mut();
+                    for c in cores.values_mut() {
+                        c.look_elsewhere(&self.view.borrow());
+                        let shard = c.shard;
+                        if shard.is_part() {
+                            let own = list.iter().filter(|m| shard.covers(&m.uid));
+                            c.listed(&own.cloned().collect::<Vec<_>>(), now);
+                        } else {
+                            c.listed(&list, now);
+                        }
+                    }
+                    drop(cores);
                     self.drive();
                 }
                 Err(error) => tracing::info!(%error, "machine list"),
@@ -229,29 +274,28 @@
             if !self.paces.fleet.borrow().due(now) {
                 continue;
             }
-            let plan = self.core.borrow_mut().as_mut().map(|c| {
-                (
-                    c.grant,
-                    self.timed("fleet", &self.paces.fleet, || c.fleet(now)),
-                )
-            });
-            let Some((grant, (gone, rentals))) = plan else {
-                continue;
-            };
+            let mut gone: Vec<MachineId> = Vec::new();
+            let mut rentals = Vec::new();
+            for (block, c) in self.cores.borrow_mut().iter_mut() {
+                let plan = self.timed("fleet", &self.paces.fleet, || c.fleet(now));
+                gone.extend(plan.0);
+                rentals.extend(plan.1.into_iter().map(|r| (*block, c.grant, r)));
+            }
             for machines in gone.chunks(100) {
                 match self.cloud.delete(machines).await {
                     Ok(()) => {
                         tracing::info!(?machines, "deleted");
                         let now = self.now();
-                        if let Some(c) = self.core.borrow_mut().as_mut() {
-                            c.deleted(machines, now);
+                        for c in self.cores.borrow_mut().values_mut() {
+                            let own = machines.iter().filter(|m| c.shard.covers(m));
+                            c.deleted(&own.cloned().collect::<Vec<_>>(), now);
                         }
                         self.drive();
                     }
                     Err(error) => tracing::info!(%error, "delete"),
                 }
             }
-            for rental in rentals {
+            for (block, grant, rental) in rentals {
                 let node = self.clone();
                 spawn_local(async move {
                     let result = node.cloud.rent(&rental).await;
@@ -265,8 +309,12 @@
                             Err(matches!(error, CloudError::NoCapacity))
                         }
                     };
+                    if let Ok(machines) = &result {
+                        node.tell_rented(&rental, machines);
+                    }
                     let now = node.now();
-                    if let Some(c) = node.core.borrow_mut().as_mut().filter(|c| c.grant == grant) {
+                    let mut cores = node.cores.borrow_mut();
+                    if let Some(c) = cores.get_mut(&block).filter(|c| c.grant == grant) {
                         c.rented(&rental, result, now);
                     }
                 });
--- a/src/control/pending.rs
+++ b/src/control/pending.rs
@@ -75,6 +75,14 @@
         self.results.remove(&chunk);
         self.trash.entry(chunk).or_insert(now);
     }
+    /// Whether claims of a chunk wait to be recorded.
+    pub fn claims(&self, chunk: &ChunkId) -> bool {
+        self.claimed.contains_key(chunk)
+    }
+    /// Whether any claims wait to be recorded.
+    pub fn claims_any(&self) -> bool {
+        !self.claims.is_empty()
+    }
     /// How long the claim has waited that is recorded next, in seconds.
     pub fn claims_wait(&self, now: Time) -> f64 {
         let next = self.claims.first_key_value();
--- a/src/control/users.rs
+++ b/src/control/users.rs
@@ -54,8 +54,9 @@
 
     /// Why a job waits, if this controller places it and knows.
     pub fn why_waits(&self, id: &JobId) -> Option<String> {
-        let core = self.core.borrow();
-        core.as_ref()?.board.why_waits(id, self.now())
+        let cores = self.cores.borrow();
+        let mut here = cores.values().filter(|c| c.shard.homes(id));
+        here.find_map(|c| c.board.why_waits(id, self.now()))
     }
 
     /// Whether a job is known to be over: that never changes.
--- a/src/control/workers.rs
+++ b/src/control/workers.rs
@@ -129,12 +129,13 @@
     /// Takes a worker's report as the block's owner.
     pub fn own_beat(self: &Rc<Self>, report: &Report, source: Source) -> Beat {
         let now = self.now();
-        let mut core = self.core.borrow_mut();
+        let block = self.block_of(&report.machine);
+        let mut cores = self.cores.borrow_mut();
         let mut reply = None;
-        if let Some(c) = core.as_mut() {
+        if let Some(c) = cores.get_mut(&block) {
             if !c.report(report, source, now) {
-                drop(core);
-                self.deposed();
+                drop(cores);
+                self.deposed(block);
                 return Beat::Unavailable;
             }
             if self.knows_the_cancelled() {
@@ -144,14 +145,14 @@
                 reply = Some(c.reply(&report.machine, &self.view.borrow(), now));
             }
         }
-        let leading = core.is_some();
-        drop(core);
-        if leading {
+        let owning = cores.contains_key(&block);
+        drop(cores);
+        if owning {
             self.drive();
             return reply.map_or(Beat::Unavailable, Beat::Reply);
         }
-        match &self.view.borrow().leader.value {
-            Some(l) if l.node != self.cfg.node => Beat::Elsewhere(l.node.clone()),
+        match self.owner_of(block) {
+            Some(owner) if owner != self.cfg.node => Beat::Elsewhere(owner),
             _ => Beat::Unavailable,
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod peer;
 pub mod sched;
 pub mod serve;
+pub mod shares;
 pub mod state;
 pub mod worker;
 
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -67,9 +67,16 @@
     Homed,
     /// Machines that were heard: [`HeardOf`] entries. No answer.
     Heard,
+    /// What a block uses and wants ([`crate::shares`]), as the next two are. No
+    /// answer, and only while there are several blocks.
+    Needs,
+    /// Machines that were rented.
+    Rented,
+    /// Tasks left to a block.
+    Left,
 }
 
-const KINDS: [Kind; 8] = [
+const KINDS: [Kind; 11] = [
     Kind::Hint,
     Kind::Beat,
     Kind::Via,
@@ -78,6 +85,9 @@
     Kind::Answer,
     Kind::Homed,
     Kind::Heard,
+    Kind::Needs,
+    Kind::Rented,
+    Kind::Left,
 ];
 
 /// How every message begins: fixed layout, little-endian. `length` bytes of
@@ -92,7 +102,8 @@
     kind: U16,
     number: U64,
     status: U16,
-    reserved: U16,
+    /// Of a hint: what its sender knows, see [`Message::flags`].
+    flags: U16,
     length: U32,
 }
 
@@ -179,6 +190,9 @@
     }
 }
 
+/// The sender knows that there may be several blocks.
+pub const BLOCKS: u16 = 1;
+
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Message {
@@ -188,6 +202,9 @@
     pub number: u64,
     /// An answer's HTTP status.
     pub status: u16,
+    /// Of a hint: what its sender knows ([`BLOCKS`]). Earlier versions send 0,
+    /// and do not look.
+    pub flags: u16,
     /// A body.
     pub text: Vec<u8>,
     /// It may wait for company before it is sent.
@@ -208,7 +225,7 @@
             kind: U16::new(kind as u16),
             number: U64::new(self.number),
             status: U16::new(self.status),
-            reserved: U16::new(0),
+            flags: U16::new(self.flags),
             length: U32::new(length),
         };
         let mut bytes = header.as_bytes().to_vec();
@@ -228,6 +245,7 @@
             kind,
             number: header.number.get(),
             status: header.status.get(),
+            flags: header.flags.get(),
             text: Vec::new(),
             waits: false,
         };
@@ -321,6 +339,7 @@
                 kind: Kind::Hint,
                 number: self.newest.get().0,
                 status: self.standing.get().encode(),
+                flags: BLOCKS,
                 text: self.name.clone().into_bytes(),
                 waits: false,
             });
@@ -335,6 +354,20 @@
             .map(|(node, _)| node)
     }
 
+    /// Tells another controller something about blocks. What finds no room is lost.
+    pub fn share(&self, node: &NodeId, kind: Kind, text: Vec<u8>) {
+        if let Some(line) = self.lines.get(node).filter(|l| l.connected.get()) {
+            let _ = line.out.try_send(Message {
+                kind,
+                number: 0,
+                status: 0,
+                flags: 0,
+                text,
+                waits: false,
+            });
+        }
+    }
+
     /// Tells the owner of machines that they were heard. What finds no room is
     /// lost: the next report of each goes to the owner itself, by and by.
     pub fn heard(&self, owner: &NodeId, machines: &[HeardOf]) {
@@ -346,6 +379,7 @@
                 kind: Kind::Heard,
                 number: 0,
                 status: 0,
+                flags: 0,
                 text: some.as_bytes().to_vec(),
                 waits: true,
             });
@@ -366,6 +400,7 @@
             kind,
             number,
             status: 0,
+            flags: 0,
             text,
             waits: kind == Kind::Homed,
         };
@@ -429,11 +464,13 @@
 pub trait Heard {
     /// The state service has reached a revision, and how the sender stands;
     /// its name is empty if it does not say.
-    fn hint(&self, revision: Revision, from: &NodeId, standing: Standing);
+    fn hint(&self, revision: Revision, from: &NodeId, standing: Standing, flags: u16);
     /// Answers a worker's report that another controller took for this one.
     fn homed(&self, text: &[u8]) -> Answered;
     /// Machines whose reports another controller answered for this one.
     fn heard(&self, machines: &[HeardOf]);
+    /// What another owner of a block tells.
+    fn share(&self, kind: Kind, text: &[u8]);
     /// Answers a request that was passed on.
     fn answer(self: Rc<Self>, kind: Kind, text: Vec<u8>)
         -> Pin<Box<dyn Future<Output = Answered>>>;
@@ -501,13 +538,17 @@
                 Kind::Hint => {
                     let name = String::from_utf8_lossy(&message.text);
                     let standing = Standing::parse(message.status);
-                    heard.hint(Revision(message.number), &NodeId::from(&*name), standing);
+                    let from = NodeId::from(&*name);
+                    heard.hint(Revision(message.number), &from, standing, message.flags);
                 }
                 Kind::Answer => return,
                 Kind::Heard => {
                     // Of another length it is not what this version knows.
                     heard.heard(HeardOf::parse(&message.text).unwrap_or_default());
                 }
+                kind @ (Kind::Needs | Kind::Rented | Kind::Left) => {
+                    heard.share(kind, &message.text);
+                }
                 Kind::Homed => {
                     let Ok(place) = out.clone().try_reserve_owned() else {
                         continue;
@@ -517,6 +558,7 @@
                         kind: Kind::Answer,
                         number: message.number,
                         status,
+                        flags: 0,
                         text,
                         waits: true,
                     });
@@ -539,6 +581,7 @@
                             kind: Kind::Answer,
                             number: message.number,
                             status,
+                            flags: 0,
                             text,
                             waits: false,
                         });
--- a/src/sched/board.rs
+++ b/src/sched/board.rs
@@ -131,10 +131,53 @@
         Some(result)
     }
 
+    /// What other blocks claim of a job, or is left to them; and what is left to
+    /// this block, if another places it.
+    pub fn share_job(&mut self, id: &JobId, foreign: BTreeSet<u32>, left: Option<BTreeSet<u32>>) {
+        self.edit_job(id, |job| {
+            job.tasks.set_foreign(foreign);
+            job.tasks.set_left_here(left);
+        });
+    }
+    /// In which zones other blocks hold tasks of a job; none: that is not known.
+    pub fn set_elsewhere(&mut self, id: &JobId, zones: Option<BTreeMap<Zone, u32>>) {
+        if zones.as_ref().is_some_and(BTreeMap::is_empty) {
+            self.elsewhere.remove(id);
+        } else {
+            self.elsewhere.insert(id.clone(), zones);
+        }
+    }
+    /// Jobs of which it is not known where other blocks hold their tasks.
+    pub fn unknown_elsewhere(&self) -> impl Iterator<Item = &JobId> {
+        let unknown = self.elsewhere.iter().filter(|(_, zones)| zones.is_none());
+        unknown.map(|(id, _)| id)
+    }
+    /// A claim that is not recorded yet takes another attempt number: the one it
+    /// has was given to another task meanwhile.
+    pub fn renumber(&mut self, task: &TaskId) {
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            let attempt = job.tasks.take_attempt(task.index);
+            if let Some(claim) = job.tasks.claim_mut(task.index) {
+                claim.attempt = attempt;
+            }
+        }
+    }
+    /// This block's part of the limits, and of the guarantees as much: by team.
+    pub fn set_limits(&mut self, parts: impl Iterator<Item = (Amount, Amount)>) {
+        for (team, (limit, guarantee)) in self.teams.iter_mut().zip(parts) {
+            team.limit = limit;
+            team.guarantee = guarantee;
+        }
+    }
+    /// What waits, by team.
+    pub fn demands(&self) -> &[Amount] {
+        &self.demand
+    }
     /// A job goes. It must have no claims.
     pub fn remove_job(&mut self, id: &JobId) {
         self.edit_job(id, |job| job.cancelled = true);
         self.jobs.remove(id);
+        self.elsewhere.remove(id);
         self.claiming.remove(id);
         self.leave_turn(id);
     }
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -113,6 +113,8 @@
     pub policy: Rc<Policy>,
     /// A gang that found no room is not tried again before.
     pub try_at: Time,
+    /// A task of it has been placed.
+    pub started: bool,
 }
 
 impl Job {
@@ -136,6 +138,7 @@
             blocked_since: None,
             policy: Rc::default(),
             try_at: Time(0.0),
+            started: false,
         }
     }
     /// Whether it wants a task placed now.
@@ -263,6 +266,9 @@
     turn: Turn<JobId>,
     /// Failure domains, if the feature is on.
     topology: Option<Rc<Topology>>,
+    /// Where other blocks hold tasks of jobs whose zones count together; none: that
+    /// is not known of all of them.
+    elsewhere: HashMap<JobId, Option<BTreeMap<Zone, u32>>>,
     /// Claims on machines that are not known yet.
     homeless: HashMap<MachineId, BTreeSet<TaskId>>,
     capacity: Amount,
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -144,7 +144,7 @@
             || !Self::suits(&job.spec, machine)
             || job.avoid.get(m_id).is_some_and(|until| now < *until)
             || !self.could_site(job, m_id, now)
-            || !Self::zone_allows(job, &self.zones_of(job, None)?, &machine.zone)
+            || !Self::zone_allows(job, &self.zones_of(id, job, None)?, &machine.zone)
         {
             return None;
         }
--- a/src/sched/tasks.rs
+++ b/src/sched/tasks.rs
@@ -1,6 +1,6 @@
 //! The tasks of a job: done, claimed or pending.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sorrelhinge_topology::devices::Unit;
 
@@ -67,6 +67,11 @@
     claims: BTreeMap<u32, Claim>,
     next_attempt: BTreeMap<u32, u64>,
     cursor: u32,
+    /// Tasks that other blocks claim, or that are left to them.
+    foreign: BTreeSet<u32>,
+    /// Those that this block may place, if another places the job: what that
+    /// one leaves to it.
+    left_here: Option<BTreeSet<u32>>,
 }
 
 impl Tasks {
@@ -81,6 +86,8 @@
             claims: BTreeMap::new(),
             next_attempt: BTreeMap::new(),
             cursor: 0,
+            foreign: BTreeSet::new(),
+            left_here: None,
         }
     }
     /// The chunk that holds task `index`.
@@ -121,14 +128,49 @@
     pub fn done(&self) -> u32 {
         self.done_count
     }
-    /// How many tasks are neither done nor claimed.
+    /// How many tasks are neither done nor claimed, of those that this block
+    /// places.
     pub fn pending(&self) -> u32 {
-        self.count - self.done_count - self.claims.len() as u32
+        if let Some(left) = &self.left_here {
+            return left.iter().filter(|i| self.is_free(**i)).count() as u32;
+        }
+        let taken = self.done_count + self.claims.len() as u32 + self.foreign.len() as u32;
+        self.count.saturating_sub(taken)
+    }
+    fn is_free(&self, index: u32) -> bool {
+        !self.is_done(index) && !self.claims.contains_key(&index) && !self.foreign.contains(&index)
+    }
+    /// Up to `most` pending tasks, the last ones: the first are claimed next.
+    pub fn last_pending(&self, most: u32) -> BTreeSet<u32> {
+        let free = (0..self.count).rev().filter(|i| self.is_free(*i));
+        free.take(most as usize).collect()
+    }
+    /// Other blocks claim these, or they are left to them. None of them may be
+    /// claimed here, or done.
+    pub(super) fn set_foreign(&mut self, foreign: BTreeSet<u32>) {
+        self.foreign = foreign;
+        self.cursor = 0;
+    }
+    /// Tasks that other blocks claim, or that are left to them.
+    pub fn foreign(&self) -> &BTreeSet<u32> {
+        &self.foreign
+    }
+    /// Another block places the job, and leaves these to this one; none: this
+    /// block places it.
+    pub(super) fn set_left_here(&mut self, left: Option<BTreeSet<u32>>) {
+        self.left_here = left;
+    }
+    /// Whether this block places the job.
+    pub fn at_home(&self) -> bool {
+        self.left_here.is_none()
     }
     /// The lowest task that is neither done nor claimed.
     pub fn next_pending(&mut self) -> Option<u32> {
+        if let Some(left) = &self.left_here {
+            return left.iter().copied().find(|i| self.is_free(*i));
+        }
         while self.cursor < self.count {
-            if !self.is_done(self.cursor) && !self.claims.contains_key(&self.cursor) {
+            if self.is_free(self.cursor) {
                 return Some(self.cursor);
             }
             self.cursor += 1;
--- a/src/sched/walk.rs
+++ b/src/sched/walk.rs
@@ -89,11 +89,17 @@
     /// depends on zones.
     pub(super) fn zones_of(
         &self,
+        id: &JobId,
         job: &Job,
         leave_out: Option<u32>,
     ) -> Option<BTreeMap<&Zone, u32>> {
         let mut zones = BTreeMap::new();
         if job.spec.one_zone || job.spec.spread {
+            // Left out once, when the machines had just been divided: replicas
+            // went where their rule forbids it (`wrong_place`).
+            if let Some(elsewhere) = self.elsewhere.get(id) {
+                zones.extend(elsewhere.as_ref()?.iter().map(|(z, n)| (z, *n)));
+            }
             let claims = job.tasks.claims().iter();
             for (_, claim) in claims.filter(|(index, _)| Some(**index) != leave_out) {
                 *zones
@@ -329,7 +335,7 @@
         now: Time,
     ) -> Option<Offer> {
         let spec = &job.spec;
-        let zones = self.zones_of(job, ask.leave_out)?;
+        let zones = self.zones_of(id, job, ask.leave_out)?;
         let site = self.site(job, reach, ask.leave_out);
         let pass = |place: Domain, m_id: &MachineId| {
             let fits = (job.avoid.is_empty()
@@ -523,7 +529,7 @@
                     .fits(self.room_for(id, job.spec.spot, m_id, now))
                 && job.avoid.get(m_id).is_none_or(|until| now >= *until)
                 && self
-                    .zones_of(job, None)
+                    .zones_of(id, job, None)
                     .is_some_and(|zones| Self::zone_allows(job, &zones, &machine.zone))
                 && self.limit_allows(job);
             let group = (machine.spot, &*machine.kind, &machine.zone);
--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -7,12 +7,17 @@
 //! | `h/job/ID` | [`JobRecord`] | any controller accepts and cancels; the block's owner claims and completes |
 //! | `h/drain/N` | [`Drain`](sorrelhinge_topology::drain::Drain), N any number | any controller, for an operator |
 //! | `h/gone/N` | [`GoneRecord`], N below [`GONE_SLOTS`], filled in turn | the block's owner |
+//! | `h/map` | [`MapRecord`]; none: all machines are one block | the leader |
+//! | `h/block/B` | [`BlockRecord`], B below the number of blocks | the leader; the owner, to hand it on |
+//! | `h/slice/B` | [`SliceRecord`] | the leader at first; then the owner of a block that gives |
+//! | `h/node/NODE` | [`MemberRecord`], attached to a lease, while there are several blocks | that controller |
 //! | `h/task/ID/N` | [`ChunkRecord`], tasks N·chunk and on, of a job that does not keep them in its own record | the block's owner |
 
 use serde::{Deserialize, Serialize};
+use sorrelhinge_blocks::shard::{BlockId, MOST_BLOCKS};
 use sorrelhinge_topology::devices::Unit;
 
-use crate::types::{Attempt, JobId, JobSpec, MachineId, NodeId, Term};
+use crate::types::{Amount, Attempt, JobId, JobSpec, MachineId, NodeId, Term};
 
 /// Prefix of all keys.
 pub const ROOT: &str = "h/";
@@ -31,6 +36,24 @@
     format!("h/task/{job}/{chunk:06}")
 }
 
+/// Key of the number of blocks.
+pub const MAP: &str = "h/map";
+
+/// Key of a block's owner.
+pub fn block_key(block: BlockId) -> String {
+    format!("h/block/{block}")
+}
+
+/// Key of a block's part of the limits.
+pub fn slice_key(block: BlockId) -> String {
+    format!("h/slice/{block}")
+}
+
+/// Key of a controller that lives.
+pub fn member_key(node: &NodeId) -> String {
+    format!("h/node/{node}")
+}
+
 /// Lists of machines that are gone; the oldest is overwritten.
 pub const GONE_SLOTS: u32 = 16;
 
@@ -59,6 +82,14 @@
     Drain(u64),
     /// Machines that are gone.
     Gone(u32),
+    /// The number of blocks.
+    Map,
+    /// A block's owner.
+    Block(BlockId),
+    /// A block's part of the limits.
+    Slice(BlockId),
+    /// A controller that lives.
+    Member(NodeId),
 }
 
 impl Key {
@@ -67,12 +98,26 @@
         match text {
             LEADER => return Some(Self::Leader),
             GRANT => return Some(Self::Grant),
+            MAP => return Some(Self::Map),
             _ => {}
         }
         let rest = text.strip_prefix(ROOT)?;
         if let Some(job) = rest.strip_prefix("job/") {
             return Some(Self::Job(JobId::from(job)));
         }
+        if let Some(node) = rest.strip_prefix("node/") {
+            return Some(Self::Member(NodeId::from(node)));
+        }
+        let block = |text: &str| {
+            let block = text.parse().ok().filter(|b| *b < MOST_BLOCKS);
+            block.map(BlockId)
+        };
+        if let Some(text) = rest.strip_prefix("block/") {
+            return block(text).map(Self::Block);
+        }
+        if let Some(text) = rest.strip_prefix("slice/") {
+            return block(text).map(Self::Slice);
+        }
         if let Some(number) = rest.strip_prefix("drain/") {
             return Some(Self::Drain(number.parse().ok()?));
         }
@@ -110,6 +155,101 @@
     pub number: u64,
 }
 
+/// What `h/grant` holds while there are several blocks. A version that knows one
+/// only can't read it, so it never takes all machines for its own.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Fence {
+    /// Of the format.
+    #[serde(rename = "v")]
+    pub version: u32,
+    /// See `h/map`.
+    pub blocks: u32,
+}
+
+/// How many blocks there are. Which one a machine belongs to follows from its
+/// name ([`sorrelhinge_blocks::shard`]).
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MapRecord {
+    /// Of the format.
+    #[serde(rename = "v")]
+    pub version: u32,
+    /// How many; 1: the one that `h/grant` grants.
+    pub blocks: u32,
+}
+
+impl MapRecord {
+    /// The format that this version writes.
+    pub const VERSION: u32 = 1;
+}
+
+/// Who owns a block.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct BlockRecord {
+    /// Of the format.
+    #[serde(rename = "v")]
+    pub version: u32,
+    /// Whom it is granted.
+    pub owner: NodeId,
+    /// That controller's process: one that was restarted owns nothing.
+    pub run: u64,
+    /// By the leader of this term.
+    pub term: Term,
+    /// Rises with each grant of any block; tokens are made from it.
+    pub number: u64,
+    /// To whom it is offered.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub to: Option<NodeId>,
+    /// Where an operator wants it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pin: Option<NodeId>,
+}
+
+impl BlockRecord {
+    /// The format that this version writes.
+    pub const VERSION: u32 = 1;
+}
+
+/// A block's part of the teams' limits, in thousandths of CPUs and GPUs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SliceRecord {
+    /// Of the format.
+    #[serde(rename = "v")]
+    pub version: u32,
+    /// Each team's name, CPUs and GPUs.
+    #[serde(rename = "t")]
+    pub teams: Vec<(String, i64, i64)>,
+}
+
+impl SliceRecord {
+    /// The format that this version writes.
+    pub const VERSION: u32 = 1;
+
+    /// Of these parts.
+    pub fn new(parts: impl Iterator<Item = (String, Amount)>) -> Self {
+        Self {
+            version: Self::VERSION,
+            teams: parts.map(|(name, a)| (name, a.cpu, a.gpu)).collect(),
+        }
+    }
+
+    /// A team's part; none recorded: nothing.
+    pub fn of(&self, team: &str) -> Amount {
+        let found = self.teams.iter().find(|(name, ..)| name == team);
+        found.map_or(Amount::default(), |(_, cpu, gpu)| Amount {
+            cpu: *cpu,
+            gpu: *gpu,
+            ram: 0,
+        })
+    }
+}
+
+/// A controller that lives; the key goes away with its lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Its process.
+    pub run: u64,
+}
+
 /// Machines whose deletion the cloud has answered with 200: whatever a record
 /// still claims on them is gone (PROTOCOL, "POST /rentals/delete"). A later
 /// owner need not find that out again. Names are never given twice.
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -8,9 +8,13 @@
 use sorrelhinge_topology::drain::Drain;
 
 use super::history::History;
-use super::record::{ChunkRecord, GoneRecord, GrantRecord, JobRecord, Key, LeaderRecord, Phase};
+use super::record::{
+    BlockRecord, ChunkRecord, Fence, GoneRecord, GrantRecord, JobRecord, Key, LeaderRecord,
+    MapRecord, MemberRecord, Phase, SliceRecord,
+};
 use super::{Events, Item};
-use crate::types::{JobId, Revision};
+use crate::types::{JobId, NodeId, Revision};
+use sorrelhinge_blocks::shard::BlockId;
 
 /// A value and its version.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -73,6 +77,14 @@
     pub leader: Versioned<Option<LeaderRecord>>,
     /// The grant.
     pub grant: Versioned<GrantRecord>,
+    /// How many blocks there are; none: one.
+    pub map: Versioned<Option<MapRecord>>,
+    /// Who owns each of several blocks.
+    pub blocks: BTreeMap<BlockId, Versioned<BlockRecord>>,
+    /// Each one's part of the limits.
+    pub slices: BTreeMap<BlockId, Versioned<SliceRecord>>,
+    /// Controllers that live, while there are several blocks.
+    pub members: BTreeMap<NodeId, Versioned<MemberRecord>>,
     /// What came and what ran of late.
     pub history: History,
     /// What operators drain.
@@ -90,7 +102,30 @@
         .ok()
 }
 
+/// Takes in a value unless a newer one is here, or it can't be read.
+fn put<K: Ord, T>(
+    held: &mut BTreeMap<K, Versioned<T>>,
+    key: K,
+    stamp: Revision,
+    read: impl FnOnce() -> Option<T>,
+) {
+    if held.get(&key).is_none_or(|h| stamp > h.stamp) {
+        if let Some(value) = read() {
+            held.insert(key, Versioned { stamp, value });
+        }
+    }
+}
+
 impl View {
+    /// How many blocks there are.
+    pub fn block_count(&self) -> u32 {
+        self.map.value.map_or(1, |m| m.blocks.max(1))
+    }
+    /// The newest number that any grant has.
+    pub fn newest_grant(&self) -> u64 {
+        let numbers = self.blocks.values().map(|b| b.value.number);
+        numbers.fold(self.grant.value.number, u64::max)
+    }
     /// A job.
     pub fn job(&self, id: &JobId) -> Option<&JobEntry> {
         self.jobs.get(id)
@@ -167,10 +202,23 @@
                 };
             }
             Some(Key::Grant) if stamp > self.grant.stamp => {
-                if let Some(value) = parse(key, value) {
+                // While there are several blocks it only keeps out versions that
+                // know one; its number is that of the last grant of all.
+                if serde_json::from_str::<Fence>(value.get()).is_ok() {
+                    self.grant.stamp = stamp;
+                } else if let Some(value) = parse(key, value) {
                     self.grant = Versioned { stamp, value };
                 }
             }
+            Some(Key::Map) if stamp > self.map.stamp => {
+                if let Some(value) = parse::<MapRecord>(key, value) {
+                    let value = Some(value);
+                    self.map = Versioned { stamp, value };
+                }
+            }
+            Some(Key::Block(block)) => put(&mut self.blocks, block, stamp, || parse(key, value)),
+            Some(Key::Slice(block)) => put(&mut self.slices, block, stamp, || parse(key, value)),
+            Some(Key::Member(node)) => put(&mut self.members, node, stamp, || parse(key, value)),
             Some(Key::Job(id)) => {
                 if let Some(record) = parse(key, value) {
                     self.put_job(
@@ -289,6 +337,15 @@
             }
             Some(Key::Chunk(id, chunk)) => self.drop_chunk(&id, chunk, stamp),
             Some(Key::Drain(number)) => self.drains.retain(|n, d| *n != number || d.stamp >= stamp),
+            Some(Key::Member(node)) => {
+                self.members.retain(|n, m| *n != node || m.stamp >= stamp);
+            }
+            Some(Key::Block(block)) => {
+                self.blocks.retain(|b, r| *b != block || r.stamp >= stamp);
+            }
+            Some(Key::Slice(block)) => {
+                self.slices.retain(|b, r| *b != block || r.stamp >= stamp);
+            }
             // Jobs and the grant are never deleted.
             _ => {}
         }
--- /dev/null
+++ b/tests/blocks.rs
@@ -0,0 +1,214 @@
+//! Several blocks with an owner each: real controllers on loopback, moves all the
+//! time, owners and the leader killed. Every task ends once, limits hold at every
+//! moment, and the other blocks go on.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use serde_json::{json, Value};
+use sorrelhinge_standins::{run, Plan, World, CANCEL_S};
+use tokio::time::sleep;
+
+fn plan(name: &str, net: u8, machines: u8, properties: &'static str) -> Plan {
+    Plan {
+        net,
+        switches: 1,
+        machines,
+        topology: None,
+        sockets: None,
+        properties,
+        program: env!("CARGO_BIN_EXE_sorrelhinge").into(),
+        folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("blocks_{name}")),
+    }
+}
+
+/// Who owns each block, as recorded.
+fn owners(world: &World) -> BTreeMap<u32, String> {
+    let store = world.store.borrow();
+    (0..5)
+        .filter_map(|b| {
+            let held = store.get(&format!("h/block/{b}"))?;
+            Some((b, held["owner"].as_str()?.to_owned()))
+        })
+        .collect()
+}
+
+fn each_owns_one(world: &World) -> bool {
+    let owners = owners(world);
+    let names: std::collections::BTreeSet<&String> = owners.values().collect();
+    owners.len() == 3 && names.len() == 3
+}
+
+fn done(world: &World, uid: &str, tasks: usize) -> bool {
+    let nodes = world.nodes.borrow();
+    (0..tasks).all(|n| nodes.done.contains(&format!("{uid}/{n}")))
+}
+
+async fn phase(world: &World, uid: &str) -> Value {
+    let (status, told) = world
+        .ask(Method::GET, &format!("/v1/jobs/{uid}"), &Value::Null)
+        .await;
+    assert_eq!(status, 200, "{told}");
+    told["phase"].clone()
+}
+
+/// The recorded parts of the limit add up to it, exactly, at any moment.
+fn parts_add_up(world: &World) {
+    let store = world.store.borrow();
+    let parts: Vec<i64> = (0..5)
+        .filter_map(|b| store.get(&format!("h/slice/{b}"))?["t"][0][1].as_i64())
+        .collect();
+    if !parts.is_empty() {
+        assert_eq!(parts.iter().sum::<i64>(), 400_000, "{parts:?}");
+    }
+}
+
+fn rules_hold(world: &World) {
+    assert_eq!(world.nodes.borrow().wrong, [] as [String; 0]);
+}
+
+/// Work comes for so long; every job must end, each task once.
+async fn work(world: &World, from: u32, seconds: u64) -> Vec<String> {
+    let until = Instant::now() + Duration::from_secs(seconds);
+    let mut uids = Vec::new();
+    let mut n = from;
+    while Instant::now() < until {
+        let uid = format!("run-{n:06}");
+        let (status, _) = world
+            .submit(&uid, json!({"pieces": 5, "guess_s": 0.4}))
+            .await;
+        assert_eq!(status, 201);
+        uids.push(uid);
+        parts_add_up(world);
+        sleep(Duration::from_millis(120)).await;
+        n += 1;
+    }
+    uids
+}
+
+#[test]
+fn blocks_move_all_the_time_while_jobs_run() {
+    run(async {
+        let world = World::start(plan(
+            "moves",
+            86,
+            6,
+            "blocks.least=3\nblocks.move.every.s=2\n",
+        ))
+        .await;
+        world.until("each owns a block", 30, each_owns_one).await;
+        world
+            .submit(
+                "run-000001",
+                json!({"shape": "standing", "pieces": 6, "spread": true}),
+            )
+            .await;
+        world
+            .until("replicas run", 20, |w| {
+                w.nodes.borrow().copies("run-000001") == 6
+            })
+            .await;
+        let before = owners(&world);
+        let starts = world.nodes.borrow().starts;
+        let uids = work(&world, 10, 12).await;
+        for uid in &uids {
+            world.until("a job's tasks", 30, |w| done(w, uid, 5)).await;
+        }
+        assert_ne!(owners(&world), before, "nothing moved");
+        rules_hold(&world);
+        assert_eq!(
+            world.nodes.borrow().copies("run-000001"),
+            6,
+            "replicas ran on"
+        );
+        let started = world.nodes.borrow().starts - starts;
+        assert_eq!(started, 5 * uids.len(), "each task started once");
+        let path = "/v1/jobs/run-000001/withdraw";
+        let (status, told) = world.ask(Method::POST, path, &Value::Null).await;
+        assert_eq!((status, &told["phase"]), (200, &json!("cancelled")));
+        world
+            .until("a cancelled job's tasks are gone", CANCEL_S as u64, |w| {
+                w.nodes.borrow().places("run-000001").is_empty()
+            })
+            .await;
+        let logs = world.logs();
+        let handed = logs.matches("handed on").count();
+        println!("{} jobs, blocks handed on {handed} times", uids.len());
+        assert!(handed >= 3, "moved {handed} times");
+    });
+}
+
+/// An operator's commands: what is wrong is refused with a reason, a block goes
+/// where it is pinned and stays, and comes back once it is free.
+#[test]
+fn an_operator_moves_a_block() {
+    run(async {
+        let world = World::start(plan("pinned", 94, 3, "blocks.least=3\n")).await;
+        world.until("each owns a block", 30, each_owns_one).await;
+        let (ok, told) = world.command(&["blocks", "move", "7", "--to", "c-1"]).await;
+        assert!(!ok && told.contains("there is no block 7"), "{told}");
+        let (ok, told) = world.command(&["blocks", "move", "0", "--to", "c-9"]).await;
+        assert!(!ok && told.contains("there is no controller c-9"), "{told}");
+        let to = match owners(&world)[&0].as_str() {
+            "c-1" => "c-2",
+            _ => "c-1",
+        };
+        let (ok, told) = world.command(&["blocks", "move", "0", "--to", to]).await;
+        assert!(ok, "{told}");
+        world
+            .until("it is there", 20, |w| owners(w)[&0] == to)
+            .await;
+        let uid = "run-000001";
+        world
+            .submit(uid, json!({"pieces": 12, "guess_s": 0.3}))
+            .await;
+        world.until("a job's tasks", 20, |w| done(w, uid, 12)).await;
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(owners(&world)[&0], to, "it was not moved away for balance");
+        let (ok, told) = world.command(&["blocks", "show"]).await;
+        assert!(ok && told.contains("an operator pinned it there"), "{told}");
+        let (ok, told) = world.command(&["blocks", "free", "0"]).await;
+        assert!(ok, "{told}");
+        world.until("all are balanced", 20, each_owns_one).await;
+        let (ok, told) = world.command(&["blocks", "show", "--json"]).await;
+        let shown: Value = serde_json::from_str(&told).expect("JSON");
+        assert!(ok && shown["blocks"].as_array().is_some_and(|b| b.len() == 3));
+        rules_hold(&world);
+    });
+}
+
+#[test]
+fn every_owner_and_the_leader_are_killed_in_turn() {
+    run(async {
+        let mut world = World::start(plan("killed", 90, 6, "blocks.least=3\n")).await;
+        world.until("each owns a block", 30, each_owns_one).await;
+        world
+            .submit("run-000001", json!({"shape": "standing", "pieces": 6}))
+            .await;
+        world
+            .until("replicas run", 20, |w| {
+                w.nodes.borrow().copies("run-000001") == 6
+            })
+            .await;
+        let mut all = Vec::new();
+        for victim in 0..3 {
+            world.kill_controller(victim);
+            all.extend(work(&world, 100 + 1000 * victim as u32, 4).await);
+            world.start_controller(victim);
+            world
+                .until("each owns a block again", 30, each_owns_one)
+                .await;
+        }
+        for uid in &all {
+            world.until("a job's tasks", 40, |w| done(w, uid, 5)).await;
+        }
+        sleep(Duration::from_secs(3)).await;
+        for uid in all.iter().step_by(7) {
+            assert_eq!(phase(&world, uid).await, json!("done"));
+        }
+        rules_hold(&world);
+        assert_eq!(world.nodes.borrow().copies("run-000001"), 6);
+    });
+}
--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -188,6 +188,7 @@
         kind: Kind::Submit,
         number: 77,
         status: 0,
+        flags: 0,
         text: b"text".to_vec(),
         waits: false,
     };
@@ -257,10 +258,11 @@
 struct Echo(Rc<RefCell<Vec<MachineId>>>);
 
 impl Heard for Echo {
-    fn hint(&self, _: Revision, _: &NodeId, _: Standing) {}
+    fn hint(&self, _: Revision, _: &NodeId, _: Standing, _: u16) {}
     fn homed(&self, text: &[u8]) -> Answered {
         (200, text.to_vec())
     }
+    fn share(&self, _: Kind, _: &[u8]) {}
     fn heard(&self, machines: &[HeardOf]) {
         let read = machines.iter().filter_map(HeardOf::read);
         self.0
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -28,6 +28,7 @@
         machines,
         topology: None,
         sockets: Some(SOCKETS),
+        properties: "",
         program: env!("CARGO_BIN_EXE_sorrelhinge").into(),
         folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("overload_{name}")),
     }
--- a/tests/switch_loss.rs
+++ b/tests/switch_loss.rs
@@ -52,6 +52,7 @@
         machines: 2,
         topology,
         sockets: None,
+        properties: "",
         program: env!("CARGO_BIN_EXE_sorrelhinge").into(),
         folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("switch_loss_{mode:?}")),
     };
