A chunk is deleted only by its job's block; turns where changes bind

Cause of the first: a block that was forestalled and knew nothing of a job any more deleted the chunk with what others claimed in it. Cause of the second: the claims of services alone were more than the state service records, they went first always, and they filled the places that claims may wait in.

Change: the delete is left to the block that places the job, once it is over. Every class and team keeps an eighth of the places for claims that wait, one change in four goes to them by turns once they have waited for 3 s, and one in three to jobs that are done (crates/blocks, fair).

--- a/crates/blocks/src/lib.rs
+++ b/crates/blocks/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! - [`served`]: what each class and team gets, and who starves;
 //! - [`shard`]: which block a machine or a job belongs to;
+//! - [`fair`]: who is next when what all want is short;
 //! - [`owners`]: who is granted which block, and which one moves next;
 //! - [`slices`]: each block's part of the teams' limits;
 //! - [`yields`]: tasks that one block leaves to another that has room.
 //!
 //! See `docs/blocks.md`.
 
+pub mod fair;
 pub mod owners;
 pub mod served;
 pub mod shard;
--- a/crates/blocks/tests/model.rs
+++ b/crates/blocks/tests/model.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use proptest::prelude::*;
+use sorrelhinge_blocks::fair::Turns;
 use sorrelhinge_blocks::owners::{how_many, Held, Member, Owners, Step};
 use sorrelhinge_blocks::served::{Served, Sort, Waits};
 use sorrelhinge_blocks::shard::{of_job, of_machine, BlockId, Shard, MOST_BLOCKS};
@@ -159,6 +160,31 @@
 }
 
 proptest! {
+    /// Whoever waits has its turn before anybody has two more.
+    #[test]
+    fn turns_go_round(waiting in prop::collection::vec(prop::collection::btree_set(0..6_u8, 0..6), 1..80)) {
+        let mut turns = Turns::default();
+        let mut since: BTreeMap<u8, Vec<u8>> = BTreeMap::new();
+        for now in waiting {
+            // Only who has waited all the time has a claim to a turn.
+            since.retain(|k, _| now.contains(k));
+            for k in &now {
+                since.entry(*k).or_default();
+            }
+            let turn = turns.next(now.iter());
+            prop_assert_eq!(turn.is_some(), !now.is_empty());
+            if let Some(turn) = turn {
+                prop_assert!(now.contains(&turn));
+                since.remove(&turn);
+                for (k, others) in &mut since {
+                    others.push(turn);
+                    let twice = others.iter().filter(|o| **o == turn).count();
+                    prop_assert!(twice <= 1, "{} was passed over for {}: {:?}", k, turn, others);
+                }
+            }
+        }
+    }
+
     /// Controllers die, come back, and steps are late or carried out by two
     /// leaders: no block is ever owned twice, and once nothing fails any more
     /// all are owned by those who live, as evenly as can be.
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -217,11 +217,6 @@
 const SERVED_S: f64 = 30.0;
 const SERVED_LEAST_S: f64 = 5.0;
 
-/// What a job counts as among those that are served.
-fn sort_of(job: &Job) -> Sort {
-    (job.spec.class.clone(), job.spec.team.clone())
-}
-
 /// Part of its start aim after which room is made for a job.
 const PREEMPT_START: f64 = 0.15;
 /// The same for other jobs, as a multiple of their patience.
@@ -462,9 +457,9 @@
         let holds = devices.is_some_and(|w| w.lost || !w.devices.is_empty());
         let all_done = job.tasks.all_done();
         if homed && !over {
-            self.served.accepted(&sort_of(&job));
+            self.served.accepted(&job.sort());
             if !claims.is_empty() || job.tasks.done() > 0 {
-                self.served.started(&sort_of(&job), None);
+                self.served.started(&job.sort(), None);
             }
         }
         let started = !claims.is_empty() || job.tasks.done() > 0;
@@ -491,7 +486,7 @@
         }
         self.share(id, entry);
         if all_done && !over && homed {
-            self.pending.finished(id.clone());
+            self.pending.finished(id.clone(), now);
         }
         // A gang that was claimed in part, or lost a part, starts anew.
         self.gangs.insert(id.clone());
@@ -700,14 +695,17 @@
             let job = self.board.job(&launch.task.job);
             let hurry = job.is_some_and(|j| j.start_within.is_some());
             let first = job.filter(|j| !j.started && j.tasks.at_home());
-            if let Some((sort, wait_s)) = first.map(|j| (sort_of(j), now.since(j.submitted))) {
+            if let Some((sort, wait_s)) = first.map(|j| (j.sort(), now.since(j.submitted))) {
                 self.served.started(&sort, Some(wait_s));
                 self.board.edit_job(&launch.task.job, |j| j.started = true);
             }
             let job = self.board.job(&launch.task.job);
             self.claimed_cpu += job.map_or(0, |j| j.spec.each.cpu);
-            self.pending
-                .claimed(self.chunk_of(&launch.task), hurry, now);
+            let Some(sort) = job.map(Job::sort) else {
+                continue;
+            };
+            let chunk = self.chunk_of(&launch.task);
+            self.pending.claimed(chunk, hurry, sort, now);
         }
     }
 
@@ -797,7 +795,7 @@
     fn tell_served(&mut self, now: Time) {
         let mut waits: BTreeMap<Sort, Waits> = BTreeMap::new();
         for (_, job) in self.board.wanting().filter(|(_, j)| !j.started) {
-            let w = waits.entry(sort_of(job)).or_default();
+            let w = waits.entry(job.sort()).or_default();
             w.jobs += 1;
             w.oldest_s = w.oldest_s.max(now.since(job.submitted));
         }
--- a/src/control/core/record.rs
+++ b/src/control/core/record.rs
@@ -97,7 +97,7 @@
             let id = match &due {
                 Due::Finished(id) | Due::Chunk((id, _)) => id.clone(),
             };
-            self.board.claiming.remove(&id);
+            self.board.claimed_all(&id);
             let Some(entry) = view.job(&id) else { continue };
             let held = &entry.record.value;
             if written.contains(&id) {
@@ -138,6 +138,11 @@
                         Some(record) if held.is_some_and(|h| h.value == *record) => None,
                         Some(record) => Some(Change::write(chunk_key(&id, chunk), record, None)),
                         None if held.is_none() => None,
+                        // Only once the job is over, and by the block that
+                        // places it. Another one, that had no task of it left,
+                        // deleted what others still claimed in the chunk, and
+                        // they were started twice (hunt, day `apart`).
+                        None if !over || !self.shard.homes(&id) => None,
                         None => Some(Change::Delete {
                             delete: chunk_key(&id, chunk),
                         }),
@@ -169,7 +174,7 @@
         }
         for due in again {
             match due {
-                Due::Finished(id) => self.pending.finished(id),
+                Due::Finished(id) => self.pending.finished(id, now),
                 Due::Chunk(chunk) => self.pending.released(chunk, now),
             }
         }
@@ -194,7 +199,7 @@
         }
         for (id, value) in batch.jobs {
             if value.phase == Phase::Done {
-                if let Some(sort) = self.board.job(&id).map(sort_of) {
+                if let Some(sort) = self.board.job(&id).map(Job::sort) {
                     self.served.done(&sort);
                 }
                 tracing::info!(job = %id, "done");
@@ -248,7 +253,7 @@
                 .job(&id)
                 .is_some_and(|e| e.record.value.phase == Phase::Live);
             if live && self.board.job(&id).is_some_and(|j| j.tasks.all_done()) {
-                self.pending.finished(id);
+                self.pending.finished(id, now);
             } else {
                 self.forget_job(view, &id, now);
             }
@@ -257,7 +262,10 @@
             let held = view.job(&id).and_then(|e| e.chunk(chunk));
             match (&record, held) {
                 (Some(ours), Some(held)) if ours == held => self.confirm(&id, chunk, ours, now),
-                (Some(_), _) => self.pending.claimed((id, chunk), false, now),
+                (Some(_), _) => match self.board.job(&id).map(Job::sort) {
+                    Some(sort) => self.pending.claimed((id, chunk), false, sort, now),
+                    None => self.pending.released((id, chunk), now),
+                },
                 (None, _) => self.pending.useless((id, chunk), now),
             }
         }
--- a/src/control/pending.rs
+++ b/src/control/pending.rs
@@ -7,6 +7,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use sorrelhinge_blocks::fair::{Turns, DONE_ONE_IN, ONE_IN, WAITED_S};
+use sorrelhinge_blocks::served::Sort;
+
 use crate::types::{JobId, Time};
 
 /// Part of a job's tasks.
@@ -19,14 +22,22 @@
 /// A deletion may wait this long.
 const TRASH_S: f64 = 30.0;
 
+/// A claim's place: those that users wait for first, then in the order they came.
+type Place = (bool, u64);
+
 /// The queues.
 #[derive(Debug, Default)]
 pub struct Pending {
     /// Those that users wait for first, then in the order they came.
-    claims: BTreeMap<(bool, u64), (ChunkId, Time)>,
-    claimed: BTreeMap<ChunkId, (bool, u64)>,
+    claims: BTreeMap<Place, (ChunkId, Time)>,
+    claimed: BTreeMap<ChunkId, (Place, Sort)>,
+    /// The same by class and team, which have turns once they wait for long.
+    sorts: BTreeMap<Sort, BTreeSet<Place>>,
+    turns: Turns<Sort>,
     count: u64,
-    finished: BTreeSet<JobId>,
+    /// How often something was taken.
+    taken: u64,
+    finished: BTreeMap<JobId, Time>,
     /// A claim was taken last.
     claim_last: bool,
     results: BTreeMap<ChunkId, Time>,
@@ -44,13 +55,15 @@
 
 impl Pending {
     /// A task was claimed. `hurry`: its users wait for its start.
-    pub fn claimed(&mut self, chunk: ChunkId, hurry: bool, now: Time) {
+    /// `sort`: the job's class and team.
+    pub fn claimed(&mut self, chunk: ChunkId, hurry: bool, sort: Sort, now: Time) {
         self.results.remove(&chunk);
         if !self.claimed.contains_key(&chunk) {
             self.count += 1;
             let place = (!hurry, self.count);
             self.claims.insert(place, (chunk.clone(), now));
-            self.claimed.insert(chunk, place);
+            self.sorts.entry(sort.clone()).or_default().insert(place);
+            self.claimed.insert(chunk, (place, sort));
         }
     }
     /// A claim was released, or its task ended.
@@ -60,8 +73,8 @@
         }
     }
     /// All tasks of a job are done.
-    pub fn finished(&mut self, job: JobId) {
-        self.finished.insert(job);
+    pub fn finished(&mut self, job: JobId, now: Time) {
+        self.finished.entry(job).or_insert(now);
     }
     /// A job is not to be recorded as done.
     pub fn not_finished(&mut self, job: &JobId) {
@@ -69,9 +82,7 @@
     }
     /// A chunk is of no use any more.
     pub fn useless(&mut self, chunk: ChunkId, now: Time) {
-        if let Some(place) = self.claimed.remove(&chunk) {
-            self.claims.remove(&place);
-        }
+        self.drop_claim(&chunk);
         self.results.remove(&chunk);
         self.trash.entry(chunk).or_insert(now);
     }
@@ -83,6 +94,40 @@
     pub fn claims_any(&self) -> bool {
         !self.claims.is_empty()
     }
+    fn drop_claim(&mut self, chunk: &ChunkId) -> bool {
+        let Some((place, sort)) = self.claimed.remove(chunk) else {
+            return false;
+        };
+        self.claims.remove(&place);
+        if let Some(places) = self.sorts.get_mut(&sort) {
+            places.remove(&place);
+            if places.is_empty() {
+                self.sorts.remove(&sort);
+            }
+        }
+        true
+    }
+    /// The claim whose class and team have their turn, if it has waited for long.
+    fn by_turns(&mut self, now: Time) -> Option<ChunkId> {
+        let claims = &self.claims;
+        let first = |places: &BTreeSet<Place>| {
+            let (chunk, since) = claims.get(places.first()?)?;
+            (now.since(*since) >= WAITED_S).then(|| chunk.clone())
+        };
+        let waiting = self.sorts.iter().filter(|(_, p)| first(p).is_some());
+        let sort = self.turns.next(waiting.map(|(sort, _)| sort))?;
+        first(self.sorts.get(&sort)?)
+    }
+    /// A job that is done and whose users have waited for long.
+    fn long_done(&mut self, now: Time) -> Option<JobId> {
+        let (job, since) = self
+            .finished
+            .iter()
+            .min_by(|a, b| a.1 .0.total_cmp(&b.1 .0))?;
+        let job = (now.since(*since) >= WAITED_S).then(|| job.clone())?;
+        self.finished.remove(&job);
+        Some(job)
+    }
     /// How long the claim has waited that is recorded next, in seconds.
     pub fn claims_wait(&self, now: Time) -> f64 {
         let next = self.claims.first_key_value();
@@ -95,17 +140,31 @@
     /// Takes what is most urgent, if anything is due. `spare`: there are more
     /// changes left than urgent ones need.
     pub fn take(&mut self, spare: bool, now: Time) -> Option<Due> {
+        // Urgency goes first, but not alone.
+        self.taken += 1;
+        if self.taken % DONE_ONE_IN == 0 {
+            if let Some(job) = self.long_done(now) {
+                return Some(Due::Finished(job));
+            }
+        }
+        if self.taken % ONE_IN == 1 {
+            if let Some(chunk) = self.by_turns(now) {
+                self.drop_claim(&chunk);
+                return Some(Due::Chunk(chunk));
+            }
+        }
         // Claims that no user waits for take turns with jobs that are done:
         // while there are more claims than changes, nothing else would be told.
         let hurry = self.claims.first_key_value().is_some_and(|(p, _)| !p.0);
         let turn = hurry || !self.claim_last || self.finished.is_empty();
-        if let Some((_, (chunk, _))) = turn.then(|| self.claims.pop_first()).flatten() {
-            self.claimed.remove(&chunk);
+        let first = turn.then(|| self.claims.first_key_value()).flatten();
+        if let Some(chunk) = first.map(|(_, (chunk, _))| chunk.clone()) {
+            self.drop_claim(&chunk);
             self.claim_last = true;
             return Some(Due::Chunk(chunk));
         }
         self.claim_last = false;
-        if let Some(job) = self.finished.pop_first() {
+        if let Some((job, _)) = self.finished.pop_first() {
             return Some(Due::Finished(job));
         }
         let oldest = |queue: &BTreeMap<ChunkId, Time>, wait: f64| {
--- a/src/control/sharing.rs
+++ b/src/control/sharing.rs
@@ -440,8 +440,9 @@
                 .iter()
                 .filter(|(_, c)| c.is_frozen() && c.settled(now));
             settled
-                .filter_map(|(block, _)| {
-                    let held = view.blocks.get(block)?;
+                .filter_map(|(block, c)| {
+                    let held = view.blocks.get(block);
+                    let held = held.filter(|b| b.value.number == c.grant)?;
                     let to = held.value.to.clone()?;
                     let record = BlockRecord {
                         version: BlockRecord::VERSION,
--- a/src/sched/board.rs
+++ b/src/sched/board.rs
@@ -131,6 +131,30 @@
         Some(result)
     }
 
+    /// Claims of a job wait to be recorded.
+    pub(super) fn claims_wait(&mut self, id: &JobId) {
+        let Some(sort) = self.jobs.get(id).map(Job::sort) else {
+            return;
+        };
+        if self.claiming.insert(id.clone()) {
+            *self.claiming_of.entry(sort).or_insert(0) += 1;
+        }
+    }
+    /// None of a job's claims waits to be recorded any more.
+    pub fn claimed_all(&mut self, id: &JobId) {
+        if !self.claiming.remove(id) {
+            return;
+        }
+        let Some(sort) = self.jobs.get(id).map(Job::sort) else {
+            return;
+        };
+        if let Some(n) = self.claiming_of.get_mut(&sort) {
+            *n -= 1;
+            if *n == 0 {
+                self.claiming_of.remove(&sort);
+            }
+        }
+    }
     /// What other blocks claim of a job, or is left to them; and what is left to
     /// this block, if another places it.
     pub fn share_job(&mut self, id: &JobId, foreign: BTreeSet<u32>, left: Option<BTreeSet<u32>>) {
@@ -176,9 +200,9 @@
     /// A job goes. It must have no claims.
     pub fn remove_job(&mut self, id: &JobId) {
         self.edit_job(id, |job| job.cancelled = true);
+        self.claimed_all(id);
         self.jobs.remove(id);
         self.elsewhere.remove(id);
-        self.claiming.remove(id);
         self.leave_turn(id);
     }
 
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -29,6 +29,8 @@
 use std::sync::Arc;
 
 use rooms::{Nearness, Size};
+use sorrelhinge_blocks::fair;
+use sorrelhinge_blocks::served::Sort;
 use sorrelhinge_topology::gang::Turn;
 use sorrelhinge_topology::policy::{Policy, Reach, Tally};
 use sorrelhinge_topology::tree::Domain;
@@ -145,6 +147,10 @@
     pub fn wants(&self, now: Time) -> bool {
         !self.cancelled && self.tasks.pending() > 0 && now >= self.hold_until
     }
+    /// What it counts as when what binds is divided: its class and team.
+    pub fn sort(&self) -> Sort {
+        (self.spec.class.clone(), self.spec.team.clone())
+    }
     /// Whether it has waited so long that its aims are in danger.
     pub fn late(&self, now: Time) -> bool {
         self.blocked_since
@@ -246,8 +252,10 @@
     pub served: BTreeSet<Zone>,
     /// Jobs of this rank are not placed, but for teams below their guarantee.
     pub held_rank: Option<Priority>,
-    /// Jobs with claims that wait to be recorded.
-    pub claiming: BTreeSet<JobId>,
+    /// Jobs with claims that wait to be recorded, and how many of each class and
+    /// team.
+    claiming: BTreeSet<JobId>,
+    claiming_of: BTreeMap<Sort, usize>,
     /// How many there may be; none: any number. What is claimed faster than it
     /// can be recorded only holds room, and its order is decided too early.
     pub most_claiming: Option<usize>,
--- a/src/sched/walk.rs
+++ b/src/sched/walk.rs
@@ -138,8 +138,10 @@
         }
         let held = self.claiming.len();
         self.most_claiming.is_none_or(|most| {
+            let of_sort = self.claiming_of.get(&job.sort()).copied().unwrap_or(0);
             held < most
                 || job.start_within.is_some() && held < 2 * most
+                || of_sort < fair::floor(most)
                 || self.claiming.contains(id)
         })
     }
@@ -442,7 +444,7 @@
         if !self.claim(&task, m_id, now) {
             return None;
         }
-        self.claiming.insert(id.clone());
+        self.claims_wait(id);
         let job = self.jobs.get_mut(id)?;
         // A launch on a cached image takes the job back to waiting for one;
         // any other leaves it free to launch anywhere.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -6,22 +6,27 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::sync::Arc;
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
 use sorrelhinge::api::read_job;
 use sorrelhinge::cloud::{Listed, MachinePhase};
-use sorrelhinge::control::core::{Batch, Core, Dispatch, Source};
+use sorrelhinge::control::core::{Batch, Core, Dispatch, LeftTo, Places, Source};
 use sorrelhinge::control::pending::{Due, Pending};
 use sorrelhinge::sched::Sent;
-use sorrelhinge::state::record::{job_key, GrantRecord, JobRecord, GRANT};
+use sorrelhinge::state::record::{
+    chunk_key, job_key, BlockRecord, GrantRecord, JobRecord, SliceRecord, GRANT,
+};
 use sorrelhinge::state::view::View;
 use sorrelhinge::state::{Outcome, Txn};
 use sorrelhinge::types::{
     Amount, JobId, MachineId, MachineType, Revision, Term, Time, TypeName, Zone,
 };
 use sorrelhinge::worker::{Report, Sending};
+use sorrelhinge_blocks::served::Sort;
+use sorrelhinge_blocks::shard::{of_job, of_machine, BlockId, Shard};
 use sorrelhinge_protocol::wishes::Wishes;
 use sorrelhinge_topology::Topology;
 
@@ -218,9 +223,15 @@
     core: Core,
     view: View,
     pending: Option<Batch>,
+    /// Part of the red team's limit that is on its way to another block: the
+    /// transaction, and how many thousandths of a CPU.
+    gift: Option<(Value, i64)>,
 }
 
 struct World {
+    /// Blocks: each owner has one of so many.
+    of: u32,
+    places: Places,
     topology: Option<Rc<Topology>>,
     rng: StdRng,
     now: f64,
@@ -242,6 +253,10 @@
     }
 
     fn with(seed: u64, with_topology: bool) -> Self {
+        Self::of_blocks(seed, with_topology, 1)
+    }
+
+    fn of_blocks(seed: u64, with_topology: bool, of: u32) -> Self {
         let workers = (0..8)
             .map(|i| Worker {
                 id: format!("vm-{i:06}"),
@@ -257,6 +272,8 @@
             })
             .collect();
         let mut world = Self {
+            of,
+            places: Places::default(),
             topology: with_topology
                 .then(|| Rc::new(Topology::parse(TOPOLOGY).expect("a valid file"))),
             rng: StdRng::seed_from_u64(seed),
@@ -272,11 +289,162 @@
             started: 0,
             rented: 0,
         };
-        world.take_over();
+        if of > 1 {
+            world.store.write("h/map", json!({"v": 1, "blocks": of}));
+            for block in 0..of {
+                let part =
+                    10_000 / i64::from(of) + i64::from(block == 0) * (10_000 % i64::from(of));
+                let slice = json!({"v": 1, "t": [["red", part, 0], ["blue", 1_000_000, 0]]});
+                world.store.write(&format!("h/slice/{block}"), slice);
+            }
+            for block in 0..of {
+                world.take_over_block(block);
+            }
+        } else {
+            world.take_over();
+        }
         world
     }
 
+    /// A block is granted anew; its last owner may not have heard of that.
+    fn take_over_block(&mut self, block: u32) {
+        self.grants += 1;
+        let record = BlockRecord {
+            version: 1,
+            owner: settings::config(1.0).node.clone(),
+            run: 0,
+            term: Term(self.grants),
+            number: self.grants,
+            to: None,
+            pin: None,
+        };
+        let key = format!("h/block/{block}");
+        self.store
+            .write(&key, serde_json::to_value(&record).expect("record"));
+        let mut view = View::default();
+        view.replace(Revision(0), Vec::new());
+        self.store.follow(&mut view);
+        view.take_changed();
+        let block = BlockId(block);
+        let shard = Shard { block, of: self.of };
+        let grant = (self.grants, view.blocks[&block].stamp);
+        let core = Core::load_block(
+            settings::config(1.0),
+            &kinds(),
+            &view,
+            (shard, grant, self.places.clone()),
+            None,
+            Time(self.now),
+            0,
+        );
+        self.owners.push(Owner {
+            core,
+            view,
+            pending: None,
+            gift: None,
+        });
+        let same = self.owners.iter().filter(|o| o.core.shard == shard);
+        if same.count() > 2 {
+            let first = self.owners.iter().position(|o| o.core.shard == shard);
+            self.owners.remove(first.expect("one of them"));
+        }
+    }
+
+    /// Blocks leave tasks to each other, and parts of a limit move. Messages are
+    /// lost; an answer may be, though the transaction was carried out.
+    fn between_blocks(&mut self) {
+        for w in &self.workers {
+            if self.rng.random_bool(0.3) {
+                let zone = Zone::from(w.zone);
+                self.places.borrow_mut().insert(w.id.as_str().into(), zone);
+            }
+        }
+        for at in 0..self.owners.len() {
+            let now = Time(self.now);
+            for other in 0..self.of {
+                let room = self.rng.random_range(0..9) * 1000;
+                self.owners[at].core.has_room(BlockId(other), room, now);
+            }
+            let o = &mut self.owners[at];
+            o.core.look_elsewhere(&o.view);
+            for left in o.core.leave(&o.view, now) {
+                let taker = self
+                    .owners
+                    .iter()
+                    .rposition(|t| t.core.shard.block == left.block);
+                if let Some(taker) = taker.filter(|t| *t != at && self.rng.random_bool(0.8)) {
+                    let t = &mut self.owners[taker];
+                    t.core.left_here(&t.view, &left, now, 0);
+                }
+            }
+            self.give(at);
+        }
+    }
+
+    fn give(&mut self, at: usize) {
+        let o = &mut self.owners[at];
+        let me = o.core.shard.block;
+        let key = |b: BlockId| format!("h/slice/{}", b.0);
+        if o.gift.is_none() && self.rng.random_bool(0.1) {
+            let to = BlockId(self.rng.random_range(0..self.of));
+            let (Some(mine), Some(theirs)) = (o.view.slices.get(&me), o.view.slices.get(&to))
+            else {
+                return;
+            };
+            let part = |s: &SliceRecord| s.teams[0].1;
+            let used = o.core.needs()[0].used.cpu;
+            let most = part(&mine.value) - used;
+            // One that knows it is deposed gives nothing.
+            let granted = o.view.blocks[&me].value.number == o.core.grant;
+            if to == me || most < 1000 || !granted {
+                return;
+            }
+            let give = self.rng.random_range(500..=most);
+            let changed = |s: &SliceRecord, by: i64| {
+                let mut s = s.clone();
+                s.teams[0].1 += by;
+                serde_json::to_value(s).expect("record")
+            };
+            let block = format!("h/block/{}", me.0);
+            let grant = o.view.blocks[&me].stamp;
+            let txn = json!({"when": [{"key": block, "stamp": grant},
+                    {"key": key(me), "stamp": mine.stamp}, {"key": key(to), "stamp": theirs.stamp}],
+                "apply": [{"write": key(me), "value": changed(&mine.value, -give)},
+                    {"write": key(to), "value": changed(&theirs.value, give)}]});
+            let amount = |cpu| Amount {
+                cpu,
+                gpu: 0,
+                ram: 0,
+            };
+            o.core.giving(vec![amount(give), amount(0)], &o.view);
+            o.gift = Some((txn, give));
+        }
+        let o = &mut self.owners[at];
+        let Some((txn, _)) = o.gift.clone() else {
+            return;
+        };
+        match self.rng.random_range(0..4) {
+            0 => {}
+            1 => {
+                self.store.txn(&txn);
+            }
+            _ => {
+                // Carried out now, or before, or never: the view tells.
+                self.store.txn(&txn);
+                self.store.follow(&mut o.view);
+                let changed = o.view.take_changed();
+                o.core.jobs_changed(&o.view, &changed, Time(self.now), 0);
+                o.core.giving(Vec::new(), &o.view);
+                o.gift = None;
+            }
+        }
+    }
+
     fn take_over(&mut self) {
+        if self.of > 1 {
+            let block = self.rng.random_range(0..self.of);
+            return self.take_over_block(block);
+        }
         self.grants += 1;
         let grant = GrantRecord {
             owner: None,
@@ -302,6 +470,7 @@
             core,
             view,
             pending: None,
+            gift: None,
         });
         if self.owners.len() > 2 {
             self.owners.remove(0);
@@ -505,6 +674,10 @@
         if self.topology.is_some() {
             value["topology"] = wishes_json(&mut self.rng);
         }
+        self.accept(value);
+    }
+
+    fn accept(&mut self, value: Value) {
         let mut spec = read_job(value.clone()).expect("a valid job");
         spec.wishes = Wishes::read(&value).expect("valid wishes").map(Box::new);
         // Some jobs keep their claims in their own record, others in chunks.
@@ -658,11 +831,14 @@
             return;
         }
         // Now and then a report still goes to an owner that was deposed.
+        let machine = MachineId::from(self.workers[at].id.as_str());
+        let covers = |o: &Owner| o.core.shard.covers(&machine);
         let owner = if self.rng.random_bool(0.15) {
-            0
+            self.owners.iter().position(covers)
         } else {
-            self.owners.len() - 1
+            self.owners.iter().rposition(covers)
         };
+        let Some(owner) = owner else { return };
         let report = self.workers[at].report();
         let sent = self.now;
         let o = &mut self.owners[owner];
@@ -692,9 +868,11 @@
         let now = Time(self.now);
         // Only a list shows that a machine which a record claims is gone: its
         // deletion may have gone unrecorded.
+        let shard = self.owners[owner].core.shard;
         let list: Vec<Listed> = self
             .workers
             .iter()
+            .filter(|w| shard.covers(&w.id.as_str().into()))
             .map(|w| Listed {
                 uid: MachineId::from(w.id.as_str()),
                 addr: "127.0.0.1:9".parse().ok(),
@@ -733,9 +911,18 @@
         if self.rng.random_bool(0.02) {
             self.cancel();
         }
-        if self.rng.random_bool(0.01) || self.owners.is_empty() {
+        let owned = |b: u32| self.owners.iter().any(|o| o.core.shard.block.0 == b);
+        if let Some(block) = (0..self.of).find(|b| !owned(*b)) {
+            match self.of {
+                1 => self.take_over(),
+                _ => self.take_over_block(block),
+            }
+        } else if self.rng.random_bool(0.01) {
             self.take_over();
         }
+        if self.of > 1 {
+            self.between_blocks();
+        }
         if self.topology.is_some() && self.rng.random_bool(0.01) {
             self.drain();
         }
@@ -781,12 +968,18 @@
         for owner in (0..self.owners.len()).rev() {
             let now = Time(self.now);
             // A deposed owner may not have heard of anything for long.
-            if owner + 1 == self.owners.len() || self.rng.random_bool(0.1) {
+            let shard = self.owners[owner].core.shard;
+            let last = self.owners.iter().rposition(|o| o.core.shard == shard);
+            if last == Some(owner) || self.rng.random_bool(0.1) {
                 let o = &mut self.owners[owner];
                 self.store.follow(&mut o.view);
                 let changed = o.view.take_changed();
                 o.core.jobs_changed(&o.view, &changed, now, 0);
                 o.core.set_drains(&o.view, now);
+                if shard.is_part() {
+                    o.core.look_at_limits(&o.view);
+                    o.core.still_granted(&o.view);
+                }
             }
             regular(&mut self.owners[owner].core, now);
             if self.rng.random_bool(0.25) {
@@ -855,10 +1048,33 @@
     }
 }
 
+/// The same with several blocks: tasks are left to other blocks, parts of limits
+/// move, and each block is granted anew now and then, while its last owner goes
+/// on. Two blocks' writes to one job meet all the time.
+#[test]
+fn rules_hold_over_several_blocks() {
+    for seed in 300..312 {
+        let mut world = World::of_blocks(seed, false, 2 + seed as u32 % 2);
+        for _ in 0..500 {
+            world.step(true);
+        }
+        let parts: i64 = (0..world.of)
+            .map(|b| world.store.keys[&format!("h/slice/{b}")].1["t"][0][1].as_i64())
+            .map(|part| part.expect("thousandths"))
+            .sum();
+        assert_eq!(parts, 10_000, "seed {seed}: the parts add up to the limit");
+        assert!(
+            world.started > 50,
+            "nothing_ran: seed {seed} started {}",
+            world.started
+        );
+    }
+}
+
 #[test]
 fn all_accepted_arrays_finish_once_the_troubles_allow() {
-    for seed in 100..106 {
-        let mut world = World::new(seed);
+    for seed in 100..109 {
+        let mut world = World::of_blocks(seed, false, 1 + seed as u32 % 3);
         for _ in 0..200 {
             world.step(true);
         }
@@ -1303,16 +1519,53 @@
 
 /// Changes are few: claims go first, then done jobs; results wait for company,
 /// but not for ever.
+fn sort(class: &str) -> Sort {
+    (Arc::from(class), Arc::from("crew"))
+}
+
+/// With more urgent claims than changes, each class still has some of its own
+/// recorded, and users are told of jobs that are done: neither was so once, for
+/// minutes.
+#[test]
+fn what_is_urgent_does_not_starve_the_rest() {
+    let chunk = |n: u32| (JobId::from(format!("run-{n:04}").as_str()), 0);
+    let mut pending = Pending::default();
+    for n in 0..10 {
+        pending.claimed(chunk(n), false, sort("bake"), Time(0.0));
+        pending.claimed(chunk(100 + n), false, sort("check"), Time(0.0));
+        pending.finished(chunk(200 + n).0, Time(0.0));
+    }
+    let mut taken: BTreeMap<&str, usize> = BTreeMap::new();
+    for n in 0..100 {
+        let now = Time(10.0 + f64::from(n) * 0.1);
+        // Two more for each that is recorded.
+        pending.claimed(chunk(1000 + 2 * n), true, sort("live"), now);
+        pending.claimed(chunk(1001 + 2 * n), true, sort("live"), now);
+        let what = match pending.take(false, now) {
+            Some(Due::Finished(_)) => "done",
+            Some(Due::Chunk((id, _))) if id >= chunk(1000).0 => "live",
+            Some(Due::Chunk((id, _))) if id >= chunk(100).0 => "check",
+            Some(Due::Chunk(_)) => "bake",
+            None => "nothing",
+        };
+        *taken.entry(what).or_insert(0) += 1;
+    }
+    // One of four by turns of three classes, one of three for what is done.
+    assert!(taken["bake"] >= 8 && taken["check"] >= 8, "{taken:?}");
+    assert_eq!(taken["done"], 10);
+    assert!(taken["live"] >= 70, "urgency has the rest: {taken:?}");
+}
+
 #[test]
 fn changes_go_where_they_are_missed_most() {
     let chunk = |n: u32| (JobId::from(format!("run-{n}").as_str()), 0);
     let mut pending = Pending::default();
     pending.useless(chunk(1), Time(0.0));
     pending.released(chunk(2), Time(0.0));
-    pending.finished(chunk(3).0);
-    pending.claimed(chunk(4), false, Time(0.0));
-    pending.claimed(chunk(5), true, Time(0.0));
-    pending.claimed(chunk(2), false, Time(0.5));
+    pending.finished(chunk(3).0, Time(0.0));
+    pending.claimed(chunk(4), false, sort("batch"), Time(0.0));
+    pending.claimed(chunk(5), true, sort("live"), Time(0.0));
+    pending.claimed(chunk(2), false, sort("batch"), Time(0.5));
     let mut taken = |spare: bool, now: f64| pending.take(spare, Time(now));
     assert_eq!(taken(false, 1.0), Some(Due::Chunk(chunk(5))), "in a hurry");
     assert_eq!(
@@ -1334,3 +1587,74 @@
     pending.released(chunk(6), Time(8.0));
     assert_eq!(pending.take(false, Time(30.0)), Some(Due::Chunk(chunk(6))));
 }
+
+/// A block to which a task was left, and which another block's claim forestalled,
+/// leaves the record alone: it once deleted the whole chunk, with what others
+/// claimed in it, and their tasks were started a second time.
+#[test]
+fn a_block_that_was_forestalled_deletes_nothing_of_the_job() {
+    let mut world = World::of_blocks(5, false, 2);
+    for _ in 0..3 {
+        for at in 0..world.workers.len() {
+            world.now += 0.1;
+            world.beat(at);
+        }
+    }
+    let (home, other) = (BlockId(0), BlockId(1));
+    let mut id = 0;
+    let homed = |n: u32| of_job(&JobId::from(&*format!("run-{n:06}")), 2) == home;
+    while !homed(id) {
+        id += 1;
+    }
+    let mut job = job_json(id, &mut world.rng);
+    let plain = json!({"shape": "sweep", "together": false, "spread": false, "pieces": 20,
+        "cpus": 1.0, "rank": "normal", "loaners": true, "crew": "blue"});
+    job.as_object_mut()
+        .expect("an object")
+        .extend(plain.as_object().cloned().expect("an object"));
+    world.accept(job);
+    let id = JobId::from(&*format!("run-{id:06}"));
+    let at = |world: &World, b| {
+        let has = |o: &Owner| o.core.shard.block == b;
+        world.owners.iter().position(has).expect("an owner")
+    };
+    let mut theirs = world.workers.iter().map(|w| MachineId::from(w.id.as_str()));
+    let theirs = theirs.find(|m| of_machine(m, 2) == home);
+    let theirs = theirs.expect("a machine of the other block");
+    let b = at(&world, other);
+    let now = Time(world.now);
+    let follow = |world: &mut World| {
+        let o = &mut world.owners[b];
+        world.store.follow(&mut o.view);
+        let changed = o.view.take_changed();
+        o.core.jobs_changed(&o.view, &changed, now, 0);
+    };
+    follow(&mut world);
+    let left = LeftTo {
+        block: other,
+        job: id.clone(),
+        tasks: vec![0],
+    };
+    let o = &mut world.owners[b];
+    o.core.left_here(&o.view, &left, now, 0);
+    o.core.place_all(now);
+    let claimed = |o: &Owner| o.core.board.job(&id).map(|j| j.tasks.claims().len());
+    assert_eq!(claimed(o), Some(1), "the task that was left, and no other");
+    let key = chunk_key(&id, 0);
+    let claim = json!({"a": 2, "d": 0, "c": [[0, 1, theirs]]});
+    world.store.write(&key, claim.clone());
+    follow(&mut world);
+    assert_eq!(
+        claimed(&world.owners[b]),
+        None,
+        "whoever wrote first has it"
+    );
+    for _ in 0..20 {
+        let o = &mut world.owners[b];
+        if let Some(batch) = o.core.next_batch(&o.view, 4, true, Time(now.0 + 60.0)) {
+            let txn = serde_json::to_value::<&Txn>(&batch.txn).expect("txn");
+            world.store.txn(&txn);
+        }
+    }
+    assert_eq!(world.store.keys.get(&key).map(|(_, v)| v), Some(&claim));
+}
