Blocks: from several back to one; tests with frozen owners and rolling restarts

Change: a leader whose settings ask for one block has all blocks handed to it, lets them settle, and writes one grant above all of theirs in one transaction that also removes the others. Tests on loopback: three blocks to one and back by restarting every controller in turn, work coming all the time, each task started once; owners that stand still for longer than their lease while blocks move and the state service is away.

--- a/crates/blocks/src/owners.rs
+++ b/crates/blocks/src/owners.rs
@@ -70,14 +70,23 @@
     moved: Option<Time>,
 }
 
+/// What the operators want of the blocks, beside that all are owned.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Wish {
+    /// All blocks are to go to this controller, as there is to be one again.
+    pub gather: Option<NodeId>,
+    /// A block moves so often, in seconds, even if nothing asks for it, so that
+    /// moves are tried all the time.
+    pub move_every_s: Option<f64>,
+}
+
 impl Owners {
-    /// The next step, if any is due. `move_every_s`: a block moves so often even
-    /// if nothing asks for it, so that moves are tried all the time.
+    /// The next step, if any is due.
     pub fn next(
         &mut self,
         blocks: &BTreeMap<BlockId, Held>,
         alive: &BTreeMap<NodeId, Member>,
-        move_every_s: Option<f64>,
+        wish: &Wish,
         now: Time,
     ) -> Option<Step> {
         self.seen
@@ -129,6 +138,10 @@
         if !self.offers.is_empty() {
             return None;
         }
+        if let Some(gather) = wish.gather.as_ref().filter(|g| alive.contains_key(*g)) {
+            let away = blocks.iter().find(|(_, h)| h.owner != *gather);
+            return away.map(|(block, _)| Step::Offer(*block, gather.clone()));
+        }
         for (block, held) in blocks {
             let there = held.pin.as_ref().filter(|pin| alive.contains_key(*pin));
             if let Some(pin) = there.filter(|pin| **pin != held.owner) {
@@ -145,8 +158,9 @@
             Some((most, c)) if *c >= has + 2 => ((*most).clone(), least),
             _ => {
                 // Nothing to balance; one in turn, if moves are forced.
-                let forced = move_every_s.is_some_and(|s| quiet_s >= s && alive.len() > 1);
-                let turn = (now.0 / move_every_s.unwrap_or(1.0).max(1.0)) as usize;
+                let every_s = wish.move_every_s;
+                let forced = every_s.is_some_and(|s| quiet_s >= s && alive.len() > 1);
+                let turn = (now.0 / every_s.unwrap_or(1.0).max(1.0)) as usize;
                 let block = blocks.keys().nth(turn % blocks.len().max(1));
                 let from = &blocks.get(block.filter(|_| forced)?)?.owner;
                 (from.clone(), fewest(Some(from), true)?.0)
--- a/crates/blocks/tests/model.rs
+++ b/crates/blocks/tests/model.rs
@@ -7,7 +7,7 @@
 
 use proptest::prelude::*;
 use sorrelhinge_blocks::fair::Turns;
-use sorrelhinge_blocks::owners::{how_many, Held, Member, Owners, Step};
+use sorrelhinge_blocks::owners::{how_many, Held, Member, Owners, Step, Wish};
 use sorrelhinge_blocks::served::{Served, Sort, Waits};
 use sorrelhinge_blocks::shard::{of_job, of_machine, BlockId, Shard, MOST_BLOCKS};
 use sorrelhinge_blocks::slices::{divide, gift, Gift, Need};
@@ -193,6 +193,7 @@
         blocks in 1..=MOST_BLOCKS,
         events in prop::collection::vec((0..5_u8, 0..5_u8, any::<bool>()), 0..120),
         forced in any::<bool>(),
+        gather in any::<bool>(),
     ) {
         let mut world = World::default();
         for n in 0..5 {
@@ -229,8 +230,8 @@
                 }
                 _ => {
                     let leader = &mut leaders[usize::from(who % 2)];
-                    let every = forced.then_some(2.0);
-                    if let Some(step) = leader.next(&world.held(), &world.alive, every, Time(now)) {
+                    let wish = Wish { gather: None, move_every_s: forced.then_some(2.0) };
+                    if let Some(step) = leader.next(&world.held(), &world.alive, &wish, Time(now)) {
                         if let Step::Grant(b, _) = &step {
                             let held = &world.blocks[b].0;
                             let lives = world.alive.get(&held.owner).is_some_and(|m| m.run == held.run);
@@ -247,10 +248,13 @@
             prop_assert_eq!(world.check(), Ok(()));
         }
         world.late.clear();
+        // At last all are to go to one, or stay balanced.
+        let one = gather.then(|| world.alive.keys().next().cloned()).flatten();
+        let wish = Wish { gather: one.clone(), move_every_s: None };
         let mut leader = Owners::default();
         for _ in 0..200 {
             now += 0.5;
-            if let Some(step) = leader.next(&world.held(), &world.alive, None, Time(now)) {
+            if let Some(step) = leader.next(&world.held(), &world.alive, &wish, Time(now)) {
                 world.carry_out(&step, false);
             }
             let offered: Vec<_> = world.blocks.iter()
@@ -267,6 +271,10 @@
             prop_assert_eq!(world.alive.get(&held.owner).map(|m| m.run), Some(held.run));
             *count.get_mut(&held.owner).expect("alive") += 1;
         }
+        if let Some(one) = one {
+            prop_assert_eq!(count[&one], blocks as usize, "{:?}", count);
+            return Ok(());
+        }
         let (most, least) = (count.values().max(), count.values().min());
         prop_assert!(most.unwrap_or(&0) - least.unwrap_or(&0) <= 1, "{:?}", count);
     }
@@ -475,7 +483,7 @@
     world.blocks.insert(BlockId(0), (held, 0));
     world.carry_out(&Step::Offer(BlockId(0), node(1)), true);
     world.alive.remove(&node(0));
-    let step = Owners::default().next(&world.held(), &world.alive, None, Time(9.0));
+    let step = Owners::default().next(&world.held(), &world.alive, &Wish::default(), Time(9.0));
     let Some(step @ Step::Grant(..)) = step else {
         panic!("{step:?}");
     };
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -208,8 +208,6 @@
                 }
             })
             .collect();
-        let properties = format!("leader.lease.s=1\n{}", plan.properties);
-        std::fs::write(folder.join("local.properties"), properties).expect("written");
         let mut world = Self {
             store,
             nodes,
@@ -219,6 +217,7 @@
             topology,
             sockets: plan.sockets,
         };
+        world.set_properties(plan.properties);
         for i in 0..3 {
             world.start_controller(i);
         }
@@ -261,6 +260,23 @@
         controller.process.replace(Some(process));
     }
 
+    /// Changes the operators' own settings: read by whoever starts next.
+    pub fn set_properties(&self, more: &str) {
+        let text = format!("leader.lease.s=1\n{more}");
+        std::fs::write(self.folder.join("local.properties"), text).expect("written");
+    }
+
+    /// Stops a controller's process, or lets it go on: its clocks run meanwhile.
+    pub fn freeze_controller(&self, i: usize, frozen: bool) {
+        let signal = if frozen { "-STOP" } else { "-CONT" };
+        if let Some(process) = &*self.controllers[i].process.borrow() {
+            let told = Command::new("kill")
+                .args([signal, &process.id().to_string()])
+                .status();
+            assert!(told.expect("kill").success());
+        }
+    }
+
     /// Kills a controller at once.
     pub fn kill_controller(&mut self, i: usize) {
         if let Some(mut process) = self.controllers[i].process.borrow_mut().take() {
--- a/src/control/sharing.rs
+++ b/src/control/sharing.rs
@@ -3,7 +3,7 @@
 
 use super::*;
 
-use sorrelhinge_blocks::owners::{how_many, Held, Member, Step};
+use sorrelhinge_blocks::owners::{how_many, Held, Member, Step, Wish};
 use sorrelhinge_blocks::slices::{divide, gift, Need};
 
 use crate::peer::Kind;
@@ -114,6 +114,9 @@
                 self.stand_among().await;
             } else if blocks > 1 && self.leads() {
                 self.share_out_once().await;
+                if self.cfg.tuning.blocks_least == 1 {
+                    self.unite_machines(blocks).await;
+                }
             } else if self.leads() {
                 self.divide_machines(&mut divide_at).await;
             }
@@ -162,6 +165,10 @@
     /// The next step of who owns what, if one is due.
     async fn share_out_once(&self) {
         let now = self.now();
+        let wish = Wish {
+            gather: (self.cfg.tuning.blocks_least == 1).then(|| self.cfg.node.clone()),
+            move_every_s: self.cfg.tuning.move_every_s,
+        };
         let step = {
             let view = self.view.borrow();
             let blocks = view.blocks.iter().map(|(block, b)| {
@@ -175,12 +182,9 @@
             });
             let members = view.members.iter();
             let alive = members.map(|(node, m)| (node.clone(), Member { run: m.value.run }));
-            self.owners.borrow_mut().next(
-                &blocks.collect(),
-                &alive.collect(),
-                self.cfg.tuning.move_every_s,
-                now,
-            )
+            self.owners
+                .borrow_mut()
+                .next(&blocks.collect(), &alive.collect(), &wish, now)
         };
         let Some(step) = step else { return };
         let change = {
@@ -373,6 +377,77 @@
         }
     }
 
+    /// From several blocks to one, once this controller owns all of them and
+    /// nothing is under way: its grant is above all of theirs.
+    async fn unite_machines(&self, of: u32) {
+        let now = self.now();
+        let (txn, grant) = {
+            let view = self.view.borrow();
+            let mut cores = self.cores.borrow_mut();
+            let whole = (0..of).all(|b| {
+                let held = view.blocks.get(&BlockId(b));
+                let core = cores.get(&BlockId(b));
+                let held = held.filter(|h| h.value.to.is_none());
+                held.zip(core)
+                    .is_some_and(|(h, c)| h.value.number == c.grant)
+            });
+            if !whole {
+                return;
+            }
+            for c in cores.values_mut() {
+                c.freeze(now);
+            }
+            if !cores.values().all(|c| c.settled(now)) {
+                return;
+            }
+            let term = view.leader.value.as_ref().map_or(Term(0), |l| l.term);
+            let grant = GrantRecord {
+                owner: Some(self.cfg.node.clone()),
+                term,
+                number: view.newest_grant() + 1,
+            };
+            let map = MapRecord {
+                version: MapRecord::VERSION,
+                blocks: 1,
+            };
+            let mut when = vec![When {
+                key: LEADER.into(),
+                stamp: view.leader.stamp,
+            }];
+            let mut apply = vec![
+                Change::write(MAP.into(), &map, None),
+                Change::write(GRANT.into(), &grant, None),
+            ];
+            for (block, held) in &view.blocks {
+                when.push(When {
+                    key: block_key(*block),
+                    stamp: held.stamp,
+                });
+                apply.push(Change::Delete {
+                    delete: block_key(*block),
+                });
+            }
+            (Txn { when, apply }, grant)
+        };
+        match self.state.txn(&txn, Urgency::First).await {
+            Ok(Outcome::Done(revision)) => {
+                tracing::info!("the machines are one block again");
+                self.peers.announce(revision);
+                self.take_over(grant, revision).await;
+            }
+            // If it was carried out after all, nobody owns the block: the lease
+            // ends, and whoever leads next takes it.
+            Err(StateError::Unknown(_)) => self.lease.set(None),
+            other => {
+                tracing::info!(?other, "uniting the blocks");
+                self.fresh().await;
+                for c in self.cores.borrow_mut().values_mut() {
+                    c.thaw();
+                }
+            }
+        }
+    }
+
     /// Takes up the blocks that are granted to this controller. True if there
     /// are any new ones.
     pub(super) fn take_up(&self, view: &View) -> bool {
--- a/tests/blocks.rs
+++ b/tests/blocks.rs
@@ -212,3 +212,81 @@
         assert_eq!(world.nodes.borrow().copies("run-000001"), 6);
     });
 }
+
+/// All controllers are restarted one after the other with one block, and then
+/// with three again: what runs goes on, and work is taken all the time.
+#[test]
+fn from_three_blocks_to_one_and_back_by_rolling_restarts() {
+    run(async {
+        let mut world = World::start(plan("rolled", 98, 4, "blocks.least=3\n")).await;
+        world.until("each owns a block", 30, each_owns_one).await;
+        world
+            .submit("run-000001", json!({"shape": "standing", "pieces": 6}))
+            .await;
+        let up = |w: &World| w.nodes.borrow().copies("run-000001") == 6;
+        world.until("replicas run", 20, up).await;
+        let starts = world.nodes.borrow().starts;
+        let mut tasks = 0;
+        for (round, least) in ["blocks.least=1\n", "blocks.least=3\n"].iter().enumerate() {
+            world.set_properties(least);
+            for i in 0..3 {
+                world.kill_controller(i);
+                let from = 100 + 1000 * round as u32 + 100 * i as u32;
+                let uids = work(&world, from, 2).await;
+                world.start_controller(i);
+                for uid in &uids {
+                    world.until("a job's tasks", 40, |w| done(w, uid, 5)).await;
+                }
+                tasks += 5 * uids.len();
+            }
+            let so = |w: &World| match round {
+                0 => {
+                    let blocks = w.store.borrow().get("h/map").map(|m| m["blocks"].clone());
+                    blocks == Some(json!(1)) && owners(w).is_empty()
+                }
+                _ => each_owns_one(w),
+            };
+            world.until("as many blocks as are wanted", 40, so).await;
+        }
+        let uids = work(&world, 5000, 2).await;
+        for uid in &uids {
+            world.until("a job's tasks", 40, |w| done(w, uid, 5)).await;
+        }
+        tasks += 5 * uids.len();
+        rules_hold(&world);
+        assert_eq!(world.nodes.borrow().copies("run-000001"), 6);
+        assert_eq!(
+            world.nodes.borrow().starts - starts,
+            tasks,
+            "each task started once"
+        );
+    });
+}
+
+/// Owners stand still for longer than their lease, one after the other, while
+/// blocks move, and the state service is away in the midst of it: whoever wakes
+/// up later acts no more, and nothing is lost.
+#[test]
+fn owners_stand_still_and_the_state_service_is_away_while_blocks_move() {
+    run(async {
+        let moves = "blocks.least=3\nblocks.move.every.s=2\n";
+        let world = World::start(plan("frozen", 102, 5, moves)).await;
+        world.until("each owns a block", 30, each_owns_one).await;
+        let mut all = Vec::new();
+        for i in 0..3 {
+            world.freeze_controller(i, true);
+            all.extend(work(&world, 100 + 100 * i as u32, 3).await);
+            world.freeze_controller(i, false);
+            if i == 1 {
+                world.store.borrow_mut().set_down(true);
+                sleep(Duration::from_secs(3)).await;
+                world.store.borrow_mut().set_down(false);
+            }
+        }
+        for uid in &all {
+            world.until("a job's tasks", 40, |w| done(w, uid, 5)).await;
+        }
+        parts_add_up(&world);
+        rules_hold(&world);
+    });
+}
