--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -334,13 +334,25 @@
         }
     }
 
+    /// Asks one controller once, in any way.
+    pub async fn ask_once(
+        &self,
+        i: usize,
+        method: Method,
+        path: &str,
+        body: &Value,
+    ) -> Option<Told> {
+        ask(self.controllers[i].users, method, path, body).await
+    }
+
     /// Asks one controller once.
     pub async fn ask_one(&self, i: usize, path: &str) -> Option<Told> {
         ask(self.controllers[i].users, Method::GET, path, &Value::Null).await
     }
 
-    /// Submits a job; `more` overrides the usual fields.
-    pub async fn submit(&self, uid: &str, more: Value) -> Told {
+    /// A job as it is submitted, and as workers fetch it; `more` overrides the
+    /// usual fields.
+    pub fn job(&self, uid: &str, more: Value) -> Value {
         let mut job = json!({"uid": uid, "jobclass": "bake", "crew": "crew", "shape": "sweep",
             "rank": "normal", "pieces": 1, "cpus": 1.0, "cards": 0.0, "ram_gb": 1.0,
             "bundle": "img-1", "pull_gb": 0.1, "builds": null, "rack": null, "together": false,
@@ -350,6 +362,12 @@
             job[key] = value.clone();
         }
         self.nodes.borrow_mut().jobs.insert(uid.into(), job.clone());
+        job
+    }
+
+    /// Submits a job; `more` overrides the usual fields.
+    pub async fn submit(&self, uid: &str, more: Value) -> Told {
+        let job = self.job(uid, more);
         match self.ask(Method::POST, "/v1/jobs", &job).await {
             // The id is new: an earlier try of this very call was accepted, and
             // its answer came too late.
--- a/tests/comeback.rs
+++ b/tests/comeback.rs
@@ -2,7 +2,7 @@
 //! controllers on loopback, whose workers' leases would end meanwhile.
 
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::Method;
 use serde_json::{json, Value};
@@ -77,3 +77,72 @@
         assert_eq!(nodes.wrong, [] as [String; 0]);
     });
 }
+
+/// All controllers get a twentieth of their time for so long that leases end and
+/// tasks with them, while work of every class comes. Once they have it back, all
+/// classes are served again, with what came meanwhile, within a minute.
+#[test]
+fn an_overload_that_ends_leases_is_over_soon_after_its_cause() {
+    run(async {
+        let world = World::start(plan("starved", 106, 16)).await;
+        world.until("a leader", 20, |w| w.leader().is_some()).await;
+        let services = ["run-000001", "run-000002"];
+        for uid in services {
+            world
+                .submit(
+                    uid,
+                    json!({"shape": "standing", "pieces": 8, "rank": "critical"}),
+                )
+                .await;
+        }
+        let up = |w: &World| services.iter().all(|s| w.nodes.borrow().copies(s) == 8);
+        world.until("replicas run", 20, up).await;
+        let classes = [("bake", "normal"), ("check", "high")];
+        let job = |n: u32| {
+            let (class, rank) = classes[n as usize % 2];
+            let uid = format!("run-{n:06}");
+            (
+                uid,
+                json!({"jobclass": class, "rank": rank, "pieces": 6, "guess_s": 0.5}),
+            )
+        };
+        let begun = Instant::now();
+        let mut came = Vec::new();
+        while begun.elapsed() < Duration::from_secs(2 * LEASE_S as u64) {
+            for i in 0..3 {
+                world.freeze_controller(i, true);
+            }
+            sleep(Duration::from_millis(190)).await;
+            for i in 0..3 {
+                world.freeze_controller(i, false);
+            }
+            let (uid, more) = job(10 + came.len() as u32);
+            // It may be told to come back: then it comes again below.
+            let body = world.job(&uid, more);
+            let asked = world.ask_once(came.len() % 3, Method::POST, "/v1/jobs", &body);
+            let _ = tokio::time::timeout(Duration::from_millis(10), asked).await;
+            came.push(uid);
+        }
+        let over = Instant::now();
+        for (n, uid) in came.iter().enumerate() {
+            let (same, more) = job(10 + n as u32);
+            assert_eq!(*uid, same);
+            let (status, told) = world.submit(uid, more).await;
+            assert!(matches!(status, 200 | 201), "{told}");
+        }
+        world.until("replicas are back", 60, up).await;
+        for uid in &came {
+            let left = 60_u64.saturating_sub(over.elapsed().as_secs()).max(1);
+            world
+                .until("what came is done", left, |w| done(w, uid, 6))
+                .await;
+        }
+        println!(
+            "{} jobs, all served {:.1} s after the overload",
+            came.len(),
+            over.elapsed().as_secs_f64()
+        );
+        assert!(over.elapsed() < Duration::from_secs(60));
+        assert_eq!(world.nodes.borrow().wrong, [] as [String; 0]);
+    });
+}
