--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -376,6 +376,25 @@
         }
     }
 
+    /// Whether the first tasks of a job have ended.
+    pub fn done(&self, uid: &str, tasks: usize) -> bool {
+        let nodes = self.nodes.borrow();
+        (0..tasks).all(|n| nodes.done.contains(&format!("{uid}/{n}")))
+    }
+
+    /// What users are told of a job.
+    pub async fn phase(&self, uid: &str) -> Value {
+        let path = format!("/v1/jobs/{uid}");
+        let (status, told) = self.ask(Method::GET, &path, &Value::Null).await;
+        assert_eq!(status, 200, "{told}");
+        told["phase"].clone()
+    }
+
+    /// No start broke a rule.
+    pub fn rules_hold(&self) {
+        assert_eq!(self.nodes.borrow().wrong, [] as [String; 0]);
+    }
+
     /// Waits until something is so.
     pub async fn until(&self, what: &str, seconds: u64, so: impl Fn(&Self) -> bool) {
         let end = Instant::now() + Duration::from_secs(seconds);
--- a/tests/blocks.rs
+++ b/tests/blocks.rs
@@ -41,19 +41,6 @@
     owners.len() == 3 && names.len() == 3
 }
 
-fn done(world: &World, uid: &str, tasks: usize) -> bool {
-    let nodes = world.nodes.borrow();
-    (0..tasks).all(|n| nodes.done.contains(&format!("{uid}/{n}")))
-}
-
-async fn phase(world: &World, uid: &str) -> Value {
-    let (status, told) = world
-        .ask(Method::GET, &format!("/v1/jobs/{uid}"), &Value::Null)
-        .await;
-    assert_eq!(status, 200, "{told}");
-    told["phase"].clone()
-}
-
 /// The recorded parts of the limit add up to it, exactly, at any moment.
 fn parts_add_up(world: &World) {
     let store = world.store.borrow();
@@ -65,10 +52,6 @@
     }
 }
 
-fn rules_hold(world: &World) {
-    assert_eq!(world.nodes.borrow().wrong, [] as [String; 0]);
-}
-
 /// Work comes for so long; every job must end, each task once.
 async fn work(world: &World, from: u32, seconds: u64) -> Vec<String> {
     let until = Instant::now() + Duration::from_secs(seconds);
@@ -114,10 +97,10 @@
         let starts = world.nodes.borrow().starts;
         let uids = work(&world, 10, 12).await;
         for uid in &uids {
-            world.until("a job's tasks", 30, |w| done(w, uid, 5)).await;
+            world.until("a job's tasks", 30, |w| w.done(uid, 5)).await;
         }
         assert_ne!(owners(&world), before, "nothing moved");
-        rules_hold(&world);
+        world.rules_hold();
         assert_eq!(
             world.nodes.borrow().copies("run-000001"),
             6,
@@ -164,7 +147,7 @@
         world
             .submit(uid, json!({"pieces": 12, "guess_s": 0.3}))
             .await;
-        world.until("a job's tasks", 20, |w| done(w, uid, 12)).await;
+        world.until("a job's tasks", 20, |w| w.done(uid, 12)).await;
         sleep(Duration::from_secs(2)).await;
         assert_eq!(owners(&world)[&0], to, "it was not moved away for balance");
         let (ok, told) = world.command(&["blocks", "show"]).await;
@@ -175,7 +158,7 @@
         let (ok, told) = world.command(&["blocks", "show", "--json"]).await;
         let shown: Value = serde_json::from_str(&told).expect("JSON");
         assert!(ok && shown["blocks"].as_array().is_some_and(|b| b.len() == 3));
-        rules_hold(&world);
+        world.rules_hold();
     });
 }
 
@@ -202,13 +185,13 @@
                 .await;
         }
         for uid in &all {
-            world.until("a job's tasks", 40, |w| done(w, uid, 5)).await;
+            world.until("a job's tasks", 40, |w| w.done(uid, 5)).await;
         }
         sleep(Duration::from_secs(3)).await;
         for uid in all.iter().step_by(7) {
-            assert_eq!(phase(&world, uid).await, json!("done"));
+            assert_eq!(world.phase(uid).await, json!("done"));
         }
-        rules_hold(&world);
+        world.rules_hold();
         assert_eq!(world.nodes.borrow().copies("run-000001"), 6);
     });
 }
@@ -235,7 +218,7 @@
                 let uids = work(&world, from, 2).await;
                 world.start_controller(i);
                 for uid in &uids {
-                    world.until("a job's tasks", 40, |w| done(w, uid, 5)).await;
+                    world.until("a job's tasks", 40, |w| w.done(uid, 5)).await;
                 }
                 tasks += 5 * uids.len();
             }
@@ -250,10 +233,10 @@
         }
         let uids = work(&world, 5000, 2).await;
         for uid in &uids {
-            world.until("a job's tasks", 40, |w| done(w, uid, 5)).await;
+            world.until("a job's tasks", 40, |w| w.done(uid, 5)).await;
         }
         tasks += 5 * uids.len();
-        rules_hold(&world);
+        world.rules_hold();
         assert_eq!(world.nodes.borrow().copies("run-000001"), 6);
         assert_eq!(
             world.nodes.borrow().starts - starts,
@@ -284,9 +267,9 @@
             }
         }
         for uid in &all {
-            world.until("a job's tasks", 40, |w| done(w, uid, 5)).await;
+            world.until("a job's tasks", 40, |w| w.done(uid, 5)).await;
         }
         parts_add_up(&world);
-        rules_hold(&world);
+        world.rules_hold();
     });
 }
--- a/tests/comeback.rs
+++ b/tests/comeback.rs
@@ -22,11 +22,6 @@
     }
 }
 
-fn done(world: &World, uid: &str, tasks: usize) -> bool {
-    let nodes = world.nodes.borrow();
-    (0..tasks).all(|n| nodes.done.contains(&format!("{uid}/{n}")))
-}
-
 /// The owner dies as an outage of the state service begins, which outlasts the
 /// workers' leases, so nobody can take over before they end. What runs goes on;
 /// what was cancelled just before ends in time all the same.
@@ -69,7 +64,7 @@
             })
             .await;
         world
-            .until("the array ends", 30, |w| done(w, "run-000002", 6))
+            .until("the array ends", 30, |w| w.done("run-000002", 6))
             .await;
         let nodes = world.nodes.borrow();
         assert_eq!(nodes.starts, starts, "nothing was started again");
@@ -134,7 +129,7 @@
         for uid in &came {
             let left = 60_u64.saturating_sub(over.elapsed().as_secs()).max(1);
             world
-                .until("what came is done", left, |w| done(w, uid, 6))
+                .until("what came is done", left, |w| w.done(uid, 6))
                 .await;
         }
         println!(
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -128,19 +128,6 @@
     world.store.borrow().get("h/leader").unwrap_or(Value::Null)
 }
 
-fn done(world: &World, uid: &str, tasks: usize) -> bool {
-    let nodes = world.nodes.borrow();
-    (0..tasks).all(|n| nodes.done.contains(&format!("{uid}/{n}")))
-}
-
-async fn phase(world: &World, uid: &str) -> Value {
-    let (status, told) = world
-        .ask(Method::GET, &format!("/v1/jobs/{uid}"), &Value::Null)
-        .await;
-    assert_eq!(status, 200, "{told}");
-    told["phase"].clone()
-}
-
 /// Cancels a job and waits until its tasks are gone.
 async fn cancel(world: &World, uid: &str) {
     let path = format!("/v1/jobs/{uid}/withdraw");
@@ -153,11 +140,6 @@
         .await;
 }
 
-fn rules_hold(world: &World) {
-    let nodes = world.nodes.borrow();
-    assert_eq!(nodes.wrong, [] as [String; 0]);
-}
-
 #[test]
 fn more_workers_users_and_slow_clients_than_sockets() {
     run(async {
@@ -191,7 +173,7 @@
                 .submit(&uid, json!({"pieces": 6, "guess_s": 0.5}))
                 .await;
             assert_eq!(status, 201);
-            world.until("a job's tasks", 20, |w| done(w, &uid, 6)).await;
+            world.until("a job's tasks", 20, |w| w.done(&uid, 6)).await;
             n += 1;
         }
         cancel(&world, "run-000002").await;
@@ -224,18 +206,18 @@
             .await;
         assert_eq!(status, 201);
         world
-            .until("service is back", 10, |w| done(w, "run-000900", 12))
+            .until("service is back", 10, |w| w.done("run-000900", 12))
             .await;
         println!(
             "back {:.2} s after the crowd, a report round is {REPORT_S} s",
             ended.elapsed().as_secs_f64()
         );
         sleep(Duration::from_secs(1)).await;
-        assert_eq!(phase(&world, "run-000900").await, json!("done"));
+        assert_eq!(world.phase("run-000900").await, json!("done"));
         for uid in services {
-            assert_eq!(phase(&world, uid).await, json!("cancelled"));
+            assert_eq!(world.phase(uid).await, json!("cancelled"));
         }
-        rules_hold(&world);
+        world.rules_hold();
     });
 }
 
@@ -270,7 +252,7 @@
             .await;
         cancel(&world, "run-000001").await;
         world
-            .until("the array ends", 30, |w| done(w, "run-000002", 30))
+            .until("the array ends", 30, |w| w.done("run-000002", 30))
             .await;
 
         // The crowd goes while nothing can be recorded.
@@ -283,10 +265,10 @@
             .submit("run-000003", json!({"pieces": 8, "guess_s": 0.2}))
             .await;
         world
-            .until("service is back", 15, |w| done(w, "run-000003", 8))
+            .until("service is back", 15, |w| w.done("run-000003", 8))
             .await;
-        assert_eq!(phase(&world, "run-000001").await, json!("cancelled"));
-        rules_hold(&world);
+        assert_eq!(world.phase("run-000001").await, json!("cancelled"));
+        world.rules_hold();
     });
 }
 
@@ -314,13 +296,13 @@
         sleep(Duration::from_secs_f64(LEASE_S - 2.0 * REPORT_S)).await;
         world.nodes.borrow_mut().turned_away.clear();
         world
-            .until("the task is done", 20, |w| done(w, "run-000001", 1))
+            .until("the task is done", 20, |w| w.done("run-000001", 1))
             .await;
         assert_eq!(
             world.nodes.borrow().starts,
             starts,
             "it was not started again"
         );
-        rules_hold(&world);
+        world.rules_hold();
     });
 }
