--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -9,14 +9,18 @@
 use serde_json::{json, Value};
 use sorrelhinge::api::read_job;
 use sorrelhinge::config::{Config, Tuning};
+use sorrelhinge::control::core::LeftTo;
 use sorrelhinge::peer::{listen, Answered, Heard, HeardOf, Kind, Message, Peers, Standing};
+use sorrelhinge::shares::{encode_left, parse_left, Needs, Rented};
 use sorrelhinge::state::record::{
     chunk_key, chunk_size, job_key, ChunkRecord, JobRecord, Key, Phase,
 };
 use sorrelhinge::state::view::View;
 use sorrelhinge::types::{
-    self, Attempt, JobId, JobSpec, MachineId, NodeId, Revision, Seq, Session, TaskId, Token,
+    self, Amount, Attempt, JobId, JobSpec, MachineId, NodeId, Revision, Seq, Session, TaskId, Token,
 };
+use sorrelhinge_blocks::shard::BlockId;
+use sorrelhinge_blocks::slices::Need;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use zerocopy::IntoBytes;
@@ -188,7 +192,7 @@
         kind: Kind::Submit,
         number: 77,
         status: 0,
-        flags: 0,
+        flags: 5,
         text: b"text".to_vec(),
         waits: false,
     };
@@ -368,3 +372,58 @@
     let lost: JobSpec = serde_json::from_value(kept).expect("readable");
     assert!(lost.opened().wishes.is_some_and(|w| w.lost));
 }
+
+/// What owners of blocks tell each other reads back, and what is of another
+/// version or length, or names too long a thing, is not taken.
+#[test]
+fn what_owners_tell_each_other_reads_back() {
+    let amount = |cpu| Amount {
+        cpu,
+        gpu: 2,
+        ram: 0,
+    };
+    let need = Need {
+        slice: Amount::default(),
+        used: amount(7000),
+        waits: amount(i64::MAX),
+    };
+    let needs = Needs {
+        block: BlockId(2),
+        machines: 41,
+        spare_cpu: 8000,
+        teams: vec![("red".into(), need), ("blue".into(), need)],
+    };
+    let rented = Rented {
+        kind: "t".into(),
+        zone: "za".into(),
+        spot: true,
+        machines: vec!["vm-000001".into(), "vm-000002".into()],
+    };
+    let left = LeftTo {
+        block: BlockId(1),
+        job: "run-000412".into(),
+        tasks: vec![3, 99_999],
+    };
+    let told = [
+        needs.encode(),
+        rented.encode().expect("short names"),
+        encode_left(&left).expect("a short name"),
+    ];
+    assert_eq!(Needs::parse(&told[0]), Some(needs));
+    assert_eq!(Rented::parse(&told[1]), Some(rented.clone()));
+    assert_eq!(parse_left(&told[2]), Some(left.clone()));
+    for bytes in &told {
+        let mut other = bytes.clone();
+        other[0] ^= 1;
+        for bytes in [&other[..], &bytes[1..], &bytes[..7], &[]] {
+            assert_eq!(Needs::parse(bytes), None);
+            assert_eq!(Rented::parse(bytes), None);
+            assert_eq!(parse_left(bytes), None);
+        }
+    }
+    let long = "x".repeat(65);
+    let job = JobId::from(&*long);
+    assert_eq!(encode_left(&LeftTo { job, ..left }), None);
+    let zone = long.as_str().into();
+    assert_eq!(Rented { zone, ..rented }.encode(), None);
+}
