Settings: a number of blocks is whole; tests of the keys and of the fence

Need: blocks.least=2.5 was taken as 2, and that a version which knows one block can't read the grant while there are several was shown by hand only.

Change: refused with its reason; deploy/blocks.properties, the new keys and the view over dividing and uniting are tested.

--- a/src/config.rs
+++ b/src/config.rs
@@ -267,7 +267,11 @@
                 "fleet.floor" => t.floor = number(key, value, 0.0, 10.0)?,
                 "blocks.least" => {
                     let most = f64::from(sorrelhinge_blocks::shard::MOST_BLOCKS);
-                    t.blocks_least = number(key, value, 1.0, most)? as u32;
+                    let least = number(key, value, 1.0, most)?;
+                    if least.fract() != 0.0 {
+                        return Err(field(key, format!("{least} is not a whole number")));
+                    }
+                    t.blocks_least = least as u32;
                 }
                 "blocks.move.every.s" => {
                     t.move_every_s = Some(number(key, value, 2.0, 86_400.0)?);
--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -13,7 +13,8 @@
 use sorrelhinge::peer::{listen, Answered, Heard, HeardOf, Kind, Message, Peers, Standing};
 use sorrelhinge::shares::{encode_left, parse_left, Needs, Rented};
 use sorrelhinge::state::record::{
-    chunk_key, chunk_size, job_key, ChunkRecord, JobRecord, Key, Phase,
+    block_key, chunk_key, chunk_size, job_key, member_key, slice_key, ChunkRecord, Fence,
+    GrantRecord, JobRecord, Key, Phase,
 };
 use sorrelhinge::state::view::View;
 use sorrelhinge::types::{
@@ -83,11 +84,16 @@
     let read = Tuning::parse(b"# faster\nleader.lease.s = 4\npreempt=false\n").expect("valid");
     assert_eq!((read.leader_lease_s, read.preempt), (4.0, false));
     assert_eq!(Tuning::parse(b"").expect("empty"), Tuning::default());
+    let deployed = include_bytes!("../deploy/blocks.properties");
+    assert_eq!(Tuning::parse(deployed).expect("valid").blocks_least, 3);
     for wrong in [
         "leader.lease = 4",
         "leader.lease.s = four",
         "leader.lease.s = 0",
         "preempt = maybe",
+        "blocks.least = 6",
+        "blocks.least = 2.5",
+        "blocks.move.every.s = 1",
     ] {
         let error = Tuning::parse(wrong.as_bytes())
             .expect_err(wrong)
@@ -151,12 +157,56 @@
         Key::parse(&chunk_key(&job, 12)),
         Some(Key::Chunk(job.clone(), 12))
     );
+    let (block, node) = (BlockId(3), NodeId::from("n-1"));
+    assert_eq!(Key::parse(&block_key(block)), Some(Key::Block(block)));
+    assert_eq!(Key::parse(&slice_key(block)), Some(Key::Slice(block)));
+    assert_eq!(Key::parse(&member_key(&node)), Some(Key::Member(node)));
+    assert_eq!(Key::parse("h/block/5"), None, "there are never so many");
     assert_eq!(Key::parse("other/run-7"), None);
     assert_eq!(TaskId::parse("run-7/3"), Some(TaskId { job, index: 3 }));
     assert_eq!(TaskId::parse("run-7"), None);
     assert_eq!(TaskId::parse("run-7/x"), None);
 }
 
+/// While there are several blocks, a version that knows one can't read the grant,
+/// so it never takes all machines; this one reads who owns what, and after the
+/// blocks are united the grant again.
+#[test]
+fn several_blocks_keep_out_who_knows_one() {
+    let fence = serde_json::to_string(&Fence {
+        version: 2,
+        blocks: 3,
+    });
+    let fence = fence.expect("JSON");
+    assert!(serde_json::from_str::<GrantRecord>(&fence).is_err());
+    let write =
+        |key: &str, value: Value, stamp: u64| json!({"write": key, "value": value, "stamp": stamp});
+    let grant = |number: u64| json!({"owner": "n-0", "term": 1, "number": number});
+    let owned = json!({"v": 1, "owner": "n-1", "run": 7, "term": 1, "number": 5});
+    let mut view = View::default();
+    view.replace(Revision(0), Vec::new());
+    let divided = [
+        write("h/grant", grant(4), 1),
+        write("h/map", json!({"v": 1, "blocks": 3}), 2),
+        write("h/grant", json!({"v": 2, "blocks": 3}), 2),
+        write("h/block/0", owned, 2),
+        write("h/node/n-1", json!({"run": 7}), 3),
+    ];
+    view.apply(Revision(0), events(json!({"ledger": 3, "events": divided})));
+    assert_eq!((view.block_count(), view.newest_grant()), (3, 5));
+    assert_eq!(view.grant.stamp, Revision(2));
+    assert_eq!(view.members.len(), 1);
+    let united = [
+        json!({"delete": "h/node/n-1", "stamp": 4}),
+        write("h/map", json!({"v": 1, "blocks": 1}), 5),
+        write("h/grant", grant(6), 5),
+        json!({"delete": "h/block/0", "stamp": 5}),
+    ];
+    view.apply(Revision(3), events(json!({"ledger": 5, "events": united})));
+    assert_eq!((view.block_count(), view.newest_grant()), (1, 6));
+    assert!(view.blocks.is_empty() && view.members.is_empty());
+}
+
 /// A chunk in which every task is claimed must stay within the value limit.
 #[test]
 fn full_chunks_fit_into_values() {
