--- a/src/control/sharing.rs
+++ b/src/control/sharing.rs
@@ -243,11 +243,7 @@
 
     /// The other controllers all know that there may be several blocks.
     fn all_know_blocks(&self) -> bool {
-        let standings = self.standings.borrow();
-        self.cfg.others.iter().all(|o| {
-            let known = standings.get(&o.node);
-            known.is_some_and(|(_, _, flags)| flags & peer::BLOCKS != 0)
-        })
+        self.others_known().len() == self.cfg.others.len()
     }
 
     /// From one block to several: this controller owns all of them at first. Its
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -49,10 +49,6 @@
             .into_iter()
             .chain(self.chunks.iter().map(|(&n, c)| (n, &c.value)))
     }
-    /// Whether any task is claimed.
-    pub fn claims_any(&self) -> bool {
-        self.all_chunks().any(|(_, c)| !c.claims.is_empty())
-    }
 }
 
 /// What users see of a job.
