--- a/crates/protocol/src/types.rs
+++ b/crates/protocol/src/types.rs
@@ -179,6 +179,10 @@
 }
 
 impl Amount {
+    /// A team's limit where it has none: more than any setting may say, and small
+    /// enough that sums of such limits are exact.
+    pub const NO_LIMIT: i64 = 1_000_000_000_000;
+
     /// From whole units.
     pub fn new(cpus: f64, gpus: f64, ram_gb: f64) -> Self {
         let milli = |x: f64| (x * 1000.0).round() as i64;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -193,6 +193,7 @@
                      [outside]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\
                      [params]\nzones = [\"za\", \"zb\", \"zc\"]\n\
                      [[params.teams]]\nname = \"crew\"\ncpus = 200.0\ncpus_max = 400.0\n\
+                     [[params.teams]]\nname = \"guest\"\ncpus = 0.0\ncpus_max = 0.0\n\
                      [params.workers]\nreport_s = {REPORT_S:?}\nlease_s = {LEASE_S:?}\ncancel_s = {CANCEL_S:?}\n\
                      [params.state]\nrps = 500.0\nwrite_rps = 300.0\nvalue_kb = 8.0\ntxn_ops = 16\n\
                      [params.cloud]\nrps = 50.0\nlist_lag_s = 0.2\n{sockets}",
--- a/src/config.rs
+++ b/src/config.rs
@@ -124,6 +124,19 @@
     pub limit: Amount,
 }
 
+/// A team's limit as the platform hands it over. "A value of 0 means none"
+/// (DEPLOY): a team that is listed with 0 has no limit of its own. It was taken
+/// for a limit of nothing once, and all that a guest team submitted was refused.
+fn limit(cpus: f64, gpus: f64) -> Amount {
+    let given = Amount::new(cpus, gpus, 0.0);
+    let or_none = |given| if given == 0 { Amount::NO_LIMIT } else { given };
+    Amount {
+        cpu: or_none(given.cpu),
+        gpu: or_none(given.gpu),
+        ram: 0,
+    }
+}
+
 /// Another controller.
 #[derive(Clone, Debug)]
 pub struct Other {
@@ -362,7 +375,7 @@
             teams.push(TeamConfig {
                 name: Arc::from(team.name.as_str()),
                 guarantee: Amount::new(team.cpus, team.gpus, 0.0),
-                limit: Amount::new(team.cpus_max, team.gpus_max, 0.0),
+                limit: limit(team.cpus_max, team.gpus_max),
             });
         }
         let mut start_aims: HashMap<Arc<str>, f64> = HashMap::new();
--- a/src/control/core/sharing.rs
+++ b/src/control/core/sharing.rs
@@ -204,19 +204,25 @@
         }
         let record = view.slices.get(&self.shard.block).map(|s| &s.value);
         let given = &self.sharing.given;
+        let blocks = i64::from(self.shard.of.max(1));
         let parts = self.cfg.teams.iter().enumerate().map(|(i, t)| {
             let held = record.map_or(Amount::default(), |r| r.of(&t.name));
-            let limit = held - given.get(i).copied().unwrap_or_default();
-            let of = |part: i64, whole: i64, all: i64| {
-                let share = i128::from(part.max(0)) * i128::from(all);
-                (share / i128::from(whole.max(1))) as i64
-            };
-            let guarantee = Amount {
-                cpu: of(held.cpu, t.limit.cpu, t.guarantee.cpu),
-                gpu: of(held.gpu, t.limit.gpu, t.guarantee.gpu),
-                ram: t.guarantee.ram,
+            let given = given.get(i).copied().unwrap_or_default();
+            // Of no limit there are no parts, whatever is recorded.
+            let part = |held: i64, given: i64, whole: i64, guarantee: i64| {
+                if whole == Amount::NO_LIMIT {
+                    return (whole, guarantee / blocks);
+                }
+                let share = i128::from(held.max(0)) * i128::from(guarantee);
+                (held - given, (share / i128::from(whole.max(1))) as i64)
             };
-            (limit, guarantee)
+            let cpu = part(held.cpu, given.cpu, t.limit.cpu, t.guarantee.cpu);
+            let gpu = part(held.gpu, given.gpu, t.limit.gpu, t.guarantee.gpu);
+            let amount = |cpu, gpu, ram| Amount { cpu, gpu, ram };
+            (
+                amount(cpu.0, gpu.0, 0),
+                amount(cpu.1, gpu.1, t.guarantee.ram),
+            )
         });
         let parts: Vec<(Amount, Amount)> = parts.collect();
         let now = self.board.teams().iter().map(|t| (t.limit, t.guarantee));
--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -79,6 +79,45 @@
     }
 }
 
+/// "A value of 0 means none" (DEPLOY): no guarantee, and no limit.
+#[test]
+fn a_team_listed_with_zero_has_no_limit() {
+    let teams = r#"
+[[params.teams]]
+name = "guest"
+cpus = 0.0
+cpus_max = 0.0
+gpus = 0.0
+gpus_max = 0.0
+[[params.teams]]
+name = "half"
+cpus = 2.0
+cpus_max = 0.0
+gpus_max = 1.5
+[[params.objectives]]"#;
+    let config = Config::parse(&SETTINGS.replacen("[[params.objectives]]", teams, 1));
+    let config = config.expect("valid");
+    let amount = |cpu, gpu| Amount { cpu, gpu, ram: 0 };
+    let none = Amount::NO_LIMIT;
+    let read: Vec<_> = config
+        .teams
+        .iter()
+        .map(|t| (t.guarantee, t.limit))
+        .collect();
+    assert_eq!(
+        read,
+        [
+            (amount(6_000, 0), amount(10_000, none)),
+            (amount(0, 0), amount(none, none)),
+            (amount(2_000, 0), amount(none, 1_500)),
+        ]
+    );
+    // The largest job there may be, many times over, stays within no limit.
+    let huge = Amount::new(16.0, 8.0, 64.0).times(100_000).times(50);
+    assert!(huge.fits_team(config.teams[1].limit));
+    assert!(!Amount::new(10.1, 0.0, 0.0).fits_team(config.teams[0].limit));
+}
+
 #[test]
 fn properties_refuse_unknown_keys_and_wrong_values() {
     let read = Tuning::parse(b"# faster\nleader.lease.s = 4\npreempt=false\n").expect("valid");
