Bad nights: mistaken jobs are tried one task at a time; an owner cut off from workers gives up

Cause 1: a job that fails wherever it runs had all its tasks placed again at each try, hundreds at a time, asked for machines and stood in its team's demand; two mistaken jobs that met on a machine had it given back. Now one task is tried at a time, less and less often; nothing is rented and nobody stopped for it; machines are blamed only for jobs that are sound; a new owner sees from the attempts that came to nothing. Cause 2: an owner that is cut off from the workers alone keeps its lease, and went on by way of others: 1384 direct commands failed in 50 s, since reports that others take were held to show a way to the worker.

--- a/crates/blocks/src/lib.rs
+++ b/crates/blocks/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`shard`]: which block a machine or a job belongs to;
 //! - [`fair`]: who is next when what all want is short;
 //! - [`owners`]: who is granted which block, and which one moves next;
+//! - [`reach`]: whether an owner still reaches the workers;
 //! - [`slices`]: each block's part of the teams' limits;
 //! - [`yields`]: tasks that one block leaves to another that has room.
 //!
@@ -11,6 +12,7 @@
 
 pub mod fair;
 pub mod owners;
+pub mod reach;
 pub mod served;
 pub mod shard;
 pub mod slices;
--- /dev/null
+++ b/crates/blocks/src/reach.rs
@@ -0,0 +1,55 @@
+//! Whether an owner still reaches the workers, by evidence from both sides: what
+//! it hears from them itself, what others hear for it, and what its own commands
+//! come to.
+//!
+//! An owner that is cut off from the workers alone keeps its lease and its view of
+//! the records, so nothing else ends its grant. It went on by way of others for
+//! the fifty seconds of such a cut: each start waited for a report, and direct
+//! commands failed by the thousand.
+
+use std::collections::BTreeSet;
+
+use sorrelhinge_protocol::types::{MachineId, Time};
+
+/// So long nothing is heard from any worker itself while others hear them, in
+/// seconds. Counted from what the others hear, so that a pause of this process
+/// proves nothing.
+pub const CUT_OFF_S: f64 = 3.0;
+/// So many reports came by way of others meanwhile, and commands to so many
+/// machines failed: one machine that is away is no cut.
+pub const CUT_OFF_LEAST: usize = 5;
+
+/// The evidence since a worker was last heard directly.
+#[derive(Clone, Debug, Default)]
+pub struct Reach {
+    passed_since: Option<Time>,
+    passed: usize,
+    failed: BTreeSet<MachineId>,
+}
+
+impl Reach {
+    /// A worker reported here itself, or answered a command.
+    pub fn direct(&mut self) {
+        *self = Self::default();
+    }
+
+    /// A report came by way of another controller.
+    pub fn passed(&mut self, now: Time) {
+        self.passed_since.get_or_insert(now);
+        self.passed += 1;
+    }
+
+    /// No command got through to a machine.
+    pub fn failed(&mut self, machine: &MachineId) {
+        if self.failed.len() < CUT_OFF_LEAST {
+            self.failed.insert(machine.clone());
+        }
+    }
+
+    /// Whether workers are reached by others and not from here.
+    pub fn cut_off(&self, now: Time) -> bool {
+        self.passed_since.is_some_and(|t| now.since(t) >= CUT_OFF_S)
+            && self.passed >= CUT_OFF_LEAST
+            && self.failed.len() >= CUT_OFF_LEAST
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -98,7 +98,7 @@
         let reply = match serde_json::from_slice::<Report>(text) {
             Ok(report) => {
                 count(&self.0.load().counts.homed);
-                self.0.own_beat(&report, Source::Beat)
+                self.0.own_beat(&report, Source::Homed)
             }
             Err(_) => return (400, Vec::new()),
         };
--- a/src/control/core/links.rs
+++ b/src/control/core/links.rs
@@ -130,6 +130,9 @@
         (link.suspect, link.hangs) = (false, 0);
         link.doubted = false;
         link.passed = source == Source::Passed;
+        // Only what comes from the worker itself shows that there is a way. Reports
+        // that others took did too once: while the owner was cut off from all
+        // workers, commands were tried directly after each of them.
         if source == Source::Beat {
             link.direct_retry = Time(link.direct_retry.0.min(now.0 + 1.0));
         }
@@ -308,7 +311,7 @@
             Why::Done if spec.kind != Kind::Service => {
                 let all_done = self.board.edit_job(&task.job, |job| {
                     job.tasks.set_done(task.index);
-                    job.failures = 0;
+                    (job.failures, job.doubted) = (0, false);
                     job.tasks.all_done()
                 });
                 // Another block's jobs are done when that has read so.
@@ -341,31 +344,55 @@
         }
     }
 
-    /// A task failed. Mostly the machine is faulty, so it is shunned; a job
-    /// that fails on several machines is itself mistaken, waits longer each
-    /// time and is held against no machine.
+    /// A task failed. Mostly the machine is faulty (PROTOCOL), so it is shunned,
+    /// and given back once jobs that are sound failed there. A job that fails on
+    /// several machines, and of which nothing ends well, is itself mistaken: it is
+    /// held against no machine, and tried less and less often, until its user
+    /// withdraws it.
     pub(super) fn failed(&mut self, id: &MachineId, task: &TaskId, now: Time) {
-        let mistaken = self.board.edit_job(&task.job, |job| {
+        let doubted = self.board.edit_job(&task.job, |job| {
             job.failures += 1;
             job.avoid.retain(|_, until| now < *until);
             job.avoid.insert(id.clone(), now.after(60.0));
-            let mistaken = job.avoid.len() >= 3;
-            if mistaken {
-                job.hold_until = now.after(f64::from(job.failures.min(6)).exp2().min(40.0));
+            let mistaken = job.failures >= 3 && job.avoid.len() >= 3;
+            let doubted = job.doubted;
+            if mistaken && !doubted && job.spec.kind == Kind::Array {
+                // However many of its tasks failed at once.
+                (job.doubted, job.failures) = (true, 3);
+            } else if doubted && !job.tasks.claims().is_empty() {
+                // Of those that were started before it was doubted.
+                job.failures -= 1;
             }
-            mistaken
+            if mistaken || doubted {
+                let wait = f64::from(job.failures.min(6) - 2).exp2();
+                job.hold_until = now.after((2.0 * wait).min(40.0));
+            }
+            (doubted, mistaken || doubted)
         });
-        if mistaken == Some(true) {
-            for link in self.links.values_mut() {
-                if link.errors.remove(&task.job) && link.errors.is_empty() {
-                    link.shunned_until = Time(0.0);
-                }
+        match doubted {
+            Some((false, true)) => self.clear(&task.job),
+            Some((true, _)) | None => {}
+            Some((false, false)) => {
+                let Some(link) = self.links.get_mut(id) else {
+                    return;
+                };
+                link.errors.insert(task.job.clone());
+                link.shunned_until = now.after(20.0 * link.errors.len() as f64);
+                // A job that is not shown to be sound proves nothing: two
+                // mistaken ones that met on a machine cost the machine once.
+                let board = &self.board;
+                let sound = |job: &&JobId| board.job(job).is_none_or(Job::is_sound);
+                link.leaving |= link.errors.iter().filter(sound).count() >= 2;
             }
-        } else if let Some(link) = self.links.get_mut(id) {
-            link.errors.insert(task.job.clone());
-            link.shunned_until = now.after(20.0);
-            if link.errors.len() >= 2 {
-                link.leaving = true;
+        }
+    }
+
+    /// A job's failures are held against no machine any more: it is mistaken, or
+    /// was withdrawn.
+    pub(super) fn clear(&mut self, job: &JobId) {
+        for link in self.links.values_mut() {
+            if link.errors.remove(job) && link.errors.is_empty() {
+                link.shunned_until = Time(0.0);
             }
         }
     }
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -35,8 +35,8 @@
 use crate::state::view::{JobEntry, Versioned, View};
 use crate::state::{Change, Txn, When};
 use crate::types::{
-    Amount, Attempt, Image, JobId, JobSpec, Kind, MachineId, MachineType, Revision, Seq, Session,
-    TaskId, Time, Token, TypeName, Zone,
+    Amount, Attempt, Image, JobId, JobSpec, Kind, MachineId, MachineType, Priority, Revision, Seq,
+    Session, TaskId, Time, Token, TypeName, Zone,
 };
 use crate::worker::{Command, Orders, Reply, Report, ReportedTask, Sending, TaskPhase, Why};
 
@@ -45,6 +45,8 @@
 pub enum Source {
     /// The worker's own reporting.
     Beat,
+    /// The same, taken by another controller that was asked to.
+    Homed,
     /// The same, passed on by another controller: it can't reach this one.
     Passed,
     /// The answer to a direct command.
@@ -410,8 +412,12 @@
         let age = wall_ms.saturating_sub(record.accepted_ms) as f64 / 1000.0;
         let mut tasks = Tasks::new(record.tasks, record.chunk);
         let mut claims = Vec::new();
+        // Attempts that came to nothing.
+        let mut wasted = 0;
         for (chunk, held) in entry.all_chunks() {
             tasks.set_next_attempt(chunk, held.next_attempt);
+            let of_use = held.claims.len() as u64 + u64::from(held.done.count_ones());
+            wasted += held.next_attempt.saturating_sub(1 + of_use);
             for bit in 0..tasks.chunk_size() {
                 if held.done >> bit & 1 == 1 {
                     tasks.set_done(chunk * record.chunk + bit);
@@ -442,7 +448,13 @@
         let patience_s = (0.3 * self.slack(&spec)).clamp(1.0, 30.0);
         let submitted = Time(now.0 - age);
         let aims = self.aims(&spec, submitted);
+        // Each task came to nothing once, and none has ended well: one of them
+        // tells the next owner whether the job is mistaken, rather than all.
+        let doubted =
+            spec.kind == Kind::Array && tasks.done() == 0 && wasted >= u64::from(spec.tasks).max(3);
         let job = Job {
+            doubted,
+            failures: if doubted { 2 } else { 0 },
             due: aims.first().copied().unwrap_or(Time(f64::INFINITY)),
             aims,
             cancelled: record.phase == Phase::Cancelled,
@@ -583,6 +595,7 @@
                     self.catch_up(id, entry, now);
                     if entry.record.value.phase == Phase::Cancelled && !cancelled {
                         self.board.edit_job(id, |job| job.cancelled = true);
+                        self.clear(id);
                         self.pending.not_finished(id);
                         self.settle_stopped(id, now);
                     }
--- a/src/control/core/renting.rs
+++ b/src/control/core/renting.rs
@@ -16,6 +16,8 @@
         let first = Time(firsts.map(|(t, _)| t.0).fold(now.0, f64::min));
         self.arrivals
             .values()
+            // Work of idle priority takes what is left.
+            .filter(|a| a.spec.priority > Priority::Idle)
             .map(|a| {
                 let sum: u32 = a.recent.iter().map(|(_, n)| (*n).min(1000)).sum();
                 let mean = f64::from(sum) / a.recent.len() as f64;
--- a/src/control/leading.rs
+++ b/src/control/leading.rs
@@ -25,6 +25,11 @@
                         timeout(Duration::from_millis(300), self.leader_changed.notified()).await;
                 }
             }
+            let unfit = Instant::now() < self.unfit_until.get();
+            if unfit {
+                // Whoever can do better goes first.
+                sleep(UNFIT_WAIT).await;
+            }
             let (leader, grant, loaded) = {
                 let view = self.view.borrow();
                 (view.leader.clone(), view.grant.clone(), view.loaded)
@@ -32,6 +37,9 @@
             if !loaded {
                 continue;
             }
+            if unfit && leader.value.is_some() {
+                continue;
+            }
             if self.view.borrow().block_count() > 1 {
                 self.enlist(life).await;
                 continue;
@@ -164,6 +172,29 @@
             .set_rate((changes * part(LEADER_CHANGES)).max(0.5), burst);
     }
 
+    /// Gives up all that this controller owns while it can still say so: it stops
+    /// to act first, then ends its lease, so that others need not wait for that.
+    /// What it sent before is fenced as after any other end.
+    pub async fn resign(&self, why: &'static str) {
+        let lease = self.lease.take();
+        let blocks: Vec<BlockId> = self.cores.borrow().keys().copied().collect();
+        if blocks.is_empty() && lease.is_none() {
+            return;
+        }
+        tracing::info!(why, "giving up what is owned here");
+        self.unfit_until.set(Instant::now() + UNFIT);
+        *self.reach.borrow_mut() = Reach::default();
+        for block in blocks {
+            self.stand_down(block);
+        }
+        if let Some(lease) = lease {
+            // If that gets lost, it ends by itself.
+            if let Err(error) = self.state.end(lease).await {
+                tracing::info!(%error, "ending the lease");
+            }
+        }
+    }
+
     /// A worker has seen the token of a newer grant, so there is one, whether
     /// or not the state service can be asked about it.
     pub(super) fn deposed(&self, block: BlockId) {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,6 +18,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use sorrelhinge_blocks::owners::Owners;
+use sorrelhinge_blocks::reach::Reach;
 use sorrelhinge_blocks::shard::{of_machine, BlockId, Shard};
 use sorrelhinge_overload::pace::Pace;
 use sorrelhinge_overload::renewal::Renewals;
@@ -95,6 +96,10 @@
     lease: Cell<Option<LeaseId>>,
     /// Until then nobody else can have become leader.
     leads_until: Cell<Instant>,
+    /// What tells whether workers are reached from here.
+    reach: RefCell<Reach>,
+    /// Until then others are left to take up what this controller gave up.
+    unfit_until: Cell<Instant>,
     sync_wanted: Notify,
     syncs_started: Cell<u64>,
     synced: watch::Sender<(u64, bool)>,
@@ -158,6 +163,10 @@
 /// Machines that are read from the list a second.
 const LISTED_A_SECOND: f64 = 350.0;
 const TICK: Duration = Duration::from_millis(200);
+/// A controller that gave up what it owned, as workers can't be reached from it,
+/// leaves it to the others for so long; and if none takes it, this much each time.
+const UNFIT: Duration = Duration::from_secs(30);
+const UNFIT_WAIT: Duration = Duration::from_secs(2);
 const MOST_SUBMISSIONS: usize = 64;
 /// While others are served for this long, requests are passed on to them.
 const CUT_OFF: Duration = Duration::from_millis(300);
@@ -201,6 +210,8 @@
             epoch: Instant::now(),
             lease: Cell::new(None),
             leads_until: Cell::new(Instant::now()),
+            reach: RefCell::default(),
+            unfit_until: Cell::new(Instant::now()),
             sync_wanted: Notify::new(),
             syncs_started: Cell::new(0),
             synced: watch::Sender::new((0, false)),
--- a/src/control/owning.rs
+++ b/src/control/owning.rs
@@ -38,6 +38,12 @@
                     outcome => outcome,
                 };
                 let now = node.now();
+                match outcome {
+                    Sending::Executed(_) | Sending::Refused(_) => node.reach.borrow_mut().direct(),
+                    Sending::NotSent | Sending::Unknown => {
+                        node.reach.borrow_mut().failed(&send.machine);
+                    }
+                }
                 let mine = node
                     .cores
                     .borrow_mut()
@@ -183,6 +189,9 @@
             if last.elapsed() >= TICK {
                 last = Instant::now();
                 let now = self.now();
+                if self.reach.borrow().cut_off(now) {
+                    self.resign("workers can't be reached from here").await;
+                }
                 let preempts = self.paces.preempt.borrow().due(now);
                 for c in self.cores.borrow_mut().values_mut() {
                     c.tick(now);
--- a/src/control/workers.rs
+++ b/src/control/workers.rs
@@ -133,6 +133,10 @@
         let mut cores = self.cores.borrow_mut();
         let mut reply = None;
         if let Some(c) = cores.get_mut(&block) {
+            match source {
+                Source::Beat | Source::Direct => self.reach.borrow_mut().direct(),
+                Source::Homed | Source::Passed => self.reach.borrow_mut().passed(now),
+            }
             if !c.report(report, source, now) {
                 drop(cores);
                 self.deposed(block);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 use sorrelhinge_topology::renting::Memory;
 use sorrelhinge_topology::tree::Domain;
 
-use crate::sched::{Board, Progress};
+use crate::sched::{Board, Job, Progress};
 use crate::types::{Amount, JobId, JobSpec, Kind, MachineId, MachineType, Time, TypeName, Zone};
 
 /// A machine on its way.
@@ -411,7 +411,9 @@
         .map(|t| (t.limit - t.used).cpu.max(0))
         .collect();
     let mut wanting: BTreeMap<&JobId, u32> = BTreeMap::new();
-    for (id, job) in board.wanting().filter(|(_, j)| j.wants(now)) {
+    // Nor is a job that fails wherever it runs: nothing is rented for it.
+    let asks = |job: &Job| job.wants(now) && !job.doubted;
+    for (id, job) in board.wanting().filter(|(_, j)| asks(j)) {
         let cpu = job.spec.each.cpu.max(1);
         let room = u32::try_from(open[job.team] / cpu).unwrap_or(u32::MAX);
         let tasks = job.tasks.pending().min(room);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -90,9 +90,10 @@
             }
             let heard = Rc::new(api::ForPeers::new(node.clone()));
             tokio::task::spawn_local(peer::listen(peers, 4 * cfg.others.len() + 8, heard));
-            tokio::task::spawn_local(serve::serve(node, users));
+            tokio::task::spawn_local(serve::serve(node.clone(), users));
             tracing::info!(node = %cfg.node, zone = %cfg.zone, bind = %cfg.bind, "serving");
             stop.await;
+            node.resign("asked to end").await;
         })
         .await;
     Ok(())
--- a/src/sched/board.rs
+++ b/src/sched/board.rs
@@ -105,7 +105,7 @@
     /// A job appears.
     pub fn add_job(&mut self, id: JobId, job: Job) {
         self.demand[job.team] += job.demand();
-        if job.demand() != Amount::default() {
+        if job.tasks.pending() > 0 && !job.cancelled {
             self.queues[job.team].insert(job.place(&id));
         }
         self.jobs.insert(id, job);
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -37,7 +37,7 @@
 use sorrelhinge_topology::Topology;
 
 use crate::types::{
-    Amount, JobId, JobSpec, MachineId, MachineType, Priority, TaskId, Time, TypeName, Zone,
+    Amount, JobId, JobSpec, Kind, MachineId, MachineType, Priority, TaskId, Time, TypeName, Zone,
 };
 
 /// How many seconds of fetching it is worth to leave an ordinary machine to
@@ -102,6 +102,9 @@
     pub hold_until: Time,
     /// Failures in a row.
     pub failures: u32,
+    /// Its tasks fail wherever they run and none has ended well: the job itself
+    /// is mistaken, most likely, until its user withdraws it. See [`Job::open`].
+    pub doubted: bool,
     /// How soon its users expect it to start, if an aim says so.
     pub start_within: Option<f64>,
     /// How long it may wait before that endangers its aims.
@@ -134,6 +137,7 @@
             avoid: BTreeMap::new(),
             hold_until: Time(0.0),
             failures: 0,
+            doubted: false,
             start_within: None,
             patience_s: 5.0,
             late_s: 60.0,
@@ -143,9 +147,25 @@
             started: false,
         }
     }
+    /// How many of its tasks may be placed now. Of a job that is mistaken, most
+    /// likely, one is tried at a time, so it costs a start and a few changes now
+    /// and then: all its tasks came back at each try once, hundreds at a time.
+    pub fn open(&self) -> u32 {
+        let pending = self.tasks.pending();
+        match self.doubted {
+            true => pending.min(u32::from(self.tasks.claims().is_empty())),
+            false => pending,
+        }
+    }
+    /// Whether a task of it has ended well, or runs as a service does.
+    pub fn is_sound(&self) -> bool {
+        let runs = |c: &Claim| matches!(c.progress, Progress::Running(_));
+        self.tasks.done() > 0
+            || self.spec.kind == Kind::Service && self.tasks.claims().values().any(runs)
+    }
     /// Whether it wants a task placed now.
     pub fn wants(&self, now: Time) -> bool {
-        !self.cancelled && self.tasks.pending() > 0 && now >= self.hold_until
+        !self.cancelled && self.open() > 0 && now >= self.hold_until
     }
     /// What it counts as when what binds is divided: its class and team.
     pub fn sort(&self) -> Sort {
@@ -182,7 +202,7 @@
         if self.cancelled {
             Amount::default()
         } else {
-            self.spec.each.times(i64::from(self.tasks.pending()))
+            self.spec.each.times(i64::from(self.open()))
         }
     }
 }
--- a/src/sched/walk.rs
+++ b/src/sched/walk.rs
@@ -127,9 +127,12 @@
     }
 
     /// Whether a task of a job may be claimed now: not while its rank is held
-    /// back, nor before others' claims are recorded. Those whose users wait for
+    /// back, another task shows whether the job is mistaken, nor before others' claims are recorded. Those whose users wait for
     /// the start may be twice as many.
     pub(super) fn may_claim(&self, id: &JobId, job: &Job) -> bool {
+        if job.open() == 0 {
+            return false;
+        }
         if self.held_rank == Some(job.spec.priority) {
             let team = &self.teams[job.team];
             if !(team.used + job.spec.each).fits_team(team.guarantee) {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -344,6 +344,14 @@
             .map_err(|e| StateError::Refused(format!("malformed answer: {e}")))
     }
 
+    /// Ends a lease, and what is attached to it, at once.
+    pub async fn end(&self, lease: LeaseId) -> Result<(), StateError> {
+        let path = format!("/leases/{lease}");
+        let answer = Duration::from_millis(800);
+        let ended = self.call(Method::DELETE, &path, Bytes::new(), Urgency::First, answer);
+        ended.await.map(|_| ())
+    }
+
     /// Renews a lease.
     pub async fn renew(&self, lease: LeaseId) -> Result<(), StateError> {
         let path = format!("/leases/{lease}/renew");
