--- a/crates/blocks/src/reach.rs
+++ b/crates/blocks/src/reach.rs
@@ -18,12 +18,19 @@
 /// So many reports came by way of others meanwhile, and commands to so many
 /// machines failed: one machine that is away is no cut.
 pub const CUT_OFF_LEAST: usize = 5;
+/// Commands to so many machines failed, and for so long not one got through, in
+/// seconds: workers that lost an owner need up to ten seconds until others hear
+/// them for it.
+pub const FAILED_MANY: usize = 24;
+/// See [`FAILED_MANY`]. Counted from the first that failed, as above.
+pub const FAILED_S: f64 = 2.0;
 
 /// The evidence since a worker was last heard directly.
 #[derive(Clone, Debug, Default)]
 pub struct Reach {
     passed_since: Option<Time>,
     passed: usize,
+    failed_since: Option<Time>,
     failed: BTreeSet<MachineId>,
 }
 
@@ -40,8 +47,9 @@
     }
 
     /// No command got through to a machine.
-    pub fn failed(&mut self, machine: &MachineId) {
-        if self.failed.len() < CUT_OFF_LEAST {
+    pub fn failed(&mut self, machine: &MachineId, now: Time) {
+        self.failed_since.get_or_insert(now);
+        if self.failed.len() < FAILED_MANY {
             self.failed.insert(machine.clone());
         }
     }
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -31,6 +31,8 @@
     changed: Rc<Notify>,
     /// Nobody is served; leases have their full time again afterwards.
     down: bool,
+    /// Puts and deletes so far.
+    pub changes: u64,
 }
 
 fn query(path: &str, name: &str) -> Option<String> {
@@ -109,6 +111,7 @@
             }
         }
         self.revision += 1;
+        self.changes += apply.len() as u64;
         let stamp = self.revision;
         for change in apply {
             if let Some(key) = change["write"].as_str() {
@@ -187,6 +190,7 @@
         leases: BTreeMap::new(),
         changed: Rc::default(),
         down: false,
+        changes: 0,
     }));
     let kept = store.clone();
     spawn_local(async move {
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -246,6 +246,8 @@
 /// For how long after a takeover machines are asked by what is on them.
 const YOUNG_S: f64 = 60.0;
 const KILL_AGAIN_S: f64 = 2.0;
+/// After so many attempts without a result a new owner takes a job for mistaken.
+const WASTED: u64 = 8;
 const TXN_BYTES: usize = 48 << 10;
 /// Direct commands under way at a time.
 pub const MOST_FLYING: usize = 48;
@@ -448,10 +450,11 @@
         let patience_s = (0.3 * self.slack(&spec)).clamp(1.0, 30.0);
         let submitted = Time(now.0 - age);
         let aims = self.aims(&spec, submitted);
-        // Each task came to nothing once, and none has ended well: one of them
+        // So many attempts came to nothing, and none has ended well: one task
         // tells the next owner whether the job is mistaken, rather than all.
-        let doubted =
-            spec.kind == Kind::Array && tasks.done() == 0 && wasted >= u64::from(spec.tasks).max(3);
+        let doubted = spec.kind == Kind::Array
+            && tasks.done() == 0
+            && wasted >= u64::from(spec.tasks).clamp(3, WASTED);
         let job = Job {
             doubted,
             failures: if doubted { 2 } else { 0 },
--- a/src/control/owning.rs
+++ b/src/control/owning.rs
@@ -41,7 +41,7 @@
                 match outcome {
                     Sending::Executed(_) | Sending::Refused(_) => node.reach.borrow_mut().direct(),
                     Sending::NotSent | Sending::Unknown => {
-                        node.reach.borrow_mut().failed(&send.machine);
+                        node.reach.borrow_mut().failed(&send.machine, now);
                     }
                 }
                 let mine = node
