Idle work takes what is left beside the peak of all other, and keeps a part of it

Cause: a guest's idle tasks, which run for minutes and come by the thousand, filled every room that was free for a moment. Now idle tasks of 10 s and more take what all other work left of late (its peak of the last minute), at least 0.3 of all machines; down to that part nobody but production stops them. Shorter ones free their room by themselves.

--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -790,6 +790,7 @@
         if now.since(self.last_look) >= LOOK_S {
             self.last_look = now;
             self.board.look_at_dues(now);
+            self.board.look_at_idle(now);
             self.look_at_drains(now);
             self.tell_served(now);
             if self.unheard_yet {
--- a/src/sched/board.rs
+++ b/src/sched/board.rs
@@ -312,6 +312,9 @@
         };
         let (spec, team) = (job.spec.clone(), job.team);
         self.teams[team].used += spec.each;
+        if idle::is_bounded(&spec) {
+            self.idle.used += spec.each;
+        }
         if self
             .reserved
             .get(&claim.machine)
@@ -352,6 +355,9 @@
         let job = self.jobs.get(&task.job)?;
         let (spec, team) = (job.spec.clone(), job.team);
         self.teams[team].used -= spec.each;
+        if idle::is_bounded(&spec) {
+            self.idle.used -= spec.each;
+        }
         let awaited = self.machines.get(&claim.machine).is_some_and(|m| {
             m.claims.iter().any(|t| {
                 t != task
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -7,6 +7,7 @@
 
 mod board;
 mod gangs;
+mod idle;
 mod machine;
 mod moves;
 mod preempt;
@@ -300,6 +301,8 @@
     /// Claims on machines that are not known yet.
     homeless: HashMap<MachineId, BTreeSet<TaskId>>,
     capacity: Amount,
+    /// What work of idle priority may take.
+    idle: idle::Idle,
 }
 
 /// The best place for one more task of a job.
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{Board, Claim, Job, Progress};
+use super::{idle, Board, Claim, Job, Progress};
 use crate::types::{Amount, JobId, Kind, MachineId, Priority, TaskId, Time};
 
 /// How many CPU-seconds may be wasted to start a job in time that its users
@@ -63,6 +63,7 @@
             return Vec::new();
         }
         let mut leaving = self.leaving();
+        let mut idle = self.idle_beyond();
         let mut stops = Vec::new();
         for (id, rooms) in waiting {
             let Some(job) = self.jobs.get(&id) else {
@@ -74,7 +75,12 @@
             let mut found: Vec<(f64, MachineId)> = self
                 .machines
                 .keys()
-                .filter_map(|m| Some((self.make_room(&id, job, m, &leaving, 0, now)?.0, m.clone())))
+                .filter_map(|m| {
+                    Some((
+                        self.make_room(&id, job, m, (&leaving, idle), 0, now)?.0,
+                        m.clone(),
+                    ))
+                })
                 .collect();
             found.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
             let mut made = 0;
@@ -83,7 +89,8 @@
                     break;
                 }
                 let Some(job) = self.jobs.get(&id) else { break };
-                let Some((_, victims)) = self.make_room(&id, job, &m_id, &leaving, made, now)
+                let Some((_, victims)) =
+                    self.make_room(&id, job, &m_id, (&leaving, idle), made, now)
                 else {
                     continue;
                 };
@@ -91,6 +98,9 @@
                 for task in &victims {
                     if let Some(other) = self.jobs.get(&task.job) {
                         leaving[other.team] += other.spec.each;
+                        if idle::is_bounded(&other.spec) {
+                            idle -= other.spec.each.cpu;
+                        }
                     }
                     self.stop(task, hurry);
                 }
@@ -134,7 +144,7 @@
         id: &JobId,
         job: &Job,
         m_id: &MachineId,
-        leaving: &[Amount],
+        (leaving, idle): (&[Amount], i64),
         made: u32,
         now: Time,
     ) -> Option<Room> {
@@ -155,6 +165,8 @@
         let over = team.used - leaving[job.team] + more;
         let limited = !over.fits_team(team.limit);
         let mut free = self.room_for(id, job.spec.spot, m_id, now);
+        // Production alone may take what idle work has as its part.
+        let spared = idle <= 0 && job.spec.priority < Priority::Critical;
         // What each team would still hold beyond its guarantee.
         let mut beyond: Vec<Amount> = self
             .teams
@@ -173,7 +185,10 @@
             if claim.stop.is_some() {
                 // Leaving already.
                 free += other.spec.each;
-            } else if other.spec.kind != Kind::Service && claim.committed {
+            } else if other.spec.kind != Kind::Service
+                && claim.committed
+                && !(idle::is_bounded(&other.spec) && spared)
+            {
                 // Whoever stops one task of a gang stops them all.
                 let tasks = match other.spec.kind {
                     Kind::Gang => other.tasks.claims().len() as f64,
--- a/src/sched/walk.rs
+++ b/src/sched/walk.rs
@@ -130,7 +130,7 @@
     /// back, another task shows whether the job is mistaken, nor before others' claims are recorded. Those whose users wait for
     /// the start may be twice as many.
     pub(super) fn may_claim(&self, id: &JobId, job: &Job) -> bool {
-        if job.open() == 0 {
+        if job.open() == 0 || self.idle_is_full(job) {
             return false;
         }
         if self.held_rank == Some(job.spec.priority) {
