--- a/crates/blocks/src/lib.rs
+++ b/crates/blocks/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`owners`]: who is granted which block, and which one moves next;
 //! - [`reach`]: whether an owner still reaches the workers;
 //! - [`slices`]: each block's part of the teams' limits;
+//! - [`tally`]: who was served over a run, from the log;
 //! - [`yields`]: tasks that one block leaves to another that has room.
 //!
 //! See `docs/blocks.md`.
@@ -16,4 +17,5 @@
 pub mod served;
 pub mod shard;
 pub mod slices;
+pub mod tally;
 pub mod yields;
--- a/crates/blocks/src/reach.rs
+++ b/crates/blocks/src/reach.rs
@@ -56,8 +56,9 @@
 
     /// Whether workers are reached by others and not from here.
     pub fn cut_off(&self, now: Time) -> bool {
-        self.passed_since.is_some_and(|t| now.since(t) >= CUT_OFF_S)
-            && self.passed >= CUT_OFF_LEAST
-            && self.failed.len() >= CUT_OFF_LEAST
+        let lasts = |since: Option<Time>, s: f64| since.is_some_and(|t| now.since(t) >= s);
+        let others_reach = lasts(self.passed_since, CUT_OFF_S) && self.passed >= CUT_OFF_LEAST;
+        others_reach && self.failed.len() >= CUT_OFF_LEAST
+            || lasts(self.failed_since, FAILED_S) && self.failed.len() >= FAILED_MANY
     }
 }
--- a/crates/blocks/tests/model.rs
+++ b/crates/blocks/tests/model.rs
@@ -8,9 +8,11 @@
 use proptest::prelude::*;
 use sorrelhinge_blocks::fair::Turns;
 use sorrelhinge_blocks::owners::{how_many, Held, Member, Owners, Step, Wish};
+use sorrelhinge_blocks::reach::{Reach, CUT_OFF_LEAST, CUT_OFF_S, FAILED_MANY, FAILED_S};
 use sorrelhinge_blocks::served::{Served, Sort, Waits};
 use sorrelhinge_blocks::shard::{of_job, of_machine, BlockId, Shard, MOST_BLOCKS};
 use sorrelhinge_blocks::slices::{divide, gift, Gift, Need};
+use sorrelhinge_blocks::tally::Tally;
 use sorrelhinge_blocks::yields::{Waiting, Yields};
 use sorrelhinge_protocol::types::{Amount, JobId, MachineId, NodeId, Time};
 
@@ -502,3 +504,106 @@
     assert_eq!(how_many(9, 9), MOST_BLOCKS);
     assert_eq!(how_many(0, 0), 1);
 }
+
+// ---- reach ----------------------------------------------------------------
+
+#[derive(Clone, Copy, Debug)]
+enum Seen {
+    Direct,
+    Passed,
+    Failed(u8),
+    Pause(u8),
+}
+
+fn seen() -> impl Strategy<Value = Seen> {
+    prop_oneof![
+        1 => Just(Seen::Direct),
+        20 => Just(Seen::Passed),
+        30 => (0_u8..40).prop_map(Seen::Failed),
+        8 => (0_u8..30).prop_map(Seen::Pause),
+    ]
+}
+
+proptest! {
+    /// Against the whole history since a worker was last heard directly.
+    #[test]
+    fn an_owner_is_cut_off_by_what_it_saw_since_a_worker_was_heard(
+        history in proptest::collection::vec(seen(), 0..150)
+    ) {
+        let mut reach = Reach::default();
+        let mut now = 0.0;
+        let mut log: Vec<(f64, Seen)> = Vec::new();
+        for what in history {
+            match what {
+                Seen::Direct => reach.direct(),
+                Seen::Passed => reach.passed(Time(now)),
+                Seen::Failed(n) => reach.failed(&MachineId::from(&*format!("vm-{n}")), Time(now)),
+                Seen::Pause(tenths) => now += f64::from(tenths) / 10.0,
+            }
+            log.push((now, what));
+            let from = log.iter().rposition(|(_, w)| matches!(w, Seen::Direct)).map_or(0, |i| i + 1);
+            let since = &log[from..];
+            let of = |f: fn(&Seen) -> bool| since.iter().filter(move |(_, w)| f(w));
+            let passed = of(|w| matches!(w, Seen::Passed));
+            let failed = of(|w| matches!(w, Seen::Failed(_)));
+            let machines: BTreeSet<String> = failed.clone().map(|(_, w)| format!("{w:?}")).collect();
+            let lasts = |first: Option<&(f64, Seen)>, s| first.is_some_and(|(at, _)| now - at >= s);
+            let heard_by_others = passed.clone().count() >= CUT_OFF_LEAST
+                && lasts(passed.clone().next(), CUT_OFF_S);
+            let expected = heard_by_others && machines.len() >= CUT_OFF_LEAST
+                || machines.len() >= FAILED_MANY && lasts(failed.clone().next(), FAILED_S);
+            prop_assert_eq!(reach.cut_off(Time(now)), expected);
+        }
+    }
+}
+
+/// A pause of this process makes everything late and proves nothing: what follows
+/// it counts from then on.
+#[test]
+fn ones_own_pause_cuts_nobody_off() {
+    let mut reach = Reach::default();
+    reach.direct();
+    // It stood still for a minute; all that was under way failed meanwhile.
+    for n in 0..FAILED_MANY {
+        reach.failed(&MachineId::from(&*format!("vm-{n}")), Time(60.0));
+    }
+    for _ in 0..CUT_OFF_LEAST {
+        reach.passed(Time(60.0));
+    }
+    assert!(!reach.cut_off(Time(60.0)));
+    assert!(!reach.cut_off(Time(61.0)));
+    reach.direct();
+    assert!(!reach.cut_off(Time(90.0)));
+}
+
+// ---- who was served over a run -------------------------------------------
+
+#[test]
+fn owners_counts_are_added_up_across_takeovers() {
+    let line = |accepted, started, done, waiting| {
+        format!(
+            "INFO served block=0 class=bake team=red accepted={accepted} started={started} \
+             done={done} waiting={waiting} oldest_s=1.0 starves=false"
+        )
+    };
+    let mut tally = Tally::default();
+    let red = ("bake".to_owned(), "red".to_owned());
+    tally.line("a", "INFO leading term=1 grant=1");
+    tally.line("a", &line(10, 4, 2, 6));
+    tally.line("a", &line(20, 12, 8, 8));
+    // The next finds twelve that are not over. Its lines come with its name.
+    tally.line("all", "   9.1 c-1  INFO leading term=2 grant=2");
+    tally.line("all", &format!("  10.1 c-1  {}", line(12, 4, 0, 8)));
+    tally.line("all", &format!("  40.1 c-1  {}", line(14, 9, 7, 5)));
+    let part = tally.parts()[&red];
+    assert_eq!((part.done, part.open, part.waiting), (15, 2, 5));
+    // It ends, and is the next owner too: it counts anew.
+    tally.line("all", "  50.0 c-1  INFO serving node=c-1 zone=z bind=x");
+    tally.line("all", "  51.0 c-1  INFO leading term=3 grant=3");
+    tally.line("all", &format!("  60.0 c-1  {}", line(7, 1, 1, 6)));
+    let part = tally.parts()[&red];
+    assert_eq!((part.done, part.open, part.waiting), (16, 0, 6));
+    assert!((part.served() - 16.0 / 22.0).abs() < 1e-9);
+    tally.line("all", "  61.0 c-1  INFO done job=run-1");
+    assert_eq!(tally.parts()[&red], part, "other lines tell nothing");
+}
--- a/crates/standins/src/nodes.rs
+++ b/crates/standins/src/nodes.rs
@@ -424,6 +424,9 @@
     }
 }
 
+/// What was rented under each name: what was asked, and what it came to.
+type Hires = RefCell<BTreeMap<String, (Value, Vec<String>)>>;
+
 /// The cloud: one type, and it picks the switch.
 pub struct Cloud;
 
@@ -431,7 +434,7 @@
     pub async fn start(nodes: Rc<RefCell<Nodes>>, net: u8, switches: u8) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("its address");
-        let hires: Rc<RefCell<BTreeMap<String, (Value, Vec<String>)>>> = Rc::default();
+        let hires: Rc<Hires> = Rc::default();
         serve(listener, move |_, path, body| {
             let (nodes, hires) = (nodes.clone(), hires.clone());
             Box::pin(async move {
@@ -444,7 +447,7 @@
 
     fn answer(
         nodes: &Rc<RefCell<Nodes>>,
-        hires: &RefCell<BTreeMap<String, (Value, Vec<String>)>>,
+        hires: &Hires,
         net: u8,
         switches: u8,
         path: &str,
--- /dev/null
+++ b/tests/idle.rs
@@ -0,0 +1,158 @@
+//! Work of idle priority beside all other: what it may take, what it keeps.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use serde_json::json;
+use sorrelhinge::api::read_job;
+use sorrelhinge::sched::{Board, DelayRule, Job, Machine, Progress, Tasks, Team};
+use sorrelhinge::types::{Amount, JobId, MachineId, MachineType, Time, TypeName, Zone};
+
+const RULE: DelayRule = DelayRule {
+    fetches: 0.0,
+    max_s: 0.0,
+};
+
+/// Ten machines of 16 CPUs, a team that is guaranteed half of them, and a guest.
+fn board() -> Board {
+    let kind = Rc::new(MachineType {
+        name: TypeName::from("t"),
+        total: Amount::new(16.0, 0.0, 64.0),
+        cache_gb: 8.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.3,
+        boot_s: 10.0,
+        zones: vec![Zone::from("za")],
+    });
+    let team = |name: &str, cpus: f64| Team {
+        name: Arc::from(name),
+        guarantee: Amount::new(cpus, 0.0, 0.0),
+        limit: Amount {
+            cpu: Amount::NO_LIMIT,
+            gpu: Amount::NO_LIMIT,
+            ram: 0,
+        },
+        used: Amount::default(),
+        held_back: Amount::default(),
+    };
+    let mut board = Board::new(vec![team("house", 80.0), team("guest", 0.0)]);
+    for n in 0..10 {
+        let mut machine = Machine::new(kind.clone(), Zone::from("za"), true, Time(0.0));
+        machine.usable = true;
+        board.add_machine(MachineId::from(&*format!("vm-{n}")), machine);
+    }
+    board
+}
+
+fn add(board: &mut Board, uid: &str, team: usize, rank: &str, pieces: u32, guess_s: f64) -> JobId {
+    let value = json!({"uid": uid, "jobclass": rank, "crew": if team == 0 {"house"} else {"guest"},
+        "shape": "sweep", "rank": rank, "pieces": pieces, "cpus": 1.0, "cards": 0.0, "ram_gb": 1.0,
+        "bundle": "img-1", "pull_gb": 0.1, "builds": null, "rack": null, "together": false,
+        "spread": false, "loaners": true, "guess_s": guess_s, "mark_s": 0.0, "stash_s": 0.0,
+        "due_s": null});
+    let spec = read_job(value).expect("a valid job");
+    let tasks = Tasks::new(spec.tasks, 64);
+    let id = JobId::from(uid);
+    board.add_job(id.clone(), Job::new(Rc::new(spec), team, Time(0.0), tasks));
+    id
+}
+
+fn used(board: &Board, id: &JobId) -> usize {
+    board.job(id).map_or(0, |j| j.tasks.claims().len())
+}
+
+/// Looks, places, and lets what was placed run.
+fn turn(board: &mut Board, now: f64) {
+    board.look_at_idle(Time(now));
+    for launch in board.place(RULE, Time(now)) {
+        let claim = board.claim_mut(&launch.task).expect("it was placed");
+        claim.committed = true;
+        claim.progress = Progress::Running(Time(now));
+    }
+}
+
+fn end(board: &mut Board, id: &JobId, now: f64) {
+    board.edit_job(id, |job| job.cancelled = true);
+    let claims: Vec<_> = board
+        .job(id)
+        .map_or(Vec::new(), |j| j.tasks.claims().keys().copied().collect());
+    for index in claims {
+        let task = sorrelhinge::types::TaskId {
+            job: id.clone(),
+            index,
+        };
+        board.release(&task, Time(now));
+    }
+}
+
+#[test]
+fn idle_work_leaves_room_for_the_peak_of_all_other() {
+    let mut board = board();
+    let house = add(&mut board, "run-1", 0, "normal", 100, 30.0);
+    turn(&mut board, 1.0);
+    assert_eq!(used(&board, &house), 100);
+    let study = add(&mut board, "run-2", 1, "idle", 500, 60.0);
+    turn(&mut board, 2.0);
+    assert_eq!(used(&board, &study), 60, "what is left of 160");
+    end(&mut board, &house, 3.0);
+    turn(&mut board, 4.0);
+    let soon = used(&board, &study);
+    assert!((60..70).contains(&soon), "{soon}: the next job finds room");
+    let again = add(&mut board, "run-3", 0, "normal", 90, 30.0);
+    turn(&mut board, 5.0);
+    assert_eq!(used(&board, &again), 90);
+    end(&mut board, &again, 6.0);
+    for second in 7..400 {
+        turn(&mut board, f64::from(second));
+    }
+    assert!(used(&board, &study) > 155, "in the end it has all");
+}
+
+#[test]
+fn short_idle_tasks_and_a_teams_guarantee_are_not_bounded() {
+    let mut board = board();
+    add(&mut board, "run-1", 0, "normal", 100, 30.0);
+    turn(&mut board, 1.0);
+    let own = add(&mut board, "run-2", 0, "idle", 500, 60.0);
+    turn(&mut board, 2.0);
+    assert_eq!(
+        used(&board, &own),
+        60,
+        "beyond its guarantee the house is bounded"
+    );
+    let mut board = self::board();
+    let own = add(&mut board, "run-1", 0, "idle", 500, 60.0);
+    let short = add(&mut board, "run-2", 1, "idle", 500, 4.0);
+    let long = add(&mut board, "run-3", 1, "idle", 500, 60.0);
+    turn(&mut board, 1.0);
+    let all = [&own, &short, &long].map(|id| used(&board, id));
+    assert!(all[0] >= 80 && all.iter().sum::<usize>() == 160, "{all:?}");
+}
+
+/// Other work may wait for long, and idle work keeps its part; production takes it.
+#[test]
+fn idle_work_keeps_a_part_that_only_production_takes() {
+    for (rank, kept) in [("high", 48), ("critical", 0)] {
+        let mut board = board();
+        let study = add(&mut board, "run-1", 1, "idle", 500, 600.0);
+        turn(&mut board, 1.0);
+        assert_eq!(used(&board, &study), 160);
+        let other = add(&mut board, "run-2", 0, rank, 1000, 600.0);
+        let mut now = 2.0;
+        while now < 120.0 {
+            turn(&mut board, now);
+            for task in board.preempt(|_| 5.0, Time(now)) {
+                assert_eq!(task.job, study);
+                board.release(&task, Time(now));
+            }
+            now += 1.0;
+        }
+        let left = used(&board, &study);
+        assert!(
+            left.abs_diff(kept) <= 1,
+            "{left} of the study's tasks are left beside {rank} work"
+        );
+        assert_eq!(used(&board, &other), 160 - left);
+    }
+}
