--- a/src/control/core/links.rs
+++ b/src/control/core/links.rs
@@ -316,7 +316,7 @@
                 });
                 // Another block's jobs are done when that has read so.
                 if all_done == Some(true) && self.shard.homes(&task.job) {
-                    self.pending.finished(task.job.clone(), now);
+                    self.finished(task.job.clone(), now);
                 }
                 if let Some(link) = self.links.get_mut(id) {
                     link.errors.clear();
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -24,7 +24,7 @@
 
 use self::gone::Gone;
 pub use self::sharing::{LeftTo, Places};
-use super::pending::{ChunkId, Due, Pending};
+use super::pending::{ChunkId, Due, Haste, Pending};
 use crate::cloud::{Listed, MachinePhase, Rental};
 use crate::config::Config;
 use crate::fleet;
@@ -501,7 +501,7 @@
         }
         self.share(id, entry);
         if all_done && !over && homed {
-            self.pending.finished(id.clone(), now);
+            self.finished(id.clone(), now);
         }
         // A gang that was claimed in part, or lost a part, starts anew.
         self.gangs.insert(id.clone());
@@ -709,7 +709,7 @@
         for launch in launches {
             tracing::debug!(task = %launch.task, machine = %launch.machine, cached = launch.cached, "claim");
             let job = self.board.job(&launch.task.job);
-            let hurry = job.is_some_and(|j| j.start_within.is_some());
+            let haste = job.map_or(Haste::Usual, Haste::of);
             let first = job.filter(|j| !j.started && j.tasks.at_home());
             if let Some((sort, wait_s)) = first.map(|j| (j.sort(), now.since(j.submitted))) {
                 self.served.started(&sort, Some(wait_s));
@@ -721,7 +721,7 @@
                 continue;
             };
             let chunk = self.chunk_of(&launch.task);
-            self.pending.claimed(chunk, hurry, sort, now);
+            self.pending.claimed(chunk, haste, sort, now);
         }
     }
 
--- a/src/control/core/record.rs
+++ b/src/control/core/record.rs
@@ -3,6 +3,12 @@
 use super::*;
 
 impl Core {
+    /// All tasks of a job are done: that is to be recorded.
+    pub(super) fn finished(&mut self, id: JobId, now: Time) {
+        let haste = self.board.job(&id).map_or(Haste::Usual, Haste::of);
+        self.pending.finished(id, haste, now);
+    }
+
     /// Whether something is to be recorded that should not wait.
     pub fn has_urgent(&self) -> bool {
         self.pending.urgent()
@@ -174,7 +180,7 @@
         }
         for due in again {
             match due {
-                Due::Finished(id) => self.pending.finished(id, now),
+                Due::Finished(id) => self.finished(id, now),
                 Due::Chunk(chunk) => self.pending.released(chunk, now),
             }
         }
@@ -253,7 +259,7 @@
                 .job(&id)
                 .is_some_and(|e| e.record.value.phase == Phase::Live);
             if live && self.board.job(&id).is_some_and(|j| j.tasks.all_done()) {
-                self.pending.finished(id, now);
+                self.finished(id, now);
             } else {
                 self.forget_job(view, &id, now);
             }
@@ -262,8 +268,13 @@
             let held = view.job(&id).and_then(|e| e.chunk(chunk));
             match (&record, held) {
                 (Some(ours), Some(held)) if ours == held => self.confirm(&id, chunk, ours, now),
-                (Some(_), _) => match self.board.job(&id).map(Job::sort) {
-                    Some(sort) => self.pending.claimed((id, chunk), false, sort, now),
+                (Some(_), _) => match self.board.job(&id) {
+                    Some(job) => {
+                        // It has waited already; what is awaited is not before it.
+                        let haste = Haste::of(job).max(Haste::Usual);
+                        let sort = job.sort();
+                        self.pending.claimed((id, chunk), haste, sort, now);
+                    }
                     None => self.pending.released((id, chunk), now),
                 },
                 (None, _) => self.pending.useless((id, chunk), now),
--- a/src/control/core/sharing.rs
+++ b/src/control/core/sharing.rs
@@ -189,7 +189,7 @@
         let live = entry.record.value.phase == Phase::Live;
         let all_done = self.board.job(id).is_some_and(|j| j.tasks.all_done());
         if live && all_done && self.shard.homes(id) {
-            self.pending.finished(id.clone(), now);
+            self.finished(id.clone(), now);
         }
         self.walk_all = true;
     }
--- a/src/control/pending.rs
+++ b/src/control/pending.rs
@@ -10,7 +10,8 @@
 use sorrelhinge_blocks::fair::{Turns, DONE_ONE_IN, ONE_IN, WAITED_S};
 use sorrelhinge_blocks::served::Sort;
 
-use crate::types::{JobId, Time};
+use crate::sched::Job;
+use crate::types::{JobId, Priority, Time};
 
 /// Part of a job's tasks.
 pub type ChunkId = (JobId, u32);
@@ -22,13 +23,36 @@
 /// A deletion may wait this long.
 const TRASH_S: f64 = 30.0;
 
-/// A claim's place: those that users wait for first, then in the order they came.
-type Place = (bool, u64);
+/// How much what is to be recorded hurries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Haste {
+    /// Its users wait for the start.
+    Awaited,
+    /// Ordinary work.
+    Usual,
+    /// Work of idle priority: a swarm of single tasks costs three changes each,
+    /// and kept claims of urgent work waiting for half a minute.
+    Idle,
+}
+
+impl Haste {
+    /// Of a job.
+    pub fn of(job: &Job) -> Self {
+        match (job.start_within.is_some(), job.spec.priority) {
+            (true, _) => Self::Awaited,
+            (false, Priority::Idle) => Self::Idle,
+            (false, _) => Self::Usual,
+        }
+    }
+}
+
+/// A claim's place: by haste, then in the order they came.
+type Place = (Haste, u64);
 
 /// The queues.
 #[derive(Debug, Default)]
 pub struct Pending {
-    /// Those that users wait for first, then in the order they came.
+    /// By haste, then in the order they came.
     claims: BTreeMap<Place, (ChunkId, Time)>,
     claimed: BTreeMap<ChunkId, (Place, Sort)>,
     /// The same by class and team, which have turns once they wait for long.
@@ -37,7 +61,8 @@
     count: u64,
     /// How often something was taken.
     taken: u64,
-    finished: BTreeMap<JobId, Time>,
+    /// Those of idle priority last.
+    finished: BTreeMap<(bool, JobId), Time>,
     /// A claim was taken last.
     claim_last: bool,
     results: BTreeMap<ChunkId, Time>,
@@ -54,13 +79,12 @@
 }
 
 impl Pending {
-    /// A task was claimed. `hurry`: its users wait for its start.
-    /// `sort`: the job's class and team.
-    pub fn claimed(&mut self, chunk: ChunkId, hurry: bool, sort: Sort, now: Time) {
+    /// A task was claimed. `sort`: the job's class and team.
+    pub fn claimed(&mut self, chunk: ChunkId, haste: Haste, sort: Sort, now: Time) {
         self.results.remove(&chunk);
         if !self.claimed.contains_key(&chunk) {
             self.count += 1;
-            let place = (!hurry, self.count);
+            let place = (haste, self.count);
             self.claims.insert(place, (chunk.clone(), now));
             self.sorts.entry(sort.clone()).or_default().insert(place);
             self.claimed.insert(chunk, (place, sort));
@@ -73,12 +97,15 @@
         }
     }
     /// All tasks of a job are done.
-    pub fn finished(&mut self, job: JobId, now: Time) {
-        self.finished.entry(job).or_insert(now);
+    pub fn finished(&mut self, job: JobId, haste: Haste, now: Time) {
+        let key = (haste == Haste::Idle, job);
+        self.finished.entry(key).or_insert(now);
     }
     /// A job is not to be recorded as done.
     pub fn not_finished(&mut self, job: &JobId) {
-        self.finished.remove(job);
+        for idle in [false, true] {
+            self.finished.remove(&(idle, job.clone()));
+        }
     }
     /// A chunk is of no use any more.
     pub fn useless(&mut self, chunk: ChunkId, now: Time) {
@@ -124,9 +151,9 @@
             .finished
             .iter()
             .min_by(|a, b| a.1 .0.total_cmp(&b.1 .0))?;
-        let job = (now.since(*since) >= WAITED_S).then(|| job.clone())?;
-        self.finished.remove(&job);
-        Some(job)
+        let key = (now.since(*since) >= WAITED_S).then(|| job.clone())?;
+        self.finished.remove(&key);
+        Some(key.1)
     }
     /// How long the claim has waited that is recorded next, in seconds.
     pub fn claims_wait(&self, now: Time) -> f64 {
@@ -155,7 +182,10 @@
         }
         // Claims that no user waits for take turns with jobs that are done:
         // while there are more claims than changes, nothing else would be told.
-        let hurry = self.claims.first_key_value().is_some_and(|(p, _)| !p.0);
+        let hurry = self
+            .claims
+            .first_key_value()
+            .is_some_and(|(p, _)| p.0 == Haste::Awaited);
         let turn = hurry || !self.claim_last || self.finished.is_empty();
         let first = turn.then(|| self.claims.first_key_value()).flatten();
         if let Some(chunk) = first.map(|(_, (chunk, _))| chunk.clone()) {
@@ -164,7 +194,7 @@
             return Some(Due::Chunk(chunk));
         }
         self.claim_last = false;
-        if let Some((job, _)) = self.finished.pop_first() {
+        if let Some(((_, job), _)) = self.finished.pop_first() {
             return Some(Due::Finished(job));
         }
         let oldest = |queue: &BTreeMap<ChunkId, Time>, wait: f64| {
--- a/src/sched/walk.rs
+++ b/src/sched/walk.rs
@@ -140,11 +140,14 @@
             }
         }
         let held = self.claiming.len();
-        self.most_claiming.is_none_or(|most| {
+        let idle = job.spec.priority == Priority::Idle;
+        self.most_claiming.is_none_or(|all| {
+            // A swarm of idle jobs leaves half of it to others.
+            let most = if idle { all / 2 } else { all };
             let of_sort = self.claiming_of.get(&job.sort()).copied().unwrap_or(0);
             held < most
                 || job.start_within.is_some() && held < 2 * most
-                || of_sort < fair::floor(most)
+                || of_sort < fair::floor(all)
                 || self.claiming.contains(id)
         })
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -14,7 +14,7 @@
 use sorrelhinge::api::read_job;
 use sorrelhinge::cloud::{Listed, MachinePhase};
 use sorrelhinge::control::core::{Batch, Core, Dispatch, LeftTo, Places, Source};
-use sorrelhinge::control::pending::{Due, Pending};
+use sorrelhinge::control::pending::{Due, Haste, Pending};
 use sorrelhinge::sched::Sent;
 use sorrelhinge::state::record::{
     chunk_key, job_key, BlockRecord, GrantRecord, JobRecord, SliceRecord, GRANT,
@@ -1709,6 +1709,34 @@
     }
 }
 
+/// A swarm of idle jobs, of which each costs as many changes as any other job, has
+/// its turns, and whatever is urgent or ordinary goes first.
+#[test]
+fn a_swarm_of_idle_jobs_keeps_no_other_claim_waiting() {
+    let chunk = |n: u32| (JobId::from(format!("run-{n:04}").as_str()), 0);
+    let mut pending = Pending::default();
+    for n in 0..100 {
+        pending.claimed(chunk(n), Haste::Idle, sort("ping"), Time(0.0));
+        pending.finished(chunk(100 + n).0, Haste::Idle, Time(0.0));
+    }
+    pending.claimed(chunk(300), Haste::Usual, sort("check"), Time(1.0));
+    pending.finished(chunk(301).0, Haste::Usual, Time(1.0));
+    let taken = [(); 3].map(|()| pending.take(false, Time(1.0)));
+    assert!(taken.contains(&Some(Due::Chunk(chunk(300)))), "{taken:?}");
+    assert!(
+        taken.contains(&Some(Due::Finished(chunk(301).0))),
+        "{taken:?}"
+    );
+    let mut idle = 0;
+    for n in 0..40 {
+        let now = Time(10.0 + f64::from(n) * 0.1);
+        pending.claimed(chunk(1000 + n), Haste::Usual, sort("check"), now);
+        let due = pending.take(false, now);
+        idle += usize::from(matches!(due, Some(Due::Chunk(c)) if c < chunk(100)));
+    }
+    assert!(idle >= 4, "it has its turns: {idle}");
+}
+
 /// Changes are few: claims go first, then done jobs; results wait for company,
 /// but not for ever.
 fn sort(class: &str) -> Sort {
@@ -1723,16 +1751,16 @@
     let chunk = |n: u32| (JobId::from(format!("run-{n:04}").as_str()), 0);
     let mut pending = Pending::default();
     for n in 0..10 {
-        pending.claimed(chunk(n), false, sort("bake"), Time(0.0));
-        pending.claimed(chunk(100 + n), false, sort("check"), Time(0.0));
-        pending.finished(chunk(200 + n).0, Time(0.0));
+        pending.claimed(chunk(n), Haste::Usual, sort("bake"), Time(0.0));
+        pending.claimed(chunk(100 + n), Haste::Usual, sort("check"), Time(0.0));
+        pending.finished(chunk(200 + n).0, Haste::Usual, Time(0.0));
     }
     let mut taken: BTreeMap<&str, usize> = BTreeMap::new();
     for n in 0..100 {
         let now = Time(10.0 + f64::from(n) * 0.1);
         // Two more for each that is recorded.
-        pending.claimed(chunk(1000 + 2 * n), true, sort("live"), now);
-        pending.claimed(chunk(1001 + 2 * n), true, sort("live"), now);
+        pending.claimed(chunk(1000 + 2 * n), Haste::Awaited, sort("live"), now);
+        pending.claimed(chunk(1001 + 2 * n), Haste::Awaited, sort("live"), now);
         let what = match pending.take(false, now) {
             Some(Due::Finished(_)) => "done",
             Some(Due::Chunk((id, _))) if id >= chunk(1000).0 => "live",
@@ -1754,10 +1782,10 @@
     let mut pending = Pending::default();
     pending.useless(chunk(1), Time(0.0));
     pending.released(chunk(2), Time(0.0));
-    pending.finished(chunk(3).0, Time(0.0));
-    pending.claimed(chunk(4), false, sort("batch"), Time(0.0));
-    pending.claimed(chunk(5), true, sort("live"), Time(0.0));
-    pending.claimed(chunk(2), false, sort("batch"), Time(0.5));
+    pending.finished(chunk(3).0, Haste::Usual, Time(0.0));
+    pending.claimed(chunk(4), Haste::Usual, sort("batch"), Time(0.0));
+    pending.claimed(chunk(5), Haste::Awaited, sort("live"), Time(0.0));
+    pending.claimed(chunk(2), Haste::Usual, sort("batch"), Time(0.5));
     let mut taken = |spare: bool, now: f64| pending.take(spare, Time(now));
     assert_eq!(taken(false, 1.0), Some(Due::Chunk(chunk(5))), "in a hurry");
     assert_eq!(
