--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -267,9 +267,8 @@
         std::fs::write(self.folder.join("local.properties"), text).expect("written");
     }
 
-    /// Stops a controller's process, or lets it go on: its clocks run meanwhile.
-    pub fn freeze_controller(&self, i: usize, frozen: bool) {
-        let signal = if frozen { "-STOP" } else { "-CONT" };
+    /// Sends a signal to a controller's process, if it runs.
+    fn signal(&self, i: usize, signal: &str) {
         if let Some(process) = &*self.controllers[i].process.borrow() {
             let told = Command::new("kill")
                 .args([signal, &process.id().to_string()])
@@ -278,6 +277,26 @@
         }
     }
 
+    /// Stops a controller's process, or lets it go on: its clocks run meanwhile.
+    pub fn freeze_controller(&self, i: usize, frozen: bool) {
+        self.signal(i, if frozen { "-STOP" } else { "-CONT" });
+    }
+
+    /// Asks a controller to end, and waits until it has.
+    pub async fn ask_to_end(&mut self, i: usize) {
+        self.signal(i, "-TERM");
+        let process = self.controllers[i].process.borrow_mut().take();
+        let mut process = process.expect("it runs");
+        // The stand-ins that it still talks to run on this very thread.
+        loop {
+            if let Some(status) = process.try_wait().expect("its state") {
+                assert!(status.success(), "{status}");
+                return;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
     /// Kills a controller at once.
     pub fn kill_controller(&mut self, i: usize) {
         if let Some(mut process) = self.controllers[i].process.borrow_mut().take() {
@@ -414,12 +433,8 @@
     pub fn reload(&self, text: &str) {
         let file = self.topology.as_ref().expect("the feature is on");
         std::fs::write(file, text).expect("written");
-        for c in &self.controllers {
-            if let Some(process) = &*c.process.borrow() {
-                let id = process.id().to_string();
-                let told = Command::new("kill").args(["-HUP", &id]).status();
-                assert!(told.expect("kill").success());
-            }
+        for i in 0..self.controllers.len() {
+            self.signal(i, "-HUP");
         }
     }
 
--- a/src/control/owning.rs
+++ b/src/control/owning.rs
@@ -189,7 +189,10 @@
             if last.elapsed() >= TICK {
                 last = Instant::now();
                 let now = self.now();
-                if self.reach.borrow().cut_off(now) {
+                // Who took it up again as no other did keeps it: where nobody
+                // reaches the workers it would go round and round.
+                let fit = Instant::now() >= self.unfit_until.get();
+                if fit && self.reach.borrow().cut_off(now) {
                     self.resign("workers can't be reached from here").await;
                 }
                 let preempts = self.paces.preempt.borrow().due(now);
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -211,6 +211,39 @@
     });
 }
 
+/// Who is asked to end hands over what it owns: the next one leads and starts tasks
+/// long before the lease would have ended, and nothing is started twice.
+#[test]
+fn who_is_asked_to_end_hands_over() {
+    run(async {
+        let mut world = begin(Plan {
+            properties: "leader.lease.s=30\n",
+            ..plan("asked", 110, 4)
+        })
+        .await;
+        for round in 0..3 {
+            let owner = world.leader().expect("a leader");
+            let uid = format!("run-{:06}", 10 + round);
+            world
+                .submit(&uid, json!({"pieces": 6, "guess_s": 2.0}))
+                .await;
+            world.ask_to_end(owner).await;
+            let next = |w: &World| w.leader().is_some_and(|l| l != owner);
+            world.until("the next leads", 10, next).await;
+            world.start_controller(owner);
+            let after = format!("run-{:06}", 20 + round);
+            world
+                .submit(&after, json!({"pieces": 6, "guess_s": 0.3}))
+                .await;
+            for uid in [uid, after] {
+                world.until("a job's tasks", 15, |w| w.done(&uid, 6)).await;
+            }
+        }
+        world.rules_hold();
+        assert_eq!(copies(&world), 6, "replicas ran on");
+    });
+}
+
 /// A guest team, listed with 0 and so with neither guarantee nor limit, is served;
 /// one that is not listed is told that its job can never run. Its array of
 /// thousands of tasks costs changes by ranges, also when the owner ends half way.
