--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -119,6 +119,23 @@
     pub folder: PathBuf,
 }
 
+impl Plan {
+    /// So many machines behind one switch in each zone, and nothing special:
+    /// `program` is what to run, and `folder` where each plan has one of its own.
+    pub fn plain(name: &str, net: u8, machines: u8, (program, folder): (&str, &str)) -> Self {
+        Self {
+            net,
+            switches: 1,
+            machines,
+            topology: None,
+            sockets: None,
+            properties: "",
+            program: program.into(),
+            folder: PathBuf::from(folder).join(name),
+        }
+    }
+}
+
 /// Everything outside the controllers, and the controllers.
 pub struct World {
     pub store: Rc<RefCell<Store>>,
--- a/tests/blocks.rs
+++ b/tests/blocks.rs
@@ -3,7 +3,6 @@
 //! moment, and the other blocks go on.
 
 use std::collections::BTreeMap;
-use std::path::Path;
 use std::time::{Duration, Instant};
 
 use hyper::Method;
@@ -11,16 +10,16 @@
 use sorrelhinge_standins::{run, Plan, World, CANCEL_S};
 use tokio::time::sleep;
 
+/// The program, and a folder for files and logs.
+const AT: (&str, &str) = (
+    env!("CARGO_BIN_EXE_sorrelhinge"),
+    env!("CARGO_TARGET_TMPDIR"),
+);
+
 fn plan(name: &str, net: u8, machines: u8, properties: &'static str) -> Plan {
     Plan {
-        net,
-        switches: 1,
-        machines,
-        topology: None,
-        sockets: None,
         properties,
-        program: env!("CARGO_BIN_EXE_sorrelhinge").into(),
-        folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("blocks_{name}")),
+        ..Plan::plain(&format!("blocks_{name}"), net, machines, AT)
     }
 }
 
@@ -60,7 +59,11 @@
     while Instant::now() < until {
         let uid = format!("run-{n:06}");
         let (status, _) = world
-            .submit(&uid, json!({"pieces": 5, "guess_s": 0.4}))
+            .submit(
+                &uid,
+                json!({"pieces": 5, "guess_s": 0.4,
+                    "crew": if n % 5 == 0 { "guest" } else { "crew" }}),
+            )
             .await;
         assert_eq!(status, 201);
         uids.push(uid);
--- a/tests/comeback.rs
+++ b/tests/comeback.rs
@@ -1,7 +1,6 @@
 //! Too much load, or nobody in charge, costs what is new, never what runs: real
 //! controllers on loopback, whose workers' leases would end meanwhile.
 
-use std::path::Path;
 use std::time::{Duration, Instant};
 
 use hyper::Method;
@@ -9,17 +8,14 @@
 use sorrelhinge_standins::{run, Plan, World, CANCEL_S, LEASE_S};
 use tokio::time::sleep;
 
+/// The program, and a folder for files and logs.
+const AT: (&str, &str) = (
+    env!("CARGO_BIN_EXE_sorrelhinge"),
+    env!("CARGO_TARGET_TMPDIR"),
+);
+
 fn plan(name: &str, net: u8, machines: u8) -> Plan {
-    Plan {
-        net,
-        switches: 1,
-        machines,
-        topology: None,
-        sockets: None,
-        properties: "",
-        program: env!("CARGO_BIN_EXE_sorrelhinge").into(),
-        folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("comeback_{name}")),
-    }
+    Plan::plain(&format!("comeback_{name}"), net, machines, AT)
 }
 
 /// The owner dies as an outage of the state service begins, which outlasts the
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -6,7 +6,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -21,16 +20,16 @@
 /// The least that a controller takes.
 const SOCKETS: usize = 100;
 
+/// The program, and a folder for files and logs.
+const AT: (&str, &str) = (
+    env!("CARGO_BIN_EXE_sorrelhinge"),
+    env!("CARGO_TARGET_TMPDIR"),
+);
+
 fn plan(name: &str, net: u8, machines: u8) -> Plan {
     Plan {
-        net,
-        switches: 1,
-        machines,
-        topology: None,
         sockets: Some(SOCKETS),
-        properties: "",
-        program: env!("CARGO_BIN_EXE_sorrelhinge").into(),
-        folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("overload_{name}")),
+        ..Plan::plain(&format!("overload_{name}"), net, machines, AT)
     }
 }
 
--- a/tests/restarts.rs
+++ b/tests/restarts.rs
@@ -2,7 +2,6 @@
 //! their clocks run on, or are cut off from the workers alone; guests, and an
 //! array of thousands of tasks. Real controllers on loopback.
 
-use std::path::Path;
 use std::time::{Duration, Instant};
 
 use hyper::Method;
@@ -10,17 +9,14 @@
 use sorrelhinge_standins::{run, Plan, World, CANCEL_S};
 use tokio::time::sleep;
 
+/// The program, and a folder for files and logs.
+const AT: (&str, &str) = (
+    env!("CARGO_BIN_EXE_sorrelhinge"),
+    env!("CARGO_TARGET_TMPDIR"),
+);
+
 fn plan(name: &str, net: u8, machines: u8) -> Plan {
-    Plan {
-        net,
-        switches: 1,
-        machines,
-        topology: None,
-        sockets: None,
-        properties: "",
-        program: env!("CARGO_BIN_EXE_sorrelhinge").into(),
-        folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("restarts_{name}")),
-    }
+    Plan::plain(&format!("restarts_{name}"), net, machines, AT)
 }
 
 async fn begin(plan: Plan) -> World {
