--- a/tests/blocks.rs
+++ b/tests/blocks.rs
@@ -165,6 +165,56 @@
     });
 }
 
+/// Every owner ends and is back at once, alone and all together, before its former
+/// process's lease has ended: none takes the former one's blocks for its own, and
+/// every task ends once.
+#[test]
+fn owners_that_are_back_at_once_own_what_they_were_granted() {
+    run(async {
+        let mut world = World::start(plan("at_once", 114, 6, "blocks.least=3\n")).await;
+        world.until("each owns a block", 30, each_owns_one).await;
+        let mut all = Vec::new();
+        for round in 0..5 {
+            let which: Vec<usize> = match round {
+                3 => vec![0, 1, 2],
+                n => vec![n % 3],
+            };
+            let before: Vec<Value> = which.iter().map(|i| member(&world, *i)).collect();
+            which.iter().for_each(|i| world.kill_controller(*i));
+            which.iter().for_each(|i| world.start_controller(*i));
+            all.extend(work(&world, 100 + 1000 * round as u32, 2).await);
+            // Under a number of its own, and only as that it owns.
+            let anew = |w: &World| {
+                let mut known = which.iter().zip(&before);
+                known.all(|(i, b)| member(w, *i) != *b && owns_as_itself(w))
+            };
+            world.until("all own as what they are", 30, anew).await;
+            world.until("each owns a block", 30, each_owns_one).await;
+        }
+        for uid in &all {
+            world.until("a job's tasks", 40, |w| w.done(uid, 5)).await;
+        }
+        world.rules_hold();
+    });
+}
+
+/// The process that a controller is listed as, if it is.
+fn member(world: &World, i: usize) -> Value {
+    let held = world.store.borrow().get(&format!("h/node/c-{i}"));
+    held.map_or(Value::Null, |h| h["run"].clone())
+}
+
+/// Each block's owner is listed, as the process that the block was granted.
+fn owns_as_itself(world: &World) -> bool {
+    let store = world.store.borrow();
+    (0..3).all(|b| {
+        let held = store.get(&format!("h/block/{b}")).unwrap_or(Value::Null);
+        let owner = held["owner"].as_str().unwrap_or_default();
+        let listed = store.get(&format!("h/node/{owner}"));
+        listed.is_some_and(|l| l["run"] == held["run"])
+    })
+}
+
 #[test]
 fn every_owner_and_the_leader_are_killed_in_turn() {
     run(async {
