--- a/src/control/leading.rs
+++ b/src/control/leading.rs
@@ -135,6 +135,8 @@
             self.now(),
             wall_ms(),
         );
+        // It gave up at once, by what it had seen as the owner before.
+        *self.reach.borrow_mut() = Reach::default();
         self.cores.borrow_mut().insert(BlockId(0), core);
         self.set_share();
         self.inherit_spread();
--- a/src/control/owning.rs
+++ b/src/control/owning.rs
@@ -38,18 +38,20 @@
                     outcome => outcome,
                 };
                 let now = node.now();
-                match outcome {
-                    Sending::Executed(_) | Sending::Refused(_) => node.reach.borrow_mut().direct(),
-                    Sending::NotSent | Sending::Unknown => {
-                        node.reach.borrow_mut().failed(&send.machine, now);
-                    }
-                }
+                let reached = matches!(outcome, Sending::Executed(_) | Sending::Refused(_));
                 let mine = node
                     .cores
                     .borrow_mut()
                     .get_mut(&block)
                     .filter(|c| c.grant == send.orders.baton.grant())
                     .map(|c| c.dispatched(&send.machine, outcome, now));
+                // What fails for an owner that is none any more says nothing of
+                // the next time that it is one.
+                match (reached, mine) {
+                    (true, _) => node.reach.borrow_mut().direct(),
+                    (false, Some(_)) => node.reach.borrow_mut().failed(&send.machine, now),
+                    (false, None) => {}
+                }
                 if mine == Some(false) {
                     node.deposed(block);
                 }
--- a/src/control/sharing.rs
+++ b/src/control/sharing.rs
@@ -472,6 +472,9 @@
                 self.now(),
                 wall_ms(),
             );
+            if cores.is_empty() {
+                *self.reach.borrow_mut() = Reach::default();
+            }
             cores.insert(*block, core);
             new = true;
         }
