--- /dev/null
+++ b/tests/rules/blocks.rs
@@ -0,0 +1,101 @@
+//! Blocks leave tasks to each other, and parts of a limit move.
+
+use rand::Rng;
+use serde_json::json;
+use sorrelhinge::state::record::SliceRecord;
+use sorrelhinge::types::{Amount, Time, Zone};
+use sorrelhinge_blocks::shard::BlockId;
+
+use crate::*;
+
+impl World {
+    /// Blocks leave tasks to each other, and parts of a limit move. Messages are
+    /// lost; an answer may be, though the transaction was carried out.
+    pub(crate) fn between_blocks(&mut self) {
+        for w in &self.workers {
+            if self.rng.random_bool(0.3) {
+                let zone = Zone::from(w.zone);
+                self.places.borrow_mut().insert(w.id.as_str().into(), zone);
+            }
+        }
+        for at in 0..self.owners.len() {
+            let now = Time(self.now);
+            for other in 0..self.of {
+                let room = self.rng.random_range(0..9) * 1000;
+                self.owners[at].core.has_room(BlockId(other), room, now);
+            }
+            let o = &mut self.owners[at];
+            o.core.look_elsewhere(&o.view);
+            for left in o.core.leave(&o.view, now) {
+                let taker = self
+                    .owners
+                    .iter()
+                    .rposition(|t| t.core.shard.block == left.block);
+                if let Some(taker) = taker.filter(|t| *t != at && self.rng.random_bool(0.8)) {
+                    let t = &mut self.owners[taker];
+                    t.core.left_here(&t.view, &left, now, 0);
+                }
+            }
+            self.give(at);
+        }
+    }
+
+    pub(crate) fn give(&mut self, at: usize) {
+        let o = &mut self.owners[at];
+        let me = o.core.shard.block;
+        let key = |b: BlockId| format!("h/slice/{}", b.0);
+        if o.gift.is_none() && self.rng.random_bool(0.1) {
+            let to = BlockId(self.rng.random_range(0..self.of));
+            let (Some(mine), Some(theirs)) = (o.view.slices.get(&me), o.view.slices.get(&to))
+            else {
+                return;
+            };
+            let part = |s: &SliceRecord| s.teams[0].1;
+            let used = o.core.needs()[0].used.cpu;
+            let most = part(&mine.value) - used;
+            // One that knows it is deposed gives nothing.
+            let granted = o.view.blocks[&me].value.number == o.core.grant;
+            if to == me || most < 1000 || !granted {
+                return;
+            }
+            let give = self.rng.random_range(500..=most);
+            let changed = |s: &SliceRecord, by: i64| {
+                let mut s = s.clone();
+                s.teams[0].1 += by;
+                serde_json::to_value(s).expect("record")
+            };
+            let block = format!("h/block/{}", me.0);
+            let grant = o.view.blocks[&me].stamp;
+            let txn = json!({"when": [{"key": block, "stamp": grant},
+                    {"key": key(me), "stamp": mine.stamp}, {"key": key(to), "stamp": theirs.stamp}],
+                "apply": [{"write": key(me), "value": changed(&mine.value, -give)},
+                    {"write": key(to), "value": changed(&theirs.value, give)}]});
+            let amount = |cpu| Amount {
+                cpu,
+                gpu: 0,
+                ram: 0,
+            };
+            o.core.giving(vec![amount(give), amount(0)], &o.view);
+            o.gift = Some((txn, give));
+        }
+        let o = &mut self.owners[at];
+        let Some((txn, _)) = o.gift.clone() else {
+            return;
+        };
+        match self.rng.random_range(0..4) {
+            0 => {}
+            1 => {
+                self.store.txn(&txn);
+            }
+            _ => {
+                // Carried out now, or before, or never: the view tells.
+                self.store.txn(&txn);
+                self.store.follow(&mut o.view);
+                let changed = o.view.take_changed();
+                o.core.jobs_changed(&o.view, &changed, Time(self.now), 0);
+                o.core.giving(Vec::new(), &o.view);
+                o.gift = None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/rules/commands.rs
@@ -0,0 +1,204 @@
+//! Commands that are late, unanswered or sent by way of others.
+
+use serde_json::{json, Value};
+use sorrelhinge::api::read_job;
+use sorrelhinge::control::core::{Core, Source};
+use sorrelhinge::sched::Sent;
+use sorrelhinge::state::record::{job_key, JobRecord};
+use sorrelhinge::state::Outcome;
+use sorrelhinge::types::{JobId, MachineId, Time};
+use sorrelhinge::worker::Sending;
+
+use crate::*;
+
+/// Owners that change faster than workers report: every report carries a token
+/// that the present owner has not raised, so it proves nothing. Each answer
+/// renews the lease all the same, so each must take the kill along
+/// (`docs/incidents/fleet-x3-cancelled.md`).
+#[test]
+fn whoever_renews_the_lease_of_a_cancelled_task_kills_it() {
+    let mut world = World::new(7);
+    let (at, piece) = loop {
+        world.step(true);
+        assert!(world.now < 600.0, "nothing ever ran");
+        let runs = world.on_machines().find(|(_, piece)| {
+            let id = piece.split('/').next().expect("a job");
+            world.store.keys[&job_key(&JobId::from(id))].1["p"] == "l"
+        });
+        let Some((worker, piece)) = runs else {
+            continue;
+        };
+        let at = world.workers.iter().position(|w| w.id == worker.id);
+        break (at.expect("the worker"), piece.clone());
+    };
+    let id = JobId::from(piece.split('/').next().expect("a job"));
+    let mut record = world.store.keys[&job_key(&id)].1.clone();
+    record["p"] = json!("c");
+    world.store.write(&job_key(&id), record);
+    for _ in 0..5 {
+        world.take_over();
+        let report = world.workers[at].report();
+        let Owner { core, view, .. } = world.owners.last_mut().expect("an owner");
+        assert!(core.report(&report, Source::Beat, Time(world.now)));
+        let reply = core.reply(&report.machine, view, Time(world.now));
+        let reply = serde_json::to_value(&reply).expect("reply");
+        assert!(report.baton.0 < reply["baton"].as_u64().expect("a token"));
+        let orders = reply["orders"].as_array().expect("orders");
+        let verbs: Vec<&Value> = orders
+            .iter()
+            .filter(|o| o["piece"] == json!(piece))
+            .map(|o| &o["verb"])
+            .collect();
+        assert_eq!(verbs, ["kill"], "{orders:?}");
+        assert!(
+            orders.iter().all(|o| o["verb"] == "kill"),
+            "nothing else follows from an old token: {orders:?}"
+        );
+    }
+}
+
+/// A start that was not answered may be carried out minutes later. Until a
+/// report carries the raised token, its absence proves nothing.
+#[test]
+fn an_unanswered_start_is_settled_only_under_the_raised_token() {
+    let mut world = World::new(1);
+    let mut value = job_json(0, &mut world.rng);
+    for (field, to) in [
+        ("shape", "sweep"),
+        ("jobclass", "batch"),
+        ("rank", "normal"),
+    ] {
+        value[field] = json!(to);
+    }
+    value["pieces"] = json!(1);
+    let spec = read_job(value).expect("a valid job");
+    let record = JobRecord::accepted(spec, 0, 1024);
+    world.store.write(
+        "h/job/run-000000",
+        serde_json::to_value(&record).expect("record"),
+    );
+    let World {
+        store,
+        workers,
+        owners,
+        ..
+    } = &mut world;
+    let Owner { core, view, .. } = &mut owners[0];
+    store.follow(view);
+    let changed = view.take_changed();
+    core.jobs_changed(view, &changed, Time(1.0), 0);
+    for w in workers.iter_mut() {
+        core.report(&w.report(), Source::Beat, Time(1.0));
+        w.token = core
+            .reply(&MachineId::from(w.id.as_str()), view, Time(1.0))
+            .baton
+            .0;
+        core.report(&w.report(), Source::Beat, Time(1.5));
+    }
+    core.dispatch(view, Time(1.5));
+    regular(core, Time(2.0));
+    assert!(
+        core.dispatch(view, Time(2.0)).is_empty(),
+        "nothing starts before it is recorded"
+    );
+    let batch = core
+        .next_batch(view, 4, false, Time(2.0))
+        .expect("a claim to record");
+    let Outcome::Done(revision) = store.txn(&serde_json::to_value(&batch.txn).expect("txn")) else {
+        panic!("the claim is refused");
+    };
+    core.committed(batch, revision, view, Time(2.0));
+    let sends = core.dispatch(view, Time(2.0));
+    assert_eq!(sends.len(), 1);
+    let id = sends[0].machine.clone();
+    core.dispatched(&id, Sending::Unknown, Time(4.0));
+    let sent = |core: &Core| {
+        let job = core.board.jobs().values().next().expect("the job");
+        job.tasks.claims().values().next().map(|c| c.sent)
+    };
+    let w = workers
+        .iter_mut()
+        .find(|w| w.id == id.as_str())
+        .expect("the worker");
+    core.report(&w.report(), Source::Beat, Time(5.0));
+    assert_eq!(
+        sent(core),
+        Some(Sent::Flying),
+        "absent, but the start may still come"
+    );
+    let fence = core
+        .dispatch(view, Time(9.0))
+        .pop()
+        .expect("the raised token goes out");
+    assert!(fence.orders.baton.0 > w.token && fence.orders.orders.is_empty());
+    w.token = fence.orders.baton.0;
+    core.dispatched(&id, Sending::NotSent, Time(9.0));
+    core.report(&w.report(), Source::Beat, Time(10.0));
+    assert_eq!(
+        sent(core),
+        Some(Sent::No),
+        "fenced and absent: it never started"
+    );
+
+    // Its result is forgotten at the worker only once it is recorded.
+    let sends = core.dispatch(view, Time(20.0));
+    assert_eq!(sends.len(), 1, "the same attempt is sent again");
+    let (phase, cause) = ("ended", Some("done"));
+    let ended = Running {
+        units: Vec::new(),
+        attempt: 1,
+        phase,
+        cause,
+        left: 0.0,
+    };
+    w.tasks.insert("run-000000/0".into(), ended);
+    core.dispatched(&id, Sending::Executed(Box::new(w.report())), Time(20.0));
+    assert!(
+        core.reply(&id, view, Time(20.0)).orders.is_empty(),
+        "not recorded yet"
+    );
+    let batch = core
+        .next_batch(view, 4, false, Time(20.0))
+        .expect("a result to record");
+    let Outcome::Done(revision) = store.txn(&serde_json::to_value(&batch.txn).expect("txn")) else {
+        panic!("the result is refused");
+    };
+    core.committed(batch, revision, view, Time(20.0));
+    assert_eq!(
+        core.reply(&id, view, Time(20.0)).orders.len(),
+        1,
+        "recorded: forget it"
+    );
+}
+
+/// While two zones are apart, reports come over another controller, and the
+/// commands go back the same way: none is sent directly, to hang.
+#[test]
+fn commands_go_in_the_answers_to_reports_that_were_passed_on() {
+    let mut world = World::new(1);
+    one_job(&mut world);
+    let World {
+        workers,
+        store,
+        owners,
+        ..
+    } = &mut world;
+    let Owner { core, view, .. } = &mut owners[0];
+    for w in workers.iter_mut() {
+        core.report(&w.report(), Source::Passed, Time(2.0));
+    }
+    regular(core, Time(2.0));
+    let batch = core.next_batch(view, 4, false, Time(2.0)).expect("a claim");
+    let Outcome::Done(revision) = store.txn(&serde_json::to_value(&batch.txn).expect("txn")) else {
+        panic!("the claim is refused");
+    };
+    core.committed(batch, revision, view, Time(2.0));
+    assert!(core.dispatch(view, Time(2.5)).is_empty());
+    let mut starts = 0;
+    for w in workers.iter_mut() {
+        let id = MachineId::from(w.id.as_str());
+        core.report(&w.report(), Source::Passed, Time(3.0));
+        starts += core.reply(&id, view, Time(3.0)).orders.len();
+    }
+    assert_eq!(starts, 1);
+}
--- /dev/null
+++ b/tests/rules/invariants.rs
@@ -0,0 +1,160 @@
+//! The rules that PROTOCOL states, checked at every start and after every step.
+
+use std::collections::BTreeMap;
+
+use rand::rngs::StdRng;
+use rand::Rng;
+use serde_json::Value;
+use sorrelhinge::state::record::job_key;
+use sorrelhinge::types::JobId;
+
+use crate::*;
+
+impl World {
+    pub(crate) fn on_machines(&self) -> impl Iterator<Item = (&Worker, &String)> {
+        self.workers.iter().flat_map(|w| {
+            w.tasks
+                .iter()
+                .filter(|(_, r)| r.phase != "ended")
+                .map(move |(p, _)| (w, p))
+        })
+    }
+
+    /// No task starts on a unit that is missing, broken or taken.
+    pub(crate) fn check_units(&self, at: usize, piece: &str, units: &Value) -> Vec<String> {
+        let w = &self.workers[at];
+        let names = units.as_array().into_iter().flatten();
+        let names: Vec<String> = names
+            .map(|u| u[1].as_str().expect("a name").to_owned())
+            .collect();
+        let job = piece_job(&self.jobs, piece);
+        let device = &job["topology"]["devices"][0];
+        let most = usize::from(!device.is_null());
+        let least = usize::from(device["must"] == true);
+        assert!(
+            (least..=most).contains(&names.len()),
+            "{piece} on {}: {names:?} of {device}",
+            w.id
+        );
+        for name in &names {
+            assert!(
+                encoders(w).contains(&name.as_str()),
+                "{piece} on {}: {name} is missing or broken",
+                w.id
+            );
+            let mut others = w.tasks.values().filter(|r| r.phase != "ended");
+            assert!(
+                others.all(|r| !r.units.contains(name)),
+                "{piece} on {}: {name} is taken",
+                w.id
+            );
+        }
+        names
+    }
+
+    /// The rules that a start can break.
+    pub(crate) fn check_start(&self, at: usize, piece: &str) {
+        let w = &self.workers[at];
+        for (other, p) in self.on_machines() {
+            assert!(
+                p != piece,
+                "ran_twice: {piece} on {} starts on {}",
+                other.id,
+                w.id
+            );
+        }
+        let id = piece.rsplit_once('/').expect("piece").0;
+        let job = piece_job(&self.jobs, piece);
+        assert!(
+            job["loaners"] == true || !w.spot,
+            "wrong_place: {piece} on spot"
+        );
+        let rule = &job["topology"]["spread"][0];
+        if rule["must"] == true && job["pieces"].as_u64() > rule["most"].as_u64() {
+            let (_, number) = switch(w);
+            assert!(number < 10, "{piece}: the switch of {} is not known", w.id);
+            let there = self.on_machines().filter(|(other, p)| {
+                p.rsplit_once('/').expect("piece").0 == id && switch(other) == switch(w)
+            });
+            assert!(
+                (there.count() as u64) < rule["most"].as_u64().expect("most"),
+                "{piece} on {}: {rule}",
+                w.id
+            );
+        }
+        let mut here = 0;
+        for (other, p) in self
+            .on_machines()
+            .filter(|(_, p)| p.rsplit_once('/').expect("piece").0 == id)
+        {
+            assert!(
+                job["together"] == false || other.zone == w.zone,
+                "wrong_place: {piece} and {p}"
+            );
+            here += u64::from(other.zone == w.zone);
+        }
+        let most = job["pieces"].as_u64().expect("pieces").div_ceil(2);
+        assert!(
+            job["spread"] == false || here < most,
+            "wrong_place: {piece} not spread"
+        );
+        if let Some(at) = self.cancelled.get(id) {
+            assert!(self.now - at <= CANCEL_S, "ran_cancelled: {piece} starts");
+        }
+    }
+
+    /// The rules that hold at any time.
+    pub(crate) fn check(&self) {
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        for (w, piece) in self.on_machines() {
+            let job = piece_job(&self.jobs, piece);
+            *used.entry(job["crew"].as_str().expect("crew")).or_default() +=
+                job["cpus"].as_f64().expect("cpus");
+            let id = piece.rsplit_once('/').expect("piece").0;
+            if let Some(at) = self.cancelled.get(id) {
+                assert!(
+                    self.now - at <= CANCEL_S,
+                    "ran_cancelled: {piece} on {}",
+                    w.id
+                );
+            }
+        }
+        assert!(
+            used.get("red").is_none_or(|u| *u <= 10.0),
+            "quota: {used:?}"
+        );
+        for (id, job) in &self.jobs {
+            let (_, record) = &self.store.keys[&job_key(&JobId::from(id.as_str()))];
+            let cancelled = self.cancelled.contains_key(id);
+            assert_eq!(record["p"] == "c", cancelled, "went_back: {id}");
+            if record["p"] == "d" {
+                let all = (0..job["pieces"].as_u64().expect("pieces"))
+                    .all(|i| self.done_tasks.contains(&format!("{id}/{i}")));
+                assert!(all, "not_done: {id}");
+            }
+        }
+    }
+}
+
+pub(crate) fn job_of(piece: &str) -> String {
+    piece.rsplit_once('/').expect("piece").0.into()
+}
+
+pub(crate) fn piece_job<'a>(jobs: &'a BTreeMap<String, Value>, piece: &str) -> &'a Value {
+    &jobs[piece.rsplit_once('/').expect("piece").0]
+}
+
+/// What the version before does to a record that it writes again.
+pub(crate) fn forget_new_fields(record: &mut Value) {
+    if let Some(spec) = record["s"].as_object_mut() {
+        spec.remove("x");
+    }
+    for holder in ["/i", ""] {
+        let chunk = record.pointer_mut(holder).and_then(Value::as_object_mut);
+        chunk.and_then(|c| c.remove("u"));
+    }
+}
+
+pub(crate) fn pick_switch(rng: &mut StdRng) -> &'static str {
+    ["za/s0", "za/s1", "zb/s0", "zb/s1"][rng.random_range(0..4)]
+}
--- /dev/null
+++ b/tests/rules/main.rs
@@ -0,0 +1,31 @@
+//! The block owner's core against stand-ins for the state service and the
+//! workers, with lost replies, late commands, takeovers and owners that do not
+//! know they are deposed. Every step checks the rules of the protocol.
+
+mod blocks;
+mod commands;
+mod invariants;
+mod mistaken;
+mod orders;
+mod random;
+mod recording;
+mod scenes;
+#[path = "../settings/mod.rs"]
+mod settings;
+mod silence;
+mod store;
+mod takeover;
+mod worker;
+mod workload;
+mod world;
+
+pub(crate) use self::invariants::*;
+pub(crate) use self::scenes::*;
+pub(crate) use self::store::*;
+pub(crate) use self::worker::*;
+pub(crate) use self::workload::*;
+pub(crate) use self::world::*;
+
+const STEP_S: f64 = 0.5;
+const LEASE_S: f64 = 20.0;
+const CANCEL_S: f64 = 40.0;
--- /dev/null
+++ b/tests/rules/recording.rs
@@ -0,0 +1,217 @@
+//! What is recorded, in which order.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use serde_json::json;
+use sorrelhinge::control::core::{Core, LeftTo};
+use sorrelhinge::control::pending::{Due, Haste, Pending};
+use sorrelhinge::state::record::chunk_key;
+use sorrelhinge::state::{Outcome, Txn};
+use sorrelhinge::types::{JobId, MachineId, Time};
+use sorrelhinge_blocks::served::Sort;
+use sorrelhinge_blocks::shard::{of_job, of_machine, BlockId};
+
+use crate::*;
+
+/// A job's place comes into its record with its first claim, without a change of
+/// its own; in no lane the record has none.
+#[test]
+fn the_first_claim_takes_the_place_along() {
+    for (class, has) in [("*", true), ("no-such", false)] {
+        let mut world = World::new(1);
+        let mut config = (*settings::config(1.0)).clone();
+        let lane = format!("lane.a.classes={class}");
+        config.lanes = sorrelhinge::config::lanes(lane.as_bytes()).expect("a lane");
+        let o = &mut world.owners[0];
+        let grant = (o.view.grant.value.number, o.view.grant.stamp);
+        let config = Rc::new(config);
+        o.core = Core::load(config, &kinds(), &o.view, grant, None, Time(0.0), 0);
+        let (id, _) = one_job(&mut world);
+        let World { store, owners, .. } = &mut world;
+        let Owner { core, view, .. } = &mut owners[0];
+        let first = view.job(&id).expect("the job").record.stamp;
+        regular(core, Time(2.0));
+        let batch = core.next_batch(view, 4, false, Time(2.0)).expect("a claim");
+        let txn = serde_json::to_value(&batch.txn).expect("txn");
+        assert_eq!(txn["apply"].as_array().map(Vec::len), Some(1));
+        let Outcome::Done(revision) = store.txn(&txn) else {
+            panic!("the claim is refused");
+        };
+        core.committed(batch, revision, view, Time(2.0));
+        let entry = view.job(&id).expect("the job");
+        assert!(entry.record.stamp > first && entry.place == first);
+        assert_eq!(entry.record.value.place, has.then_some(first));
+    }
+}
+
+/// A swarm of idle jobs, of which each costs as many changes as any other job, has
+/// its turns, and whatever is urgent or ordinary goes first.
+#[test]
+fn a_swarm_of_idle_jobs_keeps_no_other_claim_waiting() {
+    let chunk = |n: u32| (JobId::from(format!("run-{n:04}").as_str()), 0);
+    let mut pending = Pending::default();
+    for n in 0..100 {
+        pending.claimed(chunk(n), Haste::Idle, sort("ping"), Time(0.0));
+        pending.finished(chunk(100 + n).0, Haste::Idle, Time(0.0));
+    }
+    pending.claimed(chunk(300), Haste::Usual, sort("check"), Time(1.0));
+    pending.finished(chunk(301).0, Haste::Usual, Time(1.0));
+    let taken = [(); 3].map(|()| pending.take(false, Time(1.0)));
+    assert!(taken.contains(&Some(Due::Chunk(chunk(300)))), "{taken:?}");
+    assert!(
+        taken.contains(&Some(Due::Finished(chunk(301).0))),
+        "{taken:?}"
+    );
+    let mut idle = 0;
+    for n in 0..40 {
+        let now = Time(10.0 + f64::from(n) * 0.1);
+        pending.claimed(chunk(1000 + n), Haste::Usual, sort("check"), now);
+        let due = pending.take(false, now);
+        idle += usize::from(matches!(due, Some(Due::Chunk(c)) if c < chunk(100)));
+    }
+    assert!(idle >= 4, "it has its turns: {idle}");
+}
+
+/// Changes are few: claims go first, then done jobs; results wait for company,
+/// but not for ever.
+pub(crate) fn sort(class: &str) -> Sort {
+    (Arc::from(class), Arc::from("crew"))
+}
+
+/// With more urgent claims than changes, each class still has some of its own
+/// recorded, and users are told of jobs that are done: neither was so once, for
+/// minutes.
+#[test]
+fn what_is_urgent_does_not_starve_the_rest() {
+    let chunk = |n: u32| (JobId::from(format!("run-{n:04}").as_str()), 0);
+    let mut pending = Pending::default();
+    for n in 0..10 {
+        pending.claimed(chunk(n), Haste::Usual, sort("bake"), Time(0.0));
+        pending.claimed(chunk(100 + n), Haste::Usual, sort("check"), Time(0.0));
+        pending.finished(chunk(200 + n).0, Haste::Usual, Time(0.0));
+    }
+    let mut taken: BTreeMap<&str, usize> = BTreeMap::new();
+    for n in 0..100 {
+        let now = Time(10.0 + f64::from(n) * 0.1);
+        // Two more for each that is recorded.
+        pending.claimed(chunk(1000 + 2 * n), Haste::Awaited, sort("live"), now);
+        pending.claimed(chunk(1001 + 2 * n), Haste::Awaited, sort("live"), now);
+        let what = match pending.take(false, now) {
+            Some(Due::Finished(_)) => "done",
+            Some(Due::Chunk((id, _))) if id >= chunk(1000).0 => "live",
+            Some(Due::Chunk((id, _))) if id >= chunk(100).0 => "check",
+            Some(Due::Chunk(_)) => "bake",
+            None => "nothing",
+        };
+        *taken.entry(what).or_insert(0) += 1;
+    }
+    // One of four by turns of three classes, one of three for what is done.
+    assert!(taken["bake"] >= 8 && taken["check"] >= 8, "{taken:?}");
+    assert_eq!(taken["done"], 10);
+    assert!(taken["live"] >= 70, "urgency has the rest: {taken:?}");
+}
+
+#[test]
+fn changes_go_where_they_are_missed_most() {
+    let chunk = |n: u32| (JobId::from(format!("run-{n}").as_str()), 0);
+    let mut pending = Pending::default();
+    pending.useless(chunk(1), Time(0.0));
+    pending.released(chunk(2), Time(0.0));
+    pending.finished(chunk(3).0, Haste::Usual, Time(0.0));
+    pending.claimed(chunk(4), Haste::Usual, sort("batch"), Time(0.0));
+    pending.claimed(chunk(5), Haste::Awaited, sort("live"), Time(0.0));
+    pending.claimed(chunk(2), Haste::Usual, sort("batch"), Time(0.5));
+    let mut taken = |spare: bool, now: f64| pending.take(spare, Time(now));
+    assert_eq!(taken(false, 1.0), Some(Due::Chunk(chunk(5))), "in a hurry");
+    assert_eq!(
+        taken(false, 1.0),
+        Some(Due::Finished(chunk(3).0)),
+        "in turn with claims that no user waits for"
+    );
+    assert_eq!(taken(false, 1.0), Some(Due::Chunk(chunk(4))));
+    assert_eq!(
+        taken(false, 1.0),
+        Some(Due::Chunk(chunk(2))),
+        "with its result"
+    );
+    assert_eq!(taken(false, 1.0), None, "a deletion can wait");
+    assert_eq!(taken(true, 1.0), Some(Due::Chunk(chunk(1))));
+    pending.released(chunk(6), Time(1.0));
+    assert_eq!(pending.take(false, Time(8.0)), None);
+    assert_eq!(pending.take(true, Time(8.0)), Some(Due::Chunk(chunk(6))));
+    pending.released(chunk(6), Time(8.0));
+    assert_eq!(pending.take(false, Time(30.0)), Some(Due::Chunk(chunk(6))));
+}
+
+/// A block to which a task was left, and which another block's claim forestalled,
+/// leaves the record alone: it once deleted the whole chunk, with what others
+/// claimed in it, and their tasks were started a second time.
+#[test]
+fn a_block_that_was_forestalled_deletes_nothing_of_the_job() {
+    let mut world = World::of_blocks(5, false, 2);
+    for _ in 0..3 {
+        for at in 0..world.workers.len() {
+            world.now += 0.1;
+            world.beat(at);
+        }
+    }
+    let (home, other) = (BlockId(0), BlockId(1));
+    let mut id = 0;
+    let homed = |n: u32| of_job(&JobId::from(&*format!("run-{n:06}")), 2) == home;
+    while !homed(id) {
+        id += 1;
+    }
+    let mut job = job_json(id, &mut world.rng);
+    let plain = json!({"shape": "sweep", "together": false, "spread": false, "pieces": 20,
+        "cpus": 1.0, "rank": "normal", "loaners": true, "crew": "blue"});
+    job.as_object_mut()
+        .expect("an object")
+        .extend(plain.as_object().cloned().expect("an object"));
+    world.accept(job);
+    let id = JobId::from(&*format!("run-{id:06}"));
+    let at = |world: &World, b| {
+        let has = |o: &Owner| o.core.shard.block == b;
+        world.owners.iter().position(has).expect("an owner")
+    };
+    let mut theirs = world.workers.iter().map(|w| MachineId::from(w.id.as_str()));
+    let theirs = theirs.find(|m| of_machine(m, 2) == home);
+    let theirs = theirs.expect("a machine of the other block");
+    let b = at(&world, other);
+    let now = Time(world.now);
+    let follow = |world: &mut World| {
+        let o = &mut world.owners[b];
+        world.store.follow(&mut o.view);
+        let changed = o.view.take_changed();
+        o.core.jobs_changed(&o.view, &changed, now, 0);
+    };
+    follow(&mut world);
+    let left = LeftTo {
+        block: other,
+        job: id.clone(),
+        tasks: vec![0],
+    };
+    let o = &mut world.owners[b];
+    o.core.left_here(&o.view, &left, now, 0);
+    o.core.place_all(now);
+    let claimed = |o: &Owner| o.core.board.job(&id).map(|j| j.tasks.claims().len());
+    assert_eq!(claimed(o), Some(1), "the task that was left, and no other");
+    let key = chunk_key(&id, 0);
+    let claim = json!({"a": 2, "d": 0, "c": [[0, 1, theirs]]});
+    world.store.write(&key, claim.clone());
+    follow(&mut world);
+    assert_eq!(
+        claimed(&world.owners[b]),
+        None,
+        "whoever wrote first has it"
+    );
+    for _ in 0..20 {
+        let o = &mut world.owners[b];
+        if let Some(batch) = o.core.next_batch(&o.view, 4, true, Time(now.0 + 60.0)) {
+            let txn = serde_json::to_value::<&Txn>(&batch.txn).expect("txn");
+            world.store.txn(&txn);
+        }
+    }
+    assert_eq!(world.store.keys.get(&key).map(|(_, v)| v), Some(&claim));
+}
--- /dev/null
+++ b/tests/rules/store.rs
@@ -0,0 +1,66 @@
+//! The state service: conditional writes, versions, changes since.
+
+use std::collections::BTreeMap;
+
+use serde_json::{json, Value};
+use sorrelhinge::state::view::View;
+use sorrelhinge::state::Outcome;
+use sorrelhinge::types::Revision;
+
+/// The state service: conditional writes, versions, changes since.
+#[derive(Default)]
+pub(crate) struct Store {
+    pub(crate) revision: u64,
+    pub(crate) keys: BTreeMap<String, (u64, Value)>,
+    pub(crate) log: Vec<Value>,
+}
+
+impl Store {
+    pub(crate) fn txn(&mut self, txn: &Value) -> Outcome {
+        let stamp = |k: &str| self.keys.get(k).map_or(0, |(s, _)| *s);
+        let met =
+            txn["when"].as_array().expect("conditions").iter().all(|w| {
+                stamp(w["key"].as_str().expect("key")) == w["stamp"].as_u64().expect("stamp")
+            });
+        if !met {
+            return Outcome::Failed(Revision(self.revision));
+        }
+        self.revision += 1;
+        let changes = txn["apply"].as_array().expect("changes");
+        assert!(changes.len() <= 4, "more changes than the settings allow");
+        for change in changes {
+            if let Some(key) = change["write"].as_str() {
+                assert!(
+                    change["value"].to_string().len() <= 1024,
+                    "value over the limit"
+                );
+                self.keys
+                    .insert(key.into(), (self.revision, change["value"].clone()));
+                self.log
+                    .push(json!({"write": key, "value": change["value"], "stamp": self.revision}));
+            } else if let Some(key) = change["delete"].as_str() {
+                self.keys.remove(key);
+                self.log
+                    .push(json!({"delete": key, "stamp": self.revision}));
+            }
+        }
+        Outcome::Done(Revision(self.revision))
+    }
+
+    pub(crate) fn write(&mut self, key: &str, value: Value) {
+        let stamp = self.keys.get(key).map_or(0, |(s, _)| *s);
+        let txn = json!({"when": [{"key": key, "stamp": stamp}], "apply": [{"write": key, "value": value}]});
+        assert!(matches!(self.txn(&txn), Outcome::Done(_)));
+    }
+
+    pub(crate) fn follow(&self, view: &mut View) {
+        let since = view.ledger;
+        let events: Vec<&Value> = self
+            .log
+            .iter()
+            .filter(|e| e["stamp"].as_u64() > Some(since.0))
+            .collect();
+        let events = json!({"ledger": self.revision, "events": events}).to_string();
+        view.apply(since, serde_json::from_str(&events).expect("events"));
+    }
+}
--- /dev/null
+++ b/tests/rules/takeover.rs
@@ -0,0 +1,92 @@
+//! What a new owner makes of the records and of old reports.
+
+use serde_json::json;
+use sorrelhinge::control::core::Source;
+use sorrelhinge::state::Outcome;
+use sorrelhinge::types::{MachineId, Time};
+use sorrelhinge::worker::Sending;
+
+use crate::*;
+
+/// What ran on a machine that was given back is not recorded as ended for long
+/// while changes are short. The next owner knows it all the same, and does not
+/// count it against limits.
+#[test]
+fn claims_on_machines_that_an_owner_gave_back_count_for_no_later_owner() {
+    let mut world = World::new(11);
+    let claimed = |o: &Owner| {
+        let teams = o.core.board.teams().iter();
+        teams.map(|t| t.used.cpu).sum::<i64>()
+    };
+    while world.on_machines().count() == 0 {
+        world.step(true);
+        assert!(world.now < 600.0, "nothing ever ran");
+    }
+    let all: Vec<MachineId> = world
+        .workers
+        .iter()
+        .map(|w| MachineId::from(w.id.as_str()))
+        .collect();
+    // A list of a later format is left alone.
+    world.store.write("h/gone/1", json!({"v": 9, "m": all}));
+    world.take_over();
+    let o = world.owners.last_mut().expect("an owner");
+    assert!(claimed(o) > 0);
+    o.core.deleted(&all, Time(world.now));
+    assert!(o
+        .core
+        .next_batch(&o.view, 4, false, Time(world.now + 0.1))
+        .is_none());
+    let now = Time(world.now + 4.0);
+    let batch = o.core.next_batch(&o.view, 4, false, now);
+    let batch = batch.expect("their names, before any result");
+    let txn = serde_json::to_value(&batch.txn).expect("txn");
+    assert_eq!(txn["apply"].as_array().map(Vec::len), Some(1));
+    assert_eq!(txn["apply"][0]["write"], "h/gone/0");
+    assert!(matches!(world.store.txn(&txn), Outcome::Done(_)));
+    world.take_over();
+    let o = world.owners.last().expect("an owner");
+    assert_eq!(claimed(o), 0);
+    assert_eq!(o.core.board.unknown_machines().count(), 0);
+}
+
+/// A new owner can find a done job whose chunk was not deleted yet: its tasks
+/// have ended, so it claims nothing, and the chunk goes.
+#[test]
+fn a_done_job_claims_nothing_at_a_takeover() {
+    let mut world = World::new(3);
+    world.store.write(
+        "h/job/run-000000",
+        json!({"p": "d", "n": 1, "k": 8, "t": 0}),
+    );
+    let chunk = json!({"a": 2, "d": 0, "c": [[0, 1, "vm-000001"]]});
+    world.store.write("h/task/run-000000/000000", chunk);
+    world.take_over();
+    let owner = world.owners.last_mut().expect("an owner");
+    assert!(owner.core.board.jobs().is_empty());
+    let batch = owner
+        .core
+        .next_batch(&owner.view, 4, true, Time(0.0))
+        .expect("a chunk to delete");
+    let txn = serde_json::to_value(&batch.txn).expect("txn");
+    assert_eq!(
+        txn["apply"],
+        json!([{"delete": "h/task/run-000000/000000"}])
+    );
+}
+
+/// A controller that hears of a newer grant from a worker is told so: it may
+/// not take the silence of machines that left it for their end.
+#[test]
+fn a_report_with_a_newer_token_deposes() {
+    let mut world = World::new(1);
+    one_job(&mut world);
+    let w = &mut world.workers[0];
+    w.token = 2 << 20;
+    let report = w.report();
+    let core = &mut world.owners[0].core;
+    assert!(!core.report(&report, Source::Beat, Time(2.0)));
+    let refused = Sending::Refused(Box::new(report));
+    let id = MachineId::from("vm-000000");
+    assert!(!core.dispatched(&id, refused, Time(2.0)));
+}
--- /dev/null
+++ b/tests/rules/worker.rs
@@ -0,0 +1,45 @@
+//! A worker, as PROTOCOL describes it.
+
+use std::collections::BTreeMap;
+
+use serde_json::{json, Value};
+use sorrelhinge::worker::Report;
+
+pub(crate) struct Running {
+    pub(crate) units: Vec<String>,
+    pub(crate) attempt: u64,
+    pub(crate) phase: &'static str,
+    pub(crate) cause: Option<&'static str>,
+    pub(crate) left: f64,
+}
+
+/// A worker, as PROTOCOL describes it.
+pub(crate) struct Worker {
+    pub(crate) id: String,
+    pub(crate) zone: &'static str,
+    pub(crate) spot: bool,
+    pub(crate) session: u64,
+    pub(crate) tick: u64,
+    pub(crate) token: u64,
+    pub(crate) renewed: f64,
+    pub(crate) silent_until: f64,
+    /// Until then it reports and hears nothing.
+    pub(crate) deaf_until: f64,
+    pub(crate) warned: bool,
+    pub(crate) tasks: BTreeMap<String, Running>,
+}
+
+impl Worker {
+    pub(crate) fn report(&mut self) -> Report {
+        self.tick += 1;
+        let pieces: Vec<Value> = self
+            .tasks
+            .iter()
+            .map(|(piece, r)| json!({"piece": piece, "try": r.attempt, "phase": r.phase, "cause": r.cause}))
+            .collect();
+        let report = json!({"box": self.id, "addr": "127.0.0.1:9", "build": "t", "rack": self.zone,
+            "loaners": self.spot, "shift": self.session, "tick": self.tick, "baton": self.token,
+            "warning_s": self.warned.then_some(9.0), "pieces": pieces});
+        serde_json::from_value(report).expect("report")
+    }
+}
--- /dev/null
+++ b/tests/rules/world.rs
@@ -0,0 +1,615 @@
+//! The world: owners, workers and the state service, a step of half a second at a time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{json, Value};
+use sorrelhinge::api::read_job;
+use sorrelhinge::cloud::{Listed, MachinePhase};
+use sorrelhinge::config::Config;
+use sorrelhinge::control::core::{Batch, Core, Dispatch, Places, Source};
+use sorrelhinge::state::record::{job_key, BlockRecord, GrantRecord, JobRecord, GRANT};
+use sorrelhinge::state::view::View;
+use sorrelhinge::state::{Outcome, Txn};
+use sorrelhinge::types::{JobId, MachineId, Revision, Term, Time};
+use sorrelhinge::worker::{Report, Sending};
+use sorrelhinge_blocks::shard::{BlockId, Shard};
+use sorrelhinge_protocol::wishes::Wishes;
+use sorrelhinge_topology::Topology;
+
+use crate::*;
+
+/// An owner of the block, perhaps a former one.
+pub(crate) struct Owner {
+    pub(crate) core: Core,
+    pub(crate) view: View,
+    pub(crate) pending: Option<Batch>,
+    /// Part of the red team's limit that is on its way to another block: the
+    /// transaction, and how many thousandths of a CPU.
+    pub(crate) gift: Option<(Value, i64)>,
+    /// Its process stands still until then, while clocks run on.
+    pub(crate) paused_until: f64,
+}
+
+pub(crate) struct World {
+    /// Blocks: each owner has one of so many.
+    pub(crate) of: u32,
+    pub(crate) places: Places,
+    pub(crate) topology: Option<Rc<Topology>>,
+    pub(crate) rng: StdRng,
+    pub(crate) now: f64,
+    pub(crate) store: Store,
+    pub(crate) workers: Vec<Worker>,
+    pub(crate) jobs: BTreeMap<String, Value>,
+    pub(crate) cancelled: BTreeMap<String, f64>,
+    pub(crate) done_tasks: BTreeSet<String>,
+    pub(crate) owners: Vec<Owner>,
+    pub(crate) late: Vec<(f64, String, Value)>,
+    pub(crate) grants: u64,
+    pub(crate) started: usize,
+    pub(crate) starts_of: BTreeMap<String, usize>,
+    /// Reports that were delivered, of which copies come late.
+    pub(crate) copies: Vec<Report>,
+    /// Nothing goes wrong by chance.
+    pub(crate) calm: bool,
+    /// A machine on which every task fails.
+    pub(crate) faulty: Option<String>,
+    pub(crate) rented: u64,
+    /// Images go from machine to machine, for two of three owners.
+    pub(crate) staged: bool,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self::with(seed, false)
+    }
+
+    pub(crate) fn with(seed: u64, with_topology: bool) -> Self {
+        Self::of_blocks(seed, with_topology, 1)
+    }
+
+    pub(crate) fn of_blocks(seed: u64, with_topology: bool, of: u32) -> Self {
+        let workers = (0..8)
+            .map(|i| Worker {
+                id: format!("vm-{i:06}"),
+                zone: if i % 2 == 0 { "za" } else { "zb" },
+                spot: i >= 4,
+                session: 1,
+                tick: 0,
+                token: 0,
+                renewed: 0.0,
+                silent_until: 0.0,
+                deaf_until: 0.0,
+                warned: false,
+                tasks: BTreeMap::new(),
+            })
+            .collect();
+        let mut world = Self {
+            of,
+            places: Places::default(),
+            topology: with_topology
+                .then(|| Rc::new(Topology::parse(TOPOLOGY).expect("a valid file"))),
+            rng: StdRng::seed_from_u64(seed),
+            now: 0.0,
+            store: Store::default(),
+            workers,
+            jobs: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+            done_tasks: BTreeSet::new(),
+            owners: Vec::new(),
+            late: Vec::new(),
+            grants: 0,
+            started: 0,
+            starts_of: BTreeMap::new(),
+            copies: Vec::new(),
+            calm: false,
+            faulty: None,
+            rented: 0,
+            staged: false,
+        };
+        if of > 1 {
+            world.store.write("h/map", json!({"v": 1, "blocks": of}));
+            for block in 0..of {
+                let part =
+                    10_000 / i64::from(of) + i64::from(block == 0) * (10_000 % i64::from(of));
+                let slice = json!({"v": 1, "t": [["red", part, 0], ["blue", 1_000_000, 0]]});
+                world.store.write(&format!("h/slice/{block}"), slice);
+            }
+            for block in 0..of {
+                world.take_over_block(block);
+            }
+        } else {
+            world.take_over();
+        }
+        world
+    }
+
+    /// An owner's settings.
+    pub(crate) fn config(&self) -> Rc<Config> {
+        let mut config = settings::config(1.0);
+        if self.staged && self.grants % 3 > 0 {
+            Rc::make_mut(&mut config).tuning.staging_least_gb = Some(0.5);
+        }
+        config
+    }
+
+    /// A block is granted anew; its last owner may not have heard of that.
+    pub(crate) fn take_over_block(&mut self, block: u32) {
+        self.grants += 1;
+        let record = BlockRecord {
+            version: 1,
+            owner: settings::config(1.0).node.clone(),
+            run: 0,
+            term: Term(self.grants),
+            number: self.grants,
+            to: None,
+            pin: None,
+        };
+        let key = format!("h/block/{block}");
+        self.store
+            .write(&key, serde_json::to_value(&record).expect("record"));
+        let mut view = View::default();
+        view.replace(Revision(0), Vec::new());
+        self.store.follow(&mut view);
+        view.take_changed();
+        let block = BlockId(block);
+        let shard = Shard { block, of: self.of };
+        let grant = (self.grants, view.blocks[&block].stamp);
+        let core = Core::load_block(
+            self.config(),
+            &kinds(),
+            &view,
+            (shard, grant, self.places.clone()),
+            None,
+            Time(self.now),
+            0,
+        );
+        self.owners.push(Owner {
+            core,
+            view,
+            pending: None,
+            gift: None,
+            paused_until: 0.0,
+        });
+        let same = self.owners.iter().filter(|o| o.core.shard == shard);
+        if same.count() > 2 {
+            let first = self.owners.iter().position(|o| o.core.shard == shard);
+            self.owners.remove(first.expect("one of them"));
+        }
+    }
+
+    pub(crate) fn take_over(&mut self) {
+        if self.of > 1 {
+            let block = self.rng.random_range(0..self.of);
+            return self.take_over_block(block);
+        }
+        self.grants += 1;
+        let grant = GrantRecord {
+            owner: None,
+            term: Term(self.grants),
+            number: self.grants,
+        };
+        self.store
+            .write(GRANT, serde_json::to_value(&grant).expect("record"));
+        let mut view = View::default();
+        view.replace(Revision(0), Vec::new());
+        self.store.follow(&mut view);
+        view.take_changed();
+        let core = Core::load(
+            self.config(),
+            &kinds(),
+            &view,
+            (self.grants, view.grant.stamp),
+            self.topology.clone(),
+            Time(self.now),
+            0,
+        );
+        self.owners.push(Owner {
+            core,
+            view,
+            pending: None,
+            gift: None,
+            paused_until: 0.0,
+        });
+        if self.owners.len() > 2 {
+            self.owners.remove(0);
+        }
+    }
+
+    /// Whether something goes wrong that does so in this part of the cases.
+    pub(crate) fn luck(&mut self, part: f64) -> bool {
+        !self.calm && self.rng.random_bool(part)
+    }
+
+    pub(crate) fn submit(&mut self) {
+        let id = self.jobs.len() as u32;
+        let mut value = job_json(id, &mut self.rng);
+        if self.topology.is_some() {
+            value["topology"] = wishes_json(&mut self.rng);
+        }
+        self.accept(value);
+    }
+
+    pub(crate) fn accept(&mut self, value: Value) {
+        let mut spec = read_job(value.clone()).expect("a valid job");
+        spec.wishes = Wishes::read(&value).expect("valid wishes").map(Box::new);
+        // Some jobs keep their claims in their own record, others in chunks.
+        let mut record = JobRecord::accepted(spec, 0, 1024);
+        record.chunk = record.chunk.min(8);
+        if record.tasks > record.chunk {
+            record.inline = None;
+        }
+        let uid = value["uid"].as_str().expect("uid").to_owned();
+        self.store.write(
+            &format!("h/job/{uid}"),
+            serde_json::to_value(&record).expect("record"),
+        );
+        self.jobs.insert(uid, value);
+    }
+
+    /// An owner of the version before wrote a chunk of tasks again.
+    pub(crate) fn write_as_before(&mut self) {
+        let keys: Vec<String> = self
+            .store
+            .keys
+            .keys()
+            .filter(|k| k.starts_with("h/task/"))
+            .cloned()
+            .collect();
+        if keys.is_empty() {
+            return;
+        }
+        let key = &keys[self.rng.random_range(0..keys.len())];
+        let mut record = self.store.keys[key].1.clone();
+        forget_new_fields(&mut record);
+        self.store.write(key, record);
+    }
+
+    /// An operator drains a switch or a machine for a while, or ends a drain.
+    pub(crate) fn drain(&mut self) {
+        let key = format!("h/drain/{}", self.rng.random_range(1..3));
+        if let Some((stamp, _)) = self.store.keys.get(&key) {
+            let txn = json!({"when": [{"key": key, "stamp": stamp}], "apply": [{"delete": key}]});
+            assert!(matches!(self.store.txn(&txn), Outcome::Done(_)));
+            return;
+        }
+        let at = self.rng.random_range(0..self.workers.len());
+        let what = match self.rng.random_bool(0.5) {
+            true => json!({"domain": pick_switch(&mut self.rng)}),
+            false => json!({"machine": self.workers[at].id}),
+        };
+        let now_ms = (self.now * 1000.0) as u64;
+        let drain = json!({"v": 1, "what": what, "t": now_ms, "end": now_ms + 20_000, "away": 1});
+        self.store.write(&key, drain);
+    }
+
+    pub(crate) fn cancel(&mut self) {
+        let at = self.rng.random_range(0..self.jobs.len().max(1));
+        let Some(id) = self.jobs.keys().nth(at).cloned() else {
+            return;
+        };
+        let key = job_key(&JobId::from(id.as_str()));
+        let mut record = self.store.keys[&key].1.clone();
+        if record["p"] == "l" {
+            record["p"] = json!("c");
+            if self.topology.is_some() && self.rng.random_bool(0.5) {
+                // By a controller of the version before: it keeps nothing that
+                // it does not know.
+                forget_new_fields(&mut record);
+            }
+            self.store.write(&key, record);
+            self.cancelled.insert(id, self.now);
+        }
+    }
+
+    pub(crate) fn send(&mut self, owner: usize, send: Dispatch) {
+        let id = send.machine.as_str().to_owned();
+        let orders = serde_json::to_value(&send.orders).expect("orders");
+        let reachable = self
+            .workers
+            .iter()
+            .any(|w| w.id == id && w.silent_until.max(w.deaf_until) <= self.now);
+        let luck = if self.calm {
+            99
+        } else {
+            self.rng.random_range(0..100)
+        };
+        let outcome = if !reachable {
+            // A cut may hold the commands back, and deliver them much later.
+            if luck < 30 {
+                self.late
+                    .push((self.now + f64::from(luck), id.clone(), orders));
+                Sending::Unknown
+            } else {
+                Sending::NotSent
+            }
+        } else if luck < 5 {
+            Sending::NotSent
+        } else if luck < 12 {
+            self.late
+                .push((self.now + f64::from(luck * 2), id.clone(), orders));
+            Sending::Unknown
+        } else {
+            match self.carry_out(&id, &orders) {
+                None => Sending::NotSent,
+                Some(_) if luck < 18 => Sending::Unknown,
+                Some(Some(report)) => Sending::Executed(Box::new(report)),
+                Some(None) => {
+                    let w = self
+                        .workers
+                        .iter_mut()
+                        .find(|w| w.id == id)
+                        .expect("worker");
+                    Sending::Refused(Box::new(w.report()))
+                }
+            }
+        };
+        let now = Time(self.now);
+        self.owners[owner]
+            .core
+            .dispatched(&send.machine, outcome, now);
+    }
+
+    pub(crate) fn record(&mut self, owner: usize) {
+        let now = Time(self.now);
+        let spare = self.rng.random_bool(0.5);
+        let o = &mut self.owners[owner];
+        let Some(batch) = o
+            .pending
+            .take()
+            .or_else(|| o.core.next_batch(&o.view, 4, spare, now))
+        else {
+            return;
+        };
+        let txn = serde_json::to_value::<&Txn>(&batch.txn).expect("txn");
+        match if self.calm {
+            9
+        } else {
+            self.rng.random_range(0..10)
+        } {
+            // Not carried out, or carried out with the answer lost.
+            0 => o.pending = Some(batch),
+            1 => {
+                self.store.txn(&txn);
+                o.pending = Some(batch);
+            }
+            _ => match self.store.txn(&txn) {
+                Outcome::Done(revision) => o.core.committed(batch, revision, &mut o.view, now),
+                Outcome::Failed(_) => {
+                    self.store.follow(&mut o.view);
+                    let changed = o.view.take_changed();
+                    o.core.jobs_changed(&o.view, &changed, now, 0);
+                    if !o.core.conflicted(batch, &o.view, now) {
+                        self.owners.remove(owner);
+                    }
+                }
+            },
+        }
+    }
+
+    pub(crate) fn beat(&mut self, at: usize) {
+        if self.workers[at].silent_until > self.now || self.owners.is_empty() {
+            return;
+        }
+        // Now and then a report still goes to an owner that was deposed.
+        let machine = MachineId::from(self.workers[at].id.as_str());
+        let covers = |o: &Owner| o.core.shard.covers(&machine);
+        let owner = if self.luck(0.15) {
+            self.owners.iter().position(covers)
+        } else {
+            self.owners.iter().rposition(covers)
+        };
+        let Some(owner) = owner else { return };
+        if self.owners[owner].paused_until > self.now {
+            return;
+        }
+        let report = self.workers[at].report();
+        let sent = self.now;
+        let source = if self.luck(0.15) {
+            Source::Passed
+        } else {
+            Source::Beat
+        };
+        let o = &mut self.owners[owner];
+        if !o.core.report(&report, source, Time(self.now)) {
+            return;
+        }
+        o.core.walk(&report.machine, Time(self.now));
+        let reply = o.core.reply(&report.machine, &o.view, Time(self.now));
+        let reply = serde_json::to_value(&reply).expect("reply");
+        let baton = reply["baton"].as_u64().expect("baton");
+        if self.luck(0.2) {
+            self.copies.push(report);
+        }
+        let deaf = self.workers[at].deaf_until > self.now;
+        if deaf || self.luck(0.05) || baton < self.workers[at].token {
+            return;
+        }
+        self.workers[at].token = baton;
+        self.workers[at].renewed = sent;
+        self.commands(at, &reply["orders"]);
+    }
+
+    /// A copy of a report comes late, seconds or several takeovers after it, perhaps
+    /// of a machine that is gone, to an owner or a former one.
+    pub(crate) fn copy(&mut self) {
+        if self.copies.is_empty() {
+            return;
+        }
+        let report = &self.copies[self.rng.random_range(0..self.copies.len())];
+        let covers = |o: &&mut Owner| o.core.shard.covers(&report.machine);
+        for o in self.owners.iter_mut().filter(covers) {
+            // Nobody takes the answer.
+            if !o.core.is_copy(report) && o.core.report(report, Source::Beat, Time(self.now)) {
+                o.core.walk(&report.machine, Time(self.now));
+                o.core.reply(&report.machine, &o.view, Time(self.now));
+            }
+        }
+    }
+
+    /// The cloud: machines that are given back are gone, with their tasks, and
+    /// another takes their place.
+    pub(crate) fn fleet(&mut self, owner: usize) {
+        let now = Time(self.now);
+        // Only a list shows that a machine which a record claims is gone: its
+        // deletion may have gone unrecorded.
+        let shard = self.owners[owner].core.shard;
+        let list: Vec<Listed> = self
+            .workers
+            .iter()
+            .filter(|w| shard.covers(&w.id.as_str().into()))
+            .map(|w| Listed {
+                uid: MachineId::from(w.id.as_str()),
+                addr: "127.0.0.1:9".parse().ok(),
+                build: "t".into(),
+                rack: w.zone.into(),
+                loaners: w.spot,
+                phase: MachinePhase::Running,
+                held_s: 100.0,
+            })
+            .collect();
+        self.owners[owner].core.listed(&list, now);
+        let (gone, rentals) = self.owners[owner].core.fleet(now);
+        for rental in rentals {
+            self.owners[owner].core.rented(&rental, Err(true), now);
+        }
+        for id in gone {
+            self.rented += 1;
+            if let Some(w) = self.workers.iter_mut().find(|w| w.id == id.as_str()) {
+                w.id = format!("vm-{:06}", 100 + self.rented);
+                w.tasks.clear();
+                w.session = 1;
+                w.tick = 0;
+                w.token = 0;
+                w.renewed = self.now;
+                w.deaf_until = 0.0;
+                w.warned = false;
+            }
+            self.owners[owner].core.deleted(&[id], now);
+        }
+    }
+
+    pub(crate) fn step(&mut self, submitting: bool) {
+        self.now += STEP_S;
+        if submitting && self.rng.random_bool(0.1) {
+            self.submit();
+        }
+        if self.luck(0.02) {
+            self.cancel();
+        }
+        let owned = |b: u32| self.owners.iter().any(|o| o.core.shard.block.0 == b);
+        if let Some(block) = (0..self.of).find(|b| !owned(*b)) {
+            match self.of {
+                1 => self.take_over(),
+                _ => self.take_over_block(block),
+            }
+        } else if self.luck(0.01) {
+            self.take_over();
+            if self.luck(0.3) {
+                // It ended at once, and the next one too.
+                self.take_over();
+                self.take_over();
+            }
+        }
+        if self.luck(0.01) {
+            let at = self.rng.random_range(0..self.owners.len());
+            self.owners[at].paused_until = self.now + self.rng.random_range(1.0..15.0);
+        }
+        if self.of > 1 {
+            self.between_blocks();
+        }
+        if self.topology.is_some() && self.luck(0.01) {
+            self.drain();
+        }
+        if self.topology.is_some() && self.luck(0.02) {
+            self.write_as_before();
+            self.take_over();
+        }
+        let due: Vec<(f64, String, Value)> = self
+            .late
+            .iter()
+            .filter(|(t, ..)| *t <= self.now)
+            .cloned()
+            .collect();
+        self.late.retain(|(t, ..)| *t > self.now);
+        for (_, id, orders) in due {
+            self.carry_out(&id, &orders);
+        }
+        for at in 0..self.workers.len() {
+            let w = &mut self.workers[at];
+            for (piece, r) in &mut w.tasks {
+                r.left -= STEP_S;
+                if r.phase == "running" && r.left <= 0.0 {
+                    r.phase = "ended";
+                    r.cause = Some("done");
+                    self.done_tasks.insert(piece.clone());
+                }
+            }
+            if self.now - w.renewed > LEASE_S {
+                w.tasks.clear();
+                w.session += 1;
+                w.renewed = self.now;
+            }
+            if self.luck(0.003) {
+                self.workers[at].silent_until = self.now + self.rng.random_range(1.0..30.0);
+            }
+            if self.luck(0.004) {
+                self.workers[at].deaf_until = self.now + self.rng.random_range(1.0..60.0);
+            }
+            if self.workers[at].spot && self.luck(0.004) {
+                self.workers[at].warned = true;
+            }
+            if self.rng.random_bool(0.5) {
+                self.beat(at);
+            }
+        }
+        if self.luck(0.3) {
+            self.copy();
+        }
+        for owner in (0..self.owners.len()).rev() {
+            if self.owners[owner].paused_until > self.now {
+                continue;
+            }
+            let now = Time(self.now);
+            // A deposed owner may not have heard of anything for long.
+            let shard = self.owners[owner].core.shard;
+            let last = self.owners.iter().rposition(|o| o.core.shard == shard);
+            if last == Some(owner) || self.rng.random_bool(0.1) {
+                let o = &mut self.owners[owner];
+                self.store.follow(&mut o.view);
+                let changed = o.view.take_changed();
+                o.core.jobs_changed(&o.view, &changed, now, 0);
+                o.core.set_drains(&o.view, now);
+                if shard.is_part() {
+                    o.core.look_at_limits(&o.view);
+                    o.core.still_granted(&o.view);
+                }
+            }
+            regular(&mut self.owners[owner].core, now);
+            if self.rng.random_bool(0.25) {
+                self.fleet(owner);
+            }
+            for _ in 0..3 {
+                if owner < self.owners.len() {
+                    self.record(owner);
+                }
+            }
+            if owner < self.owners.len() {
+                let o = &mut self.owners[owner];
+                for send in o.core.dispatch(&o.view, now) {
+                    self.send(owner, send);
+                }
+            }
+        }
+        self.check();
+    }
+}
+
+/// What an owner does again and again.
+pub(crate) fn regular(core: &mut Core, now: Time) {
+    core.tick(now);
+    core.place_all(now);
+    core.preempt(now);
+}
