--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -228,7 +228,7 @@
         let mut gone = Vec::new();
         for (key, watched) in self.watched.borrow().iter() {
             match watched.folder.look() {
-                Found::Gone(exit) => gone.push((key.clone(), exit)),
+                Found::DeletedMachines(exit) => gone.push((key.clone(), exit)),
                 Found::Runs if watched.killing.is_some_and(|t| now.since(t) > HARD) => {
                     watched.folder.kill_hard();
                 }
--- a/crates/blocks/src/lib.rs
+++ b/crates/blocks/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub mod alone;
 pub mod fair;
-pub mod largest;
+pub mod largest_jobs;
 pub mod owners;
 pub mod reach;
 pub mod served;
--- a/crates/blocks/src/tally.rs
+++ b/crates/blocks/src/tally.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::largest::{tenth, BEGIN_S};
+use crate::largest_jobs::{tenth, BEGIN_S};
 
 /// A class and its team, by name.
 pub type Name = (String, String);
--- a/crates/blocks/tests/model.rs
+++ b/crates/blocks/tests/model.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use sorrelhinge_blocks::alone::{Company, LetGo, ALONE_S, ASKS_S};
 use sorrelhinge_blocks::fair::Turns;
-use sorrelhinge_blocks::largest::{tenth, Largest, WINDOW};
+use sorrelhinge_blocks::largest_jobs::{tenth, Largest, WINDOW};
 use sorrelhinge_blocks::owners::{how_many, Held, Member, Owners, Step, Wish};
 use sorrelhinge_blocks::reach::{Reach, CUT_OFF_LEAST, CUT_OFF_S, FAILED_MANY, FAILED_S};
 use sorrelhinge_blocks::served::{Served, Sort, Waits};
--- a/examples/placing.rs
+++ b/examples/placing.rs
@@ -9,7 +9,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use sorrelhinge::sched::{Board, DelayRule, Job, Machine, Tasks, Team};
+use sorrelhinge::sched::{ClusterState, DelayRule, Job, Machine, Tasks, Team};
 use sorrelhinge::types::{
     Amount, Image, JobId, JobSpec, Kind, MachineId, MachineType, Priority, Time, TypeName, Zone,
 };
@@ -97,7 +97,7 @@
 /// without the operator's file. One of `every` jobs is a service with a rule.
 pub fn place(machines: u32, switches: u32, every: u32, on: bool) -> Cost {
     let mut rng = StdRng::seed_from_u64(11);
-    let mut board = Board::new(vec![Team {
+    let mut cluster_state = ClusterState::new(vec![Team {
         name: Arc::from("t"),
         guarantee: Amount::new(1e4, 0.0, 0.0),
         limit: Amount::new(1e6, 0.0, 0.0),
@@ -116,11 +116,11 @@
             let image = Image::from(format!("img-{}", rng.random_range(0..20)).as_str());
             m.cache.touch(&image, 1.5, 50.0, true);
         }
-        board.add_machine(MachineId::from(format!("vm-{n:05}").as_str()), m);
+        cluster_state.add_machine(MachineId::from(format!("vm-{n:05}").as_str()), m);
     }
     if on {
         let topology = Topology::parse(&file(machines, switches)).expect("a valid file");
-        board.set_topology(Some(Rc::new(topology)), |_| None);
+        cluster_state.set_topology(Some(Rc::new(topology)), |_| None);
     }
     let mut cost = Cost {
         placed: 0,
@@ -131,18 +131,18 @@
         let now = Time(f64::from(n) * 0.2);
         let spec = job(n, every, &mut rng);
         let id = JobId::from(format!("run-{n:05}").as_str());
-        let policy = Board::policy_of(board.topology().map(|t| &**t), &spec);
+        let policy = ClusterState::policy_of(cluster_state.topology().map(|t| &**t), &spec);
         let tasks = Tasks::new(spec.tasks, 64);
         let job = Job {
             policy,
             ..Job::new(Rc::new(spec), 0, now, tasks)
         };
-        let steps = board.rooms.steps.get();
+        let steps = cluster_state.capacity_index.steps.get();
         let begun = Instant::now();
-        board.add_job(id, job);
-        cost.placed += board.place(RULE, now).len();
+        cluster_state.add_job(id, job);
+        cost.placed += cluster_state.place(RULE, now).len();
         cost.seconds += begun.elapsed().as_secs_f64();
-        cost.steps += board.rooms.steps.get() - steps;
+        cost.steps += cluster_state.capacity_index.steps.get() - steps;
     }
     cost
 }
--- a/src/control/core/calendar.rs
+++ b/src/control/core/calendar.rs
@@ -188,7 +188,7 @@
             holds.extend(hold);
         }
         self.windows.watched = watched;
-        self.board.set_holds(holds, now);
+        self.cluster_state.set_holds(holds, now);
         self.say_what_lacks(now);
     }
 
@@ -234,7 +234,7 @@
                 add(spec, claims, waiting);
             }
         } else {
-            for job in self.board.jobs().values() {
+            for job in self.cluster_state.jobs().values() {
                 let waiting = match job.cancelled || job.doubted {
                     true => 0,
                     false => job.tasks.pending(),
@@ -261,7 +261,7 @@
             watch.busy_at = now;
         }
         let name = window.map_or("", |w| &w.name);
-        let here = self.board.hold_of(name).unwrap_or_default();
+        let here = self.cluster_state.hold_of(name).unwrap_or_default();
         // Of several blocks each has about the same.
         let blocks = self.shard.of.max(1);
         let room = |n: u32| n.saturating_mul(blocks);
@@ -313,7 +313,7 @@
 
     /// The size of an image, as jobs of late say.
     fn image_gb(&self, image: &str) -> f64 {
-        let jobs = self.board.jobs().values().map(|j| &j.spec);
+        let jobs = self.cluster_state.jobs().values().map(|j| &j.spec);
         let late = self.arrivals.values().map(|a| &a.spec);
         let found = jobs.chain(late).find(|s| s.image.as_str() == image);
         found.map_or(0.0, |s| s.image_gb)
@@ -404,8 +404,11 @@
             let parts = divide(tasks, self.shard.of);
             tasks = parts.get(self.shard.block.0 as usize).copied().unwrap_or(0);
             // Never beyond this block's part of the limit.
-            let t = &self.board.teams()[team];
-            let mine = self.board.hold_of(&window.name).map_or(0, |h| h.used);
+            let t = &self.cluster_state.teams()[team];
+            let mine = self
+                .cluster_state
+                .hold_of(&window.name)
+                .map_or(0, |h| h.used);
             let left = t.limit - t.used;
             let left = Amount {
                 ram: i64::MAX,
@@ -486,7 +489,7 @@
     pub(super) fn leave_to_holds(&self, waiting: &[Waiting]) -> Vec<Leave> {
         let mut leaves = Vec::new();
         for waits in waiting {
-            let Some(job) = self.board.job(&waits.job) else {
+            let Some(job) = self.cluster_state.job(&waits.job) else {
                 continue;
             };
             let held = self.windows.watched.values().find(|w| {
@@ -574,7 +577,7 @@
             let Some(window) = watch.entry.as_ref().map(|e| &e.window) else {
                 continue;
             };
-            let by_zone = self.board.lacking(&window.name);
+            let by_zone = self.cluster_state.lacking(&window.name);
             let mut spare = 0;
             let mut open = Vec::new();
             for (zone, tasks) in by_zone {
--- a/src/control/core/gone.rs
+++ b/src/control/core/deleted_machines.rs
@@ -13,7 +13,7 @@
 const MANY: usize = 60;
 
 /// The names to write, and where.
-pub(super) struct Gone {
+pub(super) struct DeletedMachines {
     step: u32,
     slot: u32,
     written: GoneRecord,
@@ -21,7 +21,7 @@
     since: Time,
 }
 
-impl Gone {
+impl DeletedMachines {
     /// Goes on where the last owner was: in the list that was written last.
     /// Each of several owners has slots of its own.
     pub(super) fn load(view: &View, shard: Shard) -> Self {
--- a/src/control/core/urgent.rs
+++ b/src/control/core/lanes.rs
@@ -13,13 +13,13 @@
     pub fn show_lanes(&self, now: Time) -> LanesShown {
         let cpus = |milli: i64| milli as f64 / 1000.0;
         let lanes = self.cfg.lanes.iter().map(|(id, lane)| {
-            let (used, all) = self.board.lane_holds(id);
-            let waits = self.board.lane_waits();
+            let (used, all) = self.cluster_state.lane_holds(id);
+            let waits = self.cluster_state.lane_waits();
             let waits = waits.filter(|(key, job)| key.lane == id && job.tasks.pending() > 0);
             let waiting = waits.take(MOST_SHOWN).map(|(key, job)| {
                 let waited_s = now.since(job.submitted);
                 let most = may_wait_ms(job.spec.deadline_s, job.spec.estimate_s);
-                let why = self.board.why_waits(&key.id, now);
+                let why = self.cluster_state.why_waits(&key.id, now);
                 WaitShown {
                     job: key.id.to_string(),
                     class: job.spec.class.to_string(),
@@ -48,7 +48,10 @@
     /// Says in the log who waits in which lane.
     pub(super) fn tell_lanes(&self, now: Time) {
         for (id, lane) in self.cfg.lanes.iter() {
-            let mut waits = self.board.lane_waits().filter(|(k, _)| k.lane == id);
+            let mut waits = self
+                .cluster_state
+                .lane_waits()
+                .filter(|(k, _)| k.lane == id);
             let Some((first, job)) = waits.next() else {
                 continue;
             };
@@ -58,7 +61,7 @@
                 waiting += 1;
                 oldest_s = oldest_s.max(now.since(job.submitted));
             }
-            let (used, all) = self.board.lane_holds(id);
+            let (used, all) = self.cluster_state.lane_holds(id);
             tracing::info!(
                 block = %self.shard.block,
                 lane = lane.name,
--- a/src/control/core/largest.rs
+++ b/src/control/core/largest_jobs.rs
@@ -1,14 +1,14 @@
 //! What the log tells of the largest jobs of each class; which they are is
 //! decided in [`sorrelhinge_blocks::largest`].
 
-use sorrelhinge_blocks::largest::BEGIN_S;
+use sorrelhinge_blocks::largest_jobs::BEGIN_S;
 
 use super::*;
 
 impl Core {
     /// A job came, or was found by this owner.
     pub(super) fn largest_came(&mut self, id: &JobId, now: Time) {
-        let Some(job) = self.board.job(id) else {
+        let Some(job) = self.cluster_state.job(id) else {
             return;
         };
         let cpu = job.spec.each.times(i64::from(job.spec.tasks)).cpu;
@@ -38,7 +38,7 @@
     /// Those that have waited for too long, once each: if the log ends before
     /// they begin, nothing else would tell.
     pub(super) fn largest_late(&mut self, now: Time) {
-        let waits = self.board.wanting().filter(|(_, j)| !j.started);
+        let waits = self.cluster_state.wanting().filter(|(_, j)| !j.started);
         let late = waits.filter(|(id, j)| self.largest.is(id) && now.since(j.submitted) > BEGIN_S);
         let late: Vec<JobId> = late.map(|(id, _)| id.clone()).collect();
         for id in late {
@@ -49,7 +49,7 @@
     }
 
     fn tell_largest(&self, id: &JobId, state: &str, began_s: Option<f64>, now: Time) {
-        let Some(job) = self.board.job(id) else {
+        let Some(job) = self.cluster_state.job(id) else {
             return;
         };
         let tenths = |s: f64| (s * 10.0).round() / 10.0;
--- a/src/control/core/links.rs
+++ b/src/control/core/links.rs
@@ -34,14 +34,14 @@
                 // That a task was placed there proves no fetch of minutes: taken
                 // for one, the next start there named no source, and all that
                 // had waited for their stage went to the origin after a takeover.
-                let ran = !self.board.is_staged(gb);
+                let ran = !self.cluster_state.is_staged(gb);
                 machine.cache.touch(&image, gb, machine.kind.cache_gb, ran);
             }
             let sort = (machine.kind.name.clone(), machine.zone.clone(), spot);
-            self.board.add_machine(id.clone(), machine);
-            if self.board.topology().is_some() {
-                self.board.locate(id, Some(addr.ip()));
-                let place = self.board.machines().get(id).map(|m| m.place);
+            self.cluster_state.add_machine(id.clone(), machine);
+            if self.cluster_state.topology().is_some() {
+                self.cluster_state.locate(id, Some(addr.ip()));
+                let place = self.cluster_state.machines().get(id).map(|m| m.place);
                 self.memory.came(sort, place.unwrap_or_default(), now);
             }
             let link = Link {
@@ -75,16 +75,16 @@
     }
 
     fn has_tasks(&self, id: &MachineId) -> bool {
-        let machine = self.board.machines().get(id);
+        let machine = self.cluster_state.machines().get(id);
         machine.is_some_and(|m| !m.claims.is_empty())
     }
 
     /// Whether tasks of services are on a machine.
     fn has_replicas(&self, id: &MachineId) -> bool {
-        let machine = self.board.machines().get(id);
+        let machine = self.cluster_state.machines().get(id);
         machine.is_some_and(|m| {
             m.claims.iter().any(|t| {
-                let job = self.board.job(&t.job);
+                let job = self.cluster_state.job(&t.job);
                 job.is_some_and(|j| j.spec.kind == Kind::Service)
             })
         })
@@ -94,7 +94,7 @@
     /// be asked at once, so then those with replicas come first, then those
     /// with other tasks.
     pub(super) fn wake(&mut self, id: &MachineId) {
-        let rank = match self.board.machines().get(id) {
+        let rank = match self.cluster_state.machines().get(id) {
             Some(m) if self.young => match (self.has_replicas(id), m.claims.is_empty()) {
                 (true, _) => 0,
                 (false, false) => 1,
@@ -196,7 +196,8 @@
         };
         let fenced = report.baton >= link.token;
         if moved {
-            self.board.locate(&report.machine, Some(report.addr.ip()));
+            self.cluster_state
+                .locate(&report.machine, Some(report.addr.ip()));
         }
         self.see_starts(&report.machine, now);
         if ended {
@@ -225,8 +226,8 @@
         let Some(link) = self.links.get_mut(id).filter(|l| l.hearing.waits()) else {
             return;
         };
-        let began = self.board.claims_on(id).into_iter().any(|task| {
-            self.board.claim_of(&task).is_some_and(|c| {
+        let began = self.cluster_state.claims_on(id).into_iter().any(|task| {
+            self.cluster_state.claim_of(&task).is_some_and(|c| {
                 matches!(c.sent, Sent::InReply | Sent::Flying)
                     && link.tasks.contains_key(&(task, c.attempt))
             })
@@ -241,9 +242,9 @@
     /// on a deaf machine no report ever carries the present one. What a former
     /// owner started may belong to the new session, and waits for the token.
     fn session_ended(&mut self, id: &MachineId, now: Time) {
-        for task in self.board.claims_on(id) {
+        for task in self.cluster_state.claims_on(id) {
             let ours = self
-                .board
+                .cluster_state
                 .claim_of(&task)
                 .is_some_and(|c| matches!(c.sent, Sent::Answered | Sent::InReply));
             if ours {
@@ -286,7 +287,11 @@
         let Some(link) = self.links.get(id) else {
             return;
         };
-        let draining = self.board.machines().get(id).is_some_and(|m| m.draining);
+        let draining = self
+            .cluster_state
+            .machines()
+            .get(id)
+            .is_some_and(|m| m.draining);
         let silent = now.since(link.last_heard) >= silence;
         let usable = link.fenced()
             && !draining
@@ -300,15 +305,19 @@
         let doubted = link.doubted;
         // Commands go there only in replies to its reports.
         let slow = link.passed || link.direct_failures > 0;
-        let was = self.board.machines().get(id).map(|m| (m.usable, m.slow));
+        let was = self
+            .cluster_state
+            .machines()
+            .get(id)
+            .map(|m| (m.usable, m.slow));
         if was.is_some_and(|was| was != (usable, slow)) {
-            self.board.edit_machine(id, |m| {
+            self.cluster_state.edit_machine(id, |m| {
                 m.usable = usable;
                 m.slow = slow;
             });
             self.touched.insert(id.clone());
-            let place = self.board.machines().get(id).map(|m| m.place);
-            if let (true, Some(t), Some(place)) = (silent, self.board.topology(), place) {
+            let place = self.cluster_state.machines().get(id).map(|m| m.place);
+            if let (true, Some(t), Some(place)) = (silent, self.cluster_state.topology(), place) {
                 self.stability.lost(&t.tree, place, now);
             }
         }
@@ -316,9 +325,9 @@
             return;
         }
         self.wake(id);
-        for task in self.board.claims_on(id) {
+        for task in self.cluster_state.claims_on(id) {
             let unsent = self
-                .board
+                .cluster_state
                 .claim_of(&task)
                 .is_some_and(|c| c.sent == Sent::No);
             if unsent {
@@ -326,7 +335,7 @@
                 self.release(&task, now);
                 self.walk_all = true;
             } else if leaving {
-                self.board.stop(&task, false);
+                self.cluster_state.stop(&task, false);
             }
         }
     }
@@ -334,15 +343,15 @@
     /// Compares the claims on a machine with an authoritative report: one
     /// that carries the token which fences all earlier commands.
     pub(super) fn reconcile(&mut self, id: &MachineId, source: Source, now: Time) {
-        if !self.board.machines().contains_key(id) {
+        if !self.cluster_state.machines().contains_key(id) {
             return;
         }
-        for task in self.board.claims_on(id) {
-            let Some(job) = self.board.job(&task.job) else {
+        for task in self.cluster_state.claims_on(id) {
+            let Some(job) = self.cluster_state.job(&task.job) else {
                 continue;
             };
             let (spec, cancelled) = (job.spec.clone(), job.cancelled);
-            let Some(claim) = self.board.claim_mut(&task) else {
+            let Some(claim) = self.cluster_state.claim_mut(&task) else {
                 continue;
             };
             let Some(link) = self.links.get(id) else {
@@ -364,7 +373,7 @@
                     };
                     let after = claim.progress;
                     if waiting || matches!(after, Progress::Running(_)) && before != after {
-                        self.board.ran(&task);
+                        self.cluster_state.ran(&task);
                     }
                     if matches!(after, Progress::Running(_)) && before != after {
                         self.image_ran(&task);
@@ -408,12 +417,16 @@
         now: Time,
     ) {
         self.release(task, now);
-        if self.board.job(&task.job).is_none_or(|j| j.cancelled) {
+        if self
+            .cluster_state
+            .job(&task.job)
+            .is_none_or(|j| j.cancelled)
+        {
             return;
         }
         match why {
             Why::Done if spec.kind != Kind::Service => {
-                let all_done = self.board.edit_job(&task.job, |job| {
+                let all_done = self.cluster_state.edit_job(&task.job, |job| {
                     job.tasks.set_done(task.index);
                     (job.failures, job.doubted) = (0, false);
                     job.tasks.all_done()
@@ -429,12 +442,12 @@
             Why::Error => self.failed(id, task, now),
             Why::Full | Why::InUse => {
                 let until = now.after(2.0 * self.cfg.report_s);
-                self.board.edit_job(&task.job, |job| {
+                self.cluster_state.edit_job(&task.job, |job| {
                     job.avoid.insert(id.clone(), until);
                 });
             }
             Why::NoSuch => {
-                self.board.edit_job(&task.job, |job| {
+                self.cluster_state.edit_job(&task.job, |job| {
                     job.failures += 1;
                     job.hold_until = now.after(f64::from(job.failures).exp2().min(30.0));
                 });
@@ -454,7 +467,7 @@
     /// held against no machine, and tried less and less often, until its user
     /// withdraws it.
     pub(super) fn failed(&mut self, id: &MachineId, task: &TaskId, now: Time) {
-        let doubted = self.board.edit_job(&task.job, |job| {
+        let doubted = self.cluster_state.edit_job(&task.job, |job| {
             job.failures += 1;
             job.avoid.retain(|_, until| now < *until);
             job.avoid.insert(id.clone(), now.after(60.0));
@@ -484,8 +497,8 @@
                 link.shunned_until = now.after(20.0 * link.errors.len() as f64);
                 // A job that is not shown to be sound proves nothing: two
                 // mistaken ones that met on a machine cost the machine once.
-                let board = &self.board;
-                let sound = |job: &&JobId| board.job(job).is_none_or(Job::is_sound);
+                let cluster_state = &self.cluster_state;
+                let sound = |job: &&JobId| cluster_state.job(job).is_none_or(Job::is_sound);
                 link.leaving |= link.errors.iter().filter(sound).count() >= 2;
             }
         }
@@ -545,13 +558,13 @@
             return orders;
         };
         let fenced = link.fenced();
-        let Some(usable) = self.board.machines().get(id).map(|m| m.usable) else {
+        let Some(usable) = self.cluster_state.machines().get(id).map(|m| m.usable) else {
             return orders;
         };
         link.kill_sent.retain(|key, _| link.tasks.contains_key(key));
         for ((task, attempt), (phase, _)) in &link.tasks {
             let piece = task.to_string();
-            let job = self.board.job(&task.job);
+            let job = self.cluster_state.job(&task.job);
             let claim = job
                 .and_then(|j| j.tasks.claims().get(&task.index))
                 .filter(|c| c.attempt == *attempt && c.machine == *id);
@@ -596,21 +609,21 @@
             }
         }
         if let (Some(sent), true) = (starts, usable && fenced) {
-            for task in self.board.claims_on(id) {
-                let job = self.board.job(&task.job);
+            for task in self.cluster_state.claims_on(id) {
+                let job = self.cluster_state.job(&task.job);
                 let Some(job) = job.filter(|j| !j.cancelled && starts_now(j)) else {
                     continue;
                 };
                 let spec = job.spec.clone();
                 let due = |c: &Claim| c.committed && c.sent == Sent::No && c.stop.is_none();
-                if !self.board.claim_of(&task).is_some_and(due) {
+                if !self.cluster_state.claim_of(&task).is_some_and(due) {
                     continue;
                 }
                 let Some(from) = self.sources_for(id, &spec, now) else {
                     // It waits for its stage, and keeps nobody else waiting.
                     continue;
                 };
-                if let Some(claim) = self.board.claim_mut(&task) {
+                if let Some(claim) = self.cluster_state.claim_mut(&task) {
                     claim.sent = sent;
                     let units = claim.units.iter();
                     orders.push(Command::Start {
@@ -693,7 +706,7 @@
     /// What became of direct commands. False if we are deposed.
     pub fn dispatched(&mut self, id: &MachineId, outcome: Sending, now: Time) -> bool {
         self.flying = self.flying.saturating_sub(1);
-        let claims = self.board.claims_on(id);
+        let claims = self.cluster_state.claims_on(id);
         let Some(link) = self.links.get_mut(id) else {
             return true;
         };
@@ -701,7 +714,11 @@
         self.active.insert((0, id.clone()));
         let mut mark = |from: Sent, to: Sent| {
             for task in &claims {
-                if let Some(c) = self.board.claim_mut(task).filter(|c| c.sent == from) {
+                if let Some(c) = self
+                    .cluster_state
+                    .claim_mut(task)
+                    .filter(|c| c.sent == from)
+                {
                     c.sent = to;
                 }
             }
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -8,17 +8,17 @@
 use std::sync::Arc;
 
 mod calendar;
-mod gone;
-mod largest;
+mod deleted_machines;
+mod lanes;
+mod largest_jobs;
 mod links;
 mod moving;
 mod record;
 mod renting;
 mod sharing;
 mod staging;
-mod urgent;
 
-use sorrelhinge_blocks::largest::Largest;
+use sorrelhinge_blocks::largest_jobs::Largest;
 use sorrelhinge_blocks::served::{Served, Sort, Waits};
 use sorrelhinge_blocks::shard::Shard;
 use sorrelhinge_overload::carry::Uptake;
@@ -29,14 +29,14 @@
 use sorrelhinge_topology::Topology;
 
 pub use self::calendar::WindowStep;
-use self::gone::Gone;
+use self::deleted_machines::DeletedMachines;
 pub use self::sharing::{LeftTo, Places};
 use super::pending::{ChunkId, Due, Haste, Pending};
 use crate::cloud::{Listed, MachinePhase, Rental};
 use crate::config::Config;
 use crate::fleet;
 use crate::sched::{
-    Board, Claim, DelayRule, Job, Laned, Launch, Machine, Pass, Progress, Sent, Tasks, Team,
+    Claim, ClusterState, DelayRule, Job, Laned, Launch, Machine, Pass, Progress, Sent, Tasks, Team,
 };
 use crate::state::record::{block_key, chunk_key, job_key, ChunkRecord, JobRecord, Phase};
 use crate::state::view::{JobEntry, Versioned, View};
@@ -155,7 +155,7 @@
 pub struct Core {
     cfg: Rc<Config>,
     /// The jobs, machines and shares.
-    pub board: Board,
+    pub cluster_state: ClusterState,
     /// The grant's number and the revision that wrote it.
     pub grant: u64,
     grant_stamp: Revision,
@@ -212,7 +212,7 @@
     /// show.
     deleted: BTreeMap<MachineId, Time>,
     /// Those to note for later owners, and those that earlier ones noted.
-    gone: Gone,
+    gone: DeletedMachines,
     gone_before: BTreeSet<MachineId>,
     started: Time,
     /// The time of day when it started, in milliseconds.
@@ -304,7 +304,7 @@
         )
     }
 
-    /// Takes up the grant of a block: everything recorded of it is on the board,
+    /// Takes up the grant of a block: everything recorded of it is on the cluster state,
     /// and every claim counts until a report that carries the new token says
     /// otherwise.
     pub fn load_block(
@@ -332,7 +332,7 @@
         let staging = staging::Staging::load(&cfg, shard, view);
         let mut core = Self {
             cfg,
-            board: Board::new(teams),
+            cluster_state: ClusterState::new(teams),
             grant,
             grant_stamp,
             shard,
@@ -368,7 +368,7 @@
             listed: false,
             arrivals: BTreeMap::new(),
             deleted: BTreeMap::new(),
-            gone: Gone::load(view, shard),
+            gone: DeletedMachines::load(view, shard),
             gone_before: view
                 .gone
                 .values()
@@ -390,10 +390,10 @@
             last_look: now,
         };
         let others = core.cfg.others.iter().map(|o| o.zone.clone());
-        core.board.staged_gb = core.cfg.tuning.staging_least_gb;
-        core.board.served = others.chain([core.cfg.zone.clone()]).collect();
+        core.cluster_state.staged_gb = core.cfg.tuning.staging_least_gb;
+        core.cluster_state.served = others.chain([core.cfg.zone.clone()]).collect();
         core.set_types(types);
-        core.board.set_topology(topology, |_| None);
+        core.cluster_state.set_topology(topology, |_| None);
         core.set_drains(view, now);
         core.look_at_limits(view);
         // Of several blocks each places an equal part of what comes.
@@ -411,7 +411,8 @@
         core.look_at_windows(view, wall_ms as i64, now);
         // Else nobody would go ahead after a takeover until the first look, and the
         // order would be that of the acceptors' clocks.
-        core.board.look_at_lanes(&core.cfg.lanes, now, wall_ms);
+        core.cluster_state
+            .look_at_lanes(&core.cfg.lanes, now, wall_ms);
         core
     }
 
@@ -504,7 +505,7 @@
             patience_s,
             late_s,
             start_within: self.starts_within(&class),
-            policy: Board::policy_of(self.board.topology().map(|t| &**t), &spec),
+            policy: ClusterState::policy_of(self.cluster_state.topology().map(|t| &**t), &spec),
             ..Job::new(spec, team, submitted, tasks)
         };
         // An earlier version's record names no units.
@@ -518,7 +519,8 @@
             }
         }
         let started = !claims.is_empty() || job.tasks.done() > 0;
-        self.board.add_job(id.clone(), Job { started, ..job });
+        self.cluster_state
+            .add_job(id.clone(), Job { started, ..job });
         if homed && !over {
             self.largest_came(id, now);
         }
@@ -534,7 +536,7 @@
                 unnamed: holds && units.is_none(),
                 units: units.unwrap_or_default(),
             };
-            self.board.put_claim(
+            self.cluster_state.put_claim(
                 &TaskId {
                     job: id.clone(),
                     index,
@@ -626,11 +628,11 @@
     pub fn jobs_changed(&mut self, view: &View, changed: &[JobId], now: Time, wall_ms: u64) {
         for id in changed {
             let Some(entry) = view.job(id) else { continue };
-            match self.board.job(id) {
+            match self.cluster_state.job(id) {
                 None => {
                     if entry.record.value.phase == Phase::Live && self.shard.homes(id) {
                         self.add_job(id, entry, now, wall_ms);
-                        if let Some(job) = self.board.job(id) {
+                        if let Some(job) = self.cluster_state.job(id) {
                             let (spec, at) = (job.spec.clone(), job.submitted);
                             self.arrived(&spec, at);
                         }
@@ -640,7 +642,7 @@
                     let cancelled = job.cancelled;
                     self.catch_up(id, entry, now);
                     if entry.record.value.phase == Phase::Cancelled && !cancelled {
-                        self.board.edit_job(id, |job| job.cancelled = true);
+                        self.cluster_state.edit_job(id, |job| job.cancelled = true);
                         self.largest_over(id, "cancelled", now);
                         self.clear(id);
                         self.pending.not_finished(id);
@@ -656,7 +658,7 @@
     fn forget_job(&mut self, view: &View, id: &JobId, now: Time) {
         let Some(entry) = view.job(id) else { return };
         let over = entry.record.value.phase != Phase::Live;
-        let Some(job) = self.board.job(id) else {
+        let Some(job) = self.cluster_state.job(id) else {
             return;
         };
         let homed = job.tasks.at_home();
@@ -666,7 +668,7 @@
         if !homed {
             // What it claimed here is first taken out of the record.
             if !self.claims_here(entry) {
-                self.board.remove_job(id);
+                self.cluster_state.remove_job(id);
             }
             return;
         }
@@ -678,13 +680,13 @@
         for &chunk in entry.chunks.keys() {
             self.pending.useless((id.clone(), chunk), now);
         }
-        self.board.remove_job(id);
+        self.cluster_state.remove_job(id);
     }
 
     /// Drops claims of a cancelled job, or of tasks to be stopped, whose start
     /// was certainly never sent; the others are stopped.
     fn settle_stopped(&mut self, id: &JobId, now: Time) {
-        let Some(job) = self.board.job(id) else {
+        let Some(job) = self.cluster_state.job(id) else {
             return;
         };
         let cancelled = job.cancelled;
@@ -709,19 +711,19 @@
             self.release(&task, now);
         }
         for task in stop {
-            self.board.stop(&task, false);
+            self.cluster_state.stop(&task, false);
         }
     }
 
     /// The chunk that a task is recorded in.
     fn chunk_of(&self, task: &TaskId) -> ChunkId {
-        let job = self.board.job(&task.job);
+        let job = self.cluster_state.job(&task.job);
         let chunk = job.map_or(0, |j| j.tasks.chunk_of(task.index));
         (task.job.clone(), chunk)
     }
 
     fn release(&mut self, task: &TaskId, now: Time) -> Option<Claim> {
-        let claim = self.board.release(task, now)?;
+        let claim = self.cluster_state.release(task, now)?;
         self.gangs.insert(task.job.clone());
         self.pending.released(self.chunk_of(task), now);
         self.touched.insert(claim.machine.clone());
@@ -731,7 +733,7 @@
     /// Tells how long it took to hear of all machines, for the log.
     fn look_who_is_heard(&mut self, now: Time) {
         let unheard = self.links.values().filter(|l| !l.fenced()).count();
-        let missing = self.board.unknown_machines().count();
+        let missing = self.cluster_state.unknown_machines().count();
         let all = self.links.len() + missing;
         if self.unheard_yet && all > 0 && (unheard + missing) * 50 <= all {
             self.unheard_yet = false;
@@ -752,15 +754,16 @@
         }
         for launch in launches {
             tracing::debug!(task = %launch.task, machine = %launch.machine, cached = launch.cached, "claim");
-            let job = self.board.job(&launch.task.job);
+            let job = self.cluster_state.job(&launch.task.job);
             let haste = job.map_or(Haste::Usual, Haste::of);
             let first = job.filter(|j| !j.started && j.tasks.at_home());
             if let Some((sort, wait_s)) = first.map(|j| (j.sort(), now.since(j.submitted))) {
                 self.served.started(&sort, Some(wait_s));
                 self.largest_began(&launch.task.job, wait_s, now);
-                self.board.edit_job(&launch.task.job, |j| j.started = true);
+                self.cluster_state
+                    .edit_job(&launch.task.job, |j| j.started = true);
             }
-            let job = self.board.job(&launch.task.job);
+            let job = self.cluster_state.job(&launch.task.job);
             self.claimed_cpu += job.map_or(0, |j| j.spec.each.cpu);
             let Some(sort) = job.map(Job::sort) else {
                 continue;
@@ -794,10 +797,10 @@
         // A new owner's first report of a machine walks it at once: others' work
         // had a part of what was held.
         if self.windows.hold() {
-            self.board.top_up_holds(id, now);
+            self.cluster_state.top_up_holds(id, now);
         }
         let pass = self.pass.as_ref().map(|(_, pass)| pass);
-        let launches = self.board.walk_in(pass, id, self.rule(), now);
+        let launches = self.cluster_state.walk_in(pass, id, self.rule(), now);
         self.launched(launches, now);
     }
 
@@ -805,7 +808,7 @@
     fn top_up(&mut self, now: Time) {
         if self.windows.hold() {
             for id in &self.touched {
-                self.board.top_up_holds(id, now);
+                self.cluster_state.top_up_holds(id, now);
             }
         }
     }
@@ -816,8 +819,8 @@
     /// lease was lost meanwhile.
     pub fn place(&mut self, now: Time) {
         self.top_up(now);
-        let begun = self.board.rooms.steps.get();
-        while self.board.rooms.steps.get() - begun < WALK_STEPS {
+        let begun = self.cluster_state.capacity_index.steps.get();
+        while self.cluster_state.capacity_index.steps.get() - begun < WALK_STEPS {
             let after = (Bound::Excluded(&self.walked), Bound::Unbounded);
             let next = self.touched.range(after).next().cloned();
             let Some(id) = next.or_else(|| self.touched.first().cloned()) else {
@@ -832,9 +835,10 @@
     /// Places what can be placed anywhere, if work arrived or waits may have
     /// passed.
     pub fn place_all(&mut self, now: Time) {
-        if !self.is_frozen() && std::mem::take(&mut self.walk_all) && self.board.has_work() {
+        if !self.is_frozen() && std::mem::take(&mut self.walk_all) && self.cluster_state.has_work()
+        {
             self.top_up(now);
-            let launches = self.board.place(self.rule(), now);
+            let launches = self.cluster_state.place(self.rule(), now);
             self.launched(launches, now);
         }
     }
@@ -850,10 +854,11 @@
         self.young = now.since(self.started) < YOUNG_S;
         if now.since(self.last_look) >= LOOK_S {
             self.last_look = now;
-            self.board.look_at_dues(now);
+            self.cluster_state.look_at_dues(now);
             let wall_ms = self.wall_ms(now);
-            self.board.look_at_lanes(&self.cfg.lanes, now, wall_ms);
-            self.board.look_at_idle(now);
+            self.cluster_state
+                .look_at_lanes(&self.cfg.lanes, now, wall_ms);
+            self.cluster_state.look_at_idle(now);
             self.look_at_drains(now);
             self.look_at_waves(now);
             self.tell_served(now);
@@ -876,7 +881,7 @@
     /// changes who starves.
     fn tell_served(&mut self, now: Time) {
         let mut waits: BTreeMap<Sort, Waits> = BTreeMap::new();
-        for (_, job) in self.board.wanting().filter(|(_, j)| !j.started) {
+        for (_, job) in self.cluster_state.wanting().filter(|(_, j)| !j.started) {
             let w = waits.entry(job.sort()).or_default();
             w.jobs += 1;
             w.oldest_s = w.oldest_s.max(now.since(job.submitted));
@@ -921,7 +926,7 @@
                 Some(within) => PREEMPT_START * within,
                 None => PREEMPT_SLACK * job.patience_s,
             };
-            for task in self.board.preempt(patience, now) {
+            for task in self.cluster_state.preempt(patience, now) {
                 tracing::info!(task = %task, "preempted");
                 self.settle_stopped(&task.job, now);
             }
--- a/src/control/core/moving.rs
+++ b/src/control/core/moving.rs
@@ -16,7 +16,7 @@
     /// until they are gone.
     pub fn set_topology(&mut self, topology: Option<Rc<Topology>>, now: Time) {
         let links = &self.links;
-        self.board
+        self.cluster_state
             .set_topology(topology, |id| links.get(id).map(|l| l.addr.ip()));
         self.look_at_drains(now);
         self.walk_all = true;
@@ -39,12 +39,12 @@
     /// Which machines are drained now: their place, or the drains, may have
     /// changed. An empty one is given back, unless it is to be kept.
     pub(super) fn look_at_drains(&mut self, now: Time) {
-        if self.drains.is_empty() && !self.board.machines().values().any(|m| m.draining) {
+        if self.drains.is_empty() && !self.cluster_state.machines().values().any(|m| m.draining) {
             return;
         }
         let mut covered: BTreeMap<MachineId, bool> = BTreeMap::new();
         for drain in &self.drains {
-            for id in self.board.drained(drain) {
+            for id in self.cluster_state.drained(drain) {
                 *covered.entry(id.clone()).or_insert(false) |= drain.keep;
             }
         }
@@ -52,11 +52,12 @@
         for id in ids {
             let keep = covered.get(&id).copied();
             let draining = keep.is_some();
-            let machine = self.board.machines().get(&id);
+            let machine = self.cluster_state.machines().get(&id);
             let was = machine.is_some_and(|m| m.draining);
             let empty = machine.is_some_and(|m| m.claims.is_empty());
             if was != draining {
-                self.board.edit_machine(&id, |m| m.draining = draining);
+                self.cluster_state
+                    .edit_machine(&id, |m| m.draining = draining);
                 tracing::info!(machine = %id, draining, "drain");
                 self.refresh_machine(&id, now);
             }
@@ -71,7 +72,7 @@
     /// Moves tasks off draining machines, and now and then one task of a
     /// service that has too many in a domain.
     pub(super) fn move_on(&mut self, now: Time) {
-        let Some(topology) = self.board.topology().cloned() else {
+        let Some(topology) = self.cluster_state.topology().cloned() else {
             return;
         };
         let wall = self.wall_ms(now);
@@ -87,12 +88,12 @@
         let mut moves = if drains.is_empty() {
             Vec::new()
         } else {
-            self.board.drain(&moving, now)
+            self.cluster_state.drain(&moving, now)
         };
         let repair_settings = &topology.settings.repair;
         if repair::due(self.last_repair, repair_settings.every_s, now) {
             self.last_repair = Some(now);
-            moves.extend(self.board.repair(&moving, now));
+            moves.extend(self.cluster_state.repair(&moving, now));
             self.stability.tidy(repair_settings.settle_s, now);
             self.memory.tidy(topology.settings.renting.remember_s, now);
         }
@@ -107,7 +108,7 @@
     /// Says in the log why jobs wait, each once a minute.
     fn tell_who_waits(&mut self, now: Time) {
         self.told.retain(|_, at| now.since(*at) < TELL_S);
-        let waiting = self.board.wanting().find(|(id, job)| {
+        let waiting = self.cluster_state.wanting().find(|(id, job)| {
             let long = job
                 .blocked_since
                 .is_some_and(|t| now.since(t) > TELL_AFTER_S);
@@ -117,7 +118,7 @@
         let Some(id) = waiting.map(|(id, _)| id.clone()) else {
             return;
         };
-        if let Some(why) = self.board.why_waits(&id, now) {
+        if let Some(why) = self.cluster_state.why_waits(&id, now) {
             tracing::info!(job = %id, why, "waits");
         }
         self.told.insert(id, now);
@@ -127,13 +128,13 @@
     /// others are stopped, and it is placed anew once they are gone too.
     pub(super) fn settle_gangs(&mut self, now: Time) {
         for id in std::mem::take(&mut self.gangs) {
-            let broken = self.board.job(&id).is_some_and(|j| {
+            let broken = self.cluster_state.job(&id).is_some_and(|j| {
                 j.spec.kind == Kind::Gang
                     && !j.cancelled
                     && j.tasks.pending() > 0
                     && !j.tasks.claims().is_empty()
             });
-            if broken && !self.board.stop_gang(&id).is_empty() {
+            if broken && !self.cluster_state.stop_gang(&id).is_empty() {
                 tracing::info!(job = %id, "the gang lost a task: starting it anew");
                 self.settle_stopped(&id, now);
             }
@@ -143,10 +144,10 @@
     /// How far a drain is.
     pub fn drained(&self, drain: &Drain) -> Drained {
         let mut progress = Drained::default();
-        for id in self.board.drained(drain) {
-            let claims = self.board.claims_on(id);
+        for id in self.cluster_state.drained(drain) {
+            let claims = self.cluster_state.claims_on(id);
             let stopping = claims.iter().filter(|t| {
-                let claim = self.board.claim_of(t);
+                let claim = self.cluster_state.claim_of(t);
                 claim.is_some_and(|c| c.stop.is_some())
             });
             progress.machines += 1;
--- a/src/control/core/record.rs
+++ b/src/control/core/record.rs
@@ -5,7 +5,7 @@
 impl Core {
     /// All tasks of a job are done: that is to be recorded.
     pub(super) fn finished(&mut self, id: JobId, now: Time) {
-        let haste = self.board.job(&id).map_or(Haste::Usual, Haste::of);
+        let haste = self.cluster_state.job(&id).map_or(Haste::Usual, Haste::of);
         self.pending.finished(id, haste, now);
     }
 
@@ -27,7 +27,7 @@
         chunk: u32,
         held: Option<&ChunkRecord>,
     ) -> Option<ChunkRecord> {
-        let job = self.board.job(id)?;
+        let job = self.cluster_state.job(id)?;
         let size = job.tasks.chunk_size();
         let from = chunk * size;
         let mut claims: Vec<(u32, Attempt, MachineId)> = job
@@ -110,7 +110,7 @@
             let id = match &due {
                 Due::Finished(id) | Due::Chunk((id, _)) => id.clone(),
             };
-            self.board.claimed_all(&id);
+            self.cluster_state.claimed_all(&id);
             let Some(entry) = view.job(&id) else { continue };
             let held = &entry.record.value;
             if written.contains(&id) {
@@ -218,7 +218,7 @@
         }
         for (id, value) in batch.jobs {
             if value.phase == Phase::Done {
-                if let Some(sort) = self.board.job(&id).map(Job::sort) {
+                if let Some(sort) = self.cluster_state.job(&id).map(Job::sort) {
                     self.served.done(&sort);
                 }
                 self.largest_over(&id, "done", now);
@@ -234,7 +234,7 @@
     }
 
     pub(super) fn confirm(&mut self, id: &JobId, chunk: u32, record: &ChunkRecord, now: Time) {
-        let Some(size) = self.board.job(id).map(|j| j.tasks.chunk_size()) else {
+        let Some(size) = self.cluster_state.job(id).map(|j| j.tasks.chunk_size()) else {
             return;
         };
         for (place, attempt, machine) in &record.claims {
@@ -242,14 +242,14 @@
                 job: id.clone(),
                 index: chunk * size + place,
             };
-            if let Some(claim) = self.board.claim_mut(&task) {
+            if let Some(claim) = self.cluster_state.claim_mut(&task) {
                 if claim.attempt == *attempt && !claim.committed {
                     claim.committed = true;
                     self.wake(machine);
                 }
             }
         }
-        let job = self.board.job(id);
+        let job = self.cluster_state.job(id);
         if let Some(job) = job.filter(|j| j.spec.kind == Kind::Gang) {
             // Its last claim is recorded: all start together.
             let machines = job.tasks.claims().values().map(|c| c.machine.clone());
@@ -275,7 +275,12 @@
             let live = view
                 .job(&id)
                 .is_some_and(|e| e.record.value.phase == Phase::Live);
-            if live && self.board.job(&id).is_some_and(|j| j.tasks.all_done()) {
+            if live
+                && self
+                    .cluster_state
+                    .job(&id)
+                    .is_some_and(|j| j.tasks.all_done())
+            {
                 self.finished(id, now);
             } else {
                 self.forget_job(view, &id, now);
@@ -285,7 +290,7 @@
             let held = view.job(&id).and_then(|e| e.chunk(chunk));
             match (&record, held) {
                 (Some(ours), Some(held)) if ours == held => self.confirm(&id, chunk, ours, now),
-                (Some(_), _) => match self.board.job(&id) {
+                (Some(_), _) => match self.cluster_state.job(&id) {
                     Some(job) => {
                         // It has waited already; what is awaited is not before it.
                         let haste = Haste::of(job).max(Haste::Usual);
--- a/src/control/core/renting.rs
+++ b/src/control/core/renting.rs
@@ -26,7 +26,7 @@
             a.recent.retain(|(t, _)| now.since(*t) < RECENT_S);
         }
         self.arrivals.retain(|_, a| !a.recent.is_empty());
-        self.board.shapes = self.arrivals.values().map(|a| a.spec.each).collect();
+        self.cluster_state.shapes = self.arrivals.values().map(|a| a.spec.each).collect();
         self.hold_back();
         let headroom = self.cfg.tuning.headroom;
         let firsts = self.arrivals.values().filter_map(|a| a.recent.front());
@@ -74,12 +74,12 @@
         for (i, team) in self.cfg.teams.iter().enumerate() {
             let held = most.get(&team.name).copied().unwrap_or_default();
             // A small part of the limit only.
-            let held = if held.cpu * 10 <= self.board.teams()[i].limit.cpu {
+            let held = if held.cpu * 10 <= self.cluster_state.teams()[i].limit.cpu {
                 held
             } else {
                 Amount::default()
             };
-            self.board.hold_back(i, held);
+            self.cluster_state.hold_back(i, held);
         }
     }
 
@@ -152,7 +152,7 @@
         // was there. Until they are gone these claims count against limits.
         if now.since(self.started) > 2.0 * self.cfg.list_lag_s + 2.0 {
             let ghosts: Vec<MachineId> = self
-                .board
+                .cluster_state
                 .unknown_machines()
                 .filter(|id| !names.contains(id))
                 .cloned()
@@ -221,19 +221,19 @@
     /// higher rank waits too. A team below its guarantee is not held back.
     pub fn shed_placements(&mut self, shed: bool) {
         let lowest = if shed {
-            self.board.lowest_of_ranks()
+            self.cluster_state.lowest_of_ranks()
         } else {
             None
         };
-        if self.board.held_rank != lowest {
-            self.board.held_rank = lowest;
+        if self.cluster_state.held_rank != lowest {
+            self.cluster_state.held_rank = lowest;
             self.walk_all = true;
         }
     }
 
     /// How many jobs may have claims that wait to be recorded.
     pub fn set_most_claiming(&mut self, most: usize) {
-        self.board.most_claiming = Some(most);
+        self.cluster_state.most_claiming = Some(most);
     }
 
     /// How many machines can be served; none: no bound is known.
@@ -244,27 +244,31 @@
     /// What is used and free, for the log.
     pub(super) fn log_fleet(&self) {
         let mut sums = [[0_i64; 3]; 2];
-        for m in self.board.machines().values() {
+        for m in self.cluster_state.machines().values() {
             let sum = &mut sums[usize::from(m.spot)];
             sum[0] += 1;
             sum[1] += m.kind.total.cpu / 1000;
             sum[2] += m.used.cpu / 1000;
         }
-        let pending: u32 = self.board.wanting().map(|(_, j)| j.tasks.pending()).sum();
+        let pending: u32 = self
+            .cluster_state
+            .wanting()
+            .map(|(_, j)| j.tasks.pending())
+            .sum();
         let teams: Vec<String> = self
-            .board
+            .cluster_state
             .teams()
             .iter()
             .map(|t| format!("{}:{}", t.name, t.used.cpu / 1000))
             .collect();
         let retiring = self
-            .board
+            .cluster_state
             .machines()
             .values()
             .filter(|m| m.retiring)
             .count();
         let kinds: Vec<String> = self
-            .board
+            .cluster_state
             .use_of_kinds()
             .iter()
             .map(|(kind, sum)| {
@@ -319,7 +323,7 @@
         }
         let mut gone = Vec::new();
         for (id, link) in &mut self.links {
-            let machine = self.board.machines().get(id);
+            let machine = self.cluster_state.machines().get(id);
             let empty = machine.is_none_or(|m| m.claims.is_empty());
             if link.leaving && empty && link.tasks.values().all(|(p, _)| *p == TaskPhase::Ended) {
                 link.deleting = true;
@@ -367,9 +371,9 @@
         }
         // Nothing to do and nothing asked for: the next job finds a new
         // machine, rather than its like all being paid for until it comes.
-        let idle = !self.board.has_work()
+        let idle = !self.cluster_state.has_work()
             && self
-                .board
+                .cluster_state
                 .machines()
                 .values()
                 .all(|m| m.claims.is_empty() && now.since(m.idle_since) > IDLE_S);
@@ -387,7 +391,7 @@
         let input = fleet::Input {
             patient: &patient,
             boot_s,
-            board: &self.board,
+            cluster_state: &self.cluster_state,
             types: &offered,
             coming: &coming,
             expected: &expected,
@@ -402,10 +406,10 @@
         let share = 1.0 - (-now.since(self.last_plan) / self.cfg.tuning.idle_s.max(1.0)).exp();
         self.last_plan = now;
         // What the teams are guaranteed stays there, the cheapest part of it.
-        let mut left = self.board.capacity().cpu;
+        let mut left = self.cluster_state.capacity().cpu;
         let floor = match idle {
             true => 0.0,
-            false => self.board.guaranteed().cpu as f64 * self.cfg.tuning.floor,
+            false => self.cluster_state.guaranteed().cpu as f64 * self.cfg.tuning.floor,
         };
         // What can't be served goes as soon as it has no use.
         let excess = self
@@ -413,7 +417,7 @@
             .map_or(0, |most| self.machines().saturating_sub(most));
         let mut retiring: Vec<(f64, MachineId)> = Vec::new();
         let mut unused: Vec<(MachineId, f64)> = Vec::new();
-        for (id, m) in self.board.machines() {
+        for (id, m) in self.cluster_state.machines() {
             let now_unused = f64::from(u8::from(plan.unused.contains(id)));
             let part = m.unused + (now_unused - m.unused) * share;
             if now_unused > 0.0 && (part > UNUSED_SHARE || idle || excess > 0) {
@@ -424,7 +428,7 @@
         retiring.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
         let mut going: BTreeSet<MachineId> = BTreeSet::new();
         for (_, id) in retiring {
-            let Some(m) = self.board.machines().get(&id) else {
+            let Some(m) = self.cluster_state.machines().get(&id) else {
                 continue;
             };
             if (left - m.kind.total.cpu) as f64 >= floor {
@@ -436,7 +440,7 @@
         for (id, part) in unused {
             let kept = plan.kept.get(&id).copied().unwrap_or_default();
             let retiring = going.contains(&id);
-            self.board.edit_machine(&id, |m| {
+            self.cluster_state.edit_machine(&id, |m| {
                 m.unused = part;
                 m.kept = kept;
                 m.retiring = retiring;
@@ -454,9 +458,14 @@
         let mut rentals = Vec::new();
         // Nor is it of use to rent for work that can't be claimed meanwhile.
         self.uptake.take(std::mem::take(&mut self.claimed_cpu), now);
-        let bound = self.board.claims_bind();
-        let free =
-            self.board.capacity().cpu - self.board.teams().iter().map(|t| t.used.cpu).sum::<i64>();
+        let bound = self.cluster_state.claims_bind();
+        let free = self.cluster_state.capacity().cpu
+            - self
+                .cluster_state
+                .teams()
+                .iter()
+                .map(|t| t.used.cpu)
+                .sum::<i64>();
         let mut left = if bound && self.uptake.lasts(free, boot_s) {
             0
         } else {
@@ -541,7 +550,7 @@
     /// Machines were deleted: they and their tasks are gone.
     pub fn deleted(&mut self, machines: &[MachineId], now: Time) {
         for id in machines {
-            for task in self.board.claims_on(id) {
+            for task in self.cluster_state.claims_on(id) {
                 tracing::info!(task = %task, machine = %id, "gone with its machine");
                 self.release(&task, now);
             }
@@ -551,7 +560,7 @@
             self.links.remove(id);
             self.coming.remove(id);
             self.missing.remove(id);
-            self.board.remove_machine(id);
+            self.cluster_state.remove_machine(id);
         }
     }
 }
--- a/src/control/core/sharing.rs
+++ b/src/control/core/sharing.rs
@@ -81,7 +81,7 @@
         if !self.shard.is_part() {
             return;
         }
-        let Some(job) = self.board.job(id) else {
+        let Some(job) = self.cluster_state.job(id) else {
             return;
         };
         let size = entry.record.value.chunk.max(1);
@@ -109,13 +109,13 @@
         let taken = self.sharing.taken.get(id).into_iter().flatten();
         let taken = taken.flat_map(|u| u.tasks.iter().copied()).collect();
         let left_here = (!self.shard.homes(id)).then_some(taken);
-        self.board.share_job(id, foreign, left_here);
-        self.board.set_elsewhere(id, zones);
+        self.cluster_state.share_job(id, foreign, left_here);
+        self.cluster_state.set_elsewhere(id, zones);
     }
 
     /// More is known of where other blocks' machines are.
     pub fn look_elsewhere(&mut self, view: &View) {
-        let jobs: Vec<JobId> = self.board.unknown_elsewhere().cloned().collect();
+        let jobs: Vec<JobId> = self.cluster_state.unknown_elsewhere().cloned().collect();
         for id in jobs {
             if let Some(entry) = view.job(&id) {
                 self.share(&id, entry);
@@ -126,13 +126,13 @@
     /// Whether tasks of a gang are claimed: the machines are not divided then,
     /// as one core must see all of a gang.
     pub fn holds_gangs(&self) -> bool {
-        let mut jobs = self.board.jobs().values();
+        let mut jobs = self.cluster_state.jobs().values();
         jobs.any(|j| j.spec.kind == Kind::Gang && !j.tasks.claims().is_empty())
     }
 
     /// In which zone each machine is.
     pub fn zones(&self) -> impl Iterator<Item = (&MachineId, &Zone)> {
-        let machines = self.board.machines().iter();
+        let machines = self.cluster_state.machines().iter();
         machines.map(|(id, m)| (id, &m.zone))
     }
 
@@ -144,12 +144,12 @@
             return;
         }
         let size = entry.record.value.chunk.max(1);
-        self.board.share_job(id, BTreeSet::new(), None);
+        self.cluster_state.share_job(id, BTreeSet::new(), None);
         let chunks: Vec<(u32, ChunkRecord)> =
             entry.all_chunks().map(|(n, c)| (n, c.clone())).collect();
         for (chunk, held) in chunks {
             let from = chunk * size;
-            let Some(job) = self.board.job(id) else {
+            let Some(job) = self.cluster_state.job(id) else {
                 return;
             };
             let own = job.tasks.claims().range(from..from + size);
@@ -157,7 +157,7 @@
                 .filter(|(_, c)| !c.committed)
                 .map(|(&index, c)| (index, c.attempt))
                 .collect();
-            self.board.edit_job(id, |job| {
+            self.cluster_state.edit_job(id, |job| {
                 let next = job.tasks.next_attempt(chunk).max(held.next_attempt);
                 job.tasks.set_next_attempt(chunk, next);
             });
@@ -174,10 +174,10 @@
                 if recorded.is_some() || held.done >> place & 1 == 1 {
                     self.release(&task, now);
                 } else if attempt.0 < held.next_attempt {
-                    self.board.renumber(&task);
+                    self.cluster_state.renumber(&task);
                 }
             }
-            self.board.edit_job(id, |job| {
+            self.cluster_state.edit_job(id, |job| {
                 for place in (0..size.min(64)).filter(|p| held.done >> p & 1 == 1) {
                     if !job.tasks.claims().contains_key(&(from + place)) {
                         job.tasks.set_done(from + place);
@@ -187,7 +187,10 @@
         }
         self.share(id, entry);
         let live = entry.record.value.phase == Phase::Live;
-        let all_done = self.board.job(id).is_some_and(|j| j.tasks.all_done());
+        let all_done = self
+            .cluster_state
+            .job(id)
+            .is_some_and(|j| j.tasks.all_done());
         if live && all_done && self.shard.homes(id) {
             self.finished(id.clone(), now);
         }
@@ -225,9 +228,13 @@
             )
         });
         let parts: Vec<(Amount, Amount)> = parts.collect();
-        let now = self.board.teams().iter().map(|t| (t.limit, t.guarantee));
+        let now = self
+            .cluster_state
+            .teams()
+            .iter()
+            .map(|t| (t.limit, t.guarantee));
         if !now.eq(parts.iter().copied()) {
-            self.board.set_limits(parts.into_iter());
+            self.cluster_state.set_limits(parts.into_iter());
             self.walk_all = true;
         }
     }
@@ -235,7 +242,11 @@
     /// What each team uses here, and what of it waits; the recorded part is
     /// not among it.
     pub fn needs(&self) -> Vec<Need> {
-        let teams = self.board.teams().iter().zip(self.board.demands());
+        let teams = self
+            .cluster_state
+            .teams()
+            .iter()
+            .zip(self.cluster_state.demands());
         teams
             .map(|(t, waits)| Need {
                 slice: Amount::default(),
@@ -256,13 +267,13 @@
 
     /// Thousandths of a CPU that are free beyond this block's own work.
     pub fn spare_cpu(&self) -> i64 {
-        if self.board.has_work() || self.frozen_since.is_some() {
+        if self.cluster_state.has_work() || self.frozen_since.is_some() {
             return 0;
         }
         let kept = |m: &Machine| if m.usable { m.kept.cpu } else { 0 };
-        let kept: i64 = self.board.machines().values().map(kept).sum();
-        let used: i64 = self.board.teams().iter().map(|t| t.used.cpu).sum();
-        (self.board.capacity().cpu - used - kept).max(0) / 2
+        let kept: i64 = self.cluster_state.machines().values().map(kept).sum();
+        let used: i64 = self.cluster_state.teams().iter().map(|t| t.used.cpu).sum();
+        (self.cluster_state.capacity().cpu - used - kept).max(0) / 2
     }
 
     /// Another block has so much room beyond its own work.
@@ -278,7 +289,7 @@
             return Vec::new();
         }
         let mut waiting: Vec<Waiting> = self
-            .board
+            .cluster_state
             .wanting()
             .filter(|(_, j)| {
                 j.tasks.at_home()
@@ -303,7 +314,7 @@
         all.extend(self.sharing.yields.leave(&waiting, now));
         let mut told = Vec::new();
         for Leave { job, to, tasks } in all {
-            let Some(held) = self.board.job(&job) else {
+            let Some(held) = self.cluster_state.job(&job) else {
                 continue;
             };
             let tasks = held.tasks.last_pending(tasks);
@@ -347,7 +358,7 @@
         };
         let taken = self.sharing.taken.entry(left.job.clone()).or_default();
         taken.push(until);
-        if self.board.job(&left.job).is_none() {
+        if self.cluster_state.job(&left.job).is_none() {
             self.add_known(&left.job, entry, now, wall_ms);
         }
         self.share(&left.job, entry);
@@ -388,7 +399,7 @@
         tracing::info!(block = %self.shard.block, "frozen: it is handed on");
         self.frozen_since = Some(now);
         let mut unsent = Vec::new();
-        for (id, job) in self.board.jobs() {
+        for (id, job) in self.cluster_state.jobs() {
             for (&index, claim) in job.tasks.claims() {
                 let task = TaskId {
                     job: id.clone(),
--- a/src/control/core/staging.rs
+++ b/src/control/core/staging.rs
@@ -286,7 +286,7 @@
             return Some(Vec::new());
         }
         let path = self.path_of(id);
-        let machine = self.board.machines().get(id);
+        let machine = self.cluster_state.machines().get(id);
         let whole = machine.is_some_and(|m| m.cache.has(&spec.image));
         let Staging { waves, uploads, .. } = &mut self.staging;
         let kept = waves.get_mut(&spec.image)?;
@@ -317,13 +317,13 @@
 
     /// A task runs, so its machine has the image.
     pub(super) fn image_ran(&mut self, task: &TaskId) {
-        let Some(spec) = self.board.job(&task.job).map(|j| j.spec.clone()) else {
+        let Some(spec) = self.cluster_state.job(&task.job).map(|j| j.spec.clone()) else {
             return;
         };
         if !self.staging.stages(&spec) {
             return;
         }
-        let Some(machine) = self.board.claim_of(task).map(|c| c.machine.clone()) else {
+        let Some(machine) = self.cluster_state.claim_of(task).map(|c| c.machine.clone()) else {
             return;
         };
         let Staging { waves, uploads, .. } = &mut self.staging;
@@ -355,7 +355,7 @@
             return false;
         }
         let mut members = BTreeMap::new();
-        for (id, machine) in self.board.machines() {
+        for (id, machine) in self.cluster_state.machines() {
             if machine.cache.has(image) && !self.awaits(id, image) {
                 wave.join(id.clone(), &self.path_of(id), true);
                 let (whole, since) = (true, Time(0.0));
@@ -372,25 +372,31 @@
 
     /// Whether a machine has tasks that need an image, and none that runs on it.
     fn awaits(&self, id: &MachineId, image: &Image) -> bool {
-        let claims = self.board.claims_on(id);
+        let claims = self.cluster_state.claims_on(id);
         let of = claims.iter().filter(|t| {
-            let job = self.board.job(&t.job);
+            let job = self.cluster_state.job(&t.job);
             job.is_some_and(|j| j.spec.image == *image)
         });
-        of.filter_map(|t| self.board.claim_of(t)).map(does).max() < Some(Does::Runs)
+        of.filter_map(|t| self.cluster_state.claim_of(t))
+            .map(does)
+            .max()
+            < Some(Does::Runs)
             && claims.iter().any(|t| {
-                let job = self.board.job(&t.job);
+                let job = self.cluster_state.job(&t.job);
                 job.is_some_and(|j| j.spec.image == *image)
             })
     }
 
     /// A machine's failure domains, its zone first.
     fn path_of(&self, id: &MachineId) -> Vec<String> {
-        let Some(machine) = self.board.machines().get(id) else {
+        let Some(machine) = self.cluster_state.machines().get(id) else {
             return Vec::new();
         };
         let zone = machine.zone.to_string();
-        let place = self.board.topology().map(|t| t.tree.path(machine.place));
+        let place = self
+            .cluster_state
+            .topology()
+            .map(|t| t.tree.path(machine.place));
         let names = place.into_iter().flat_map(|p| p.split('/'));
         let inner = names.filter(|n| !n.is_empty() && *n != zone);
         let inner: Vec<String> = inner.map(str::to_owned).collect();
@@ -406,7 +412,7 @@
         let mut all: BTreeMap<Image, BTreeMap<MachineId, Does>> = BTreeMap::new();
         // Of each image: whether all that was found is settled, and its size.
         let mut known: BTreeMap<Image, (bool, f64)> = BTreeMap::new();
-        for job in self.board.jobs().values() {
+        for job in self.cluster_state.jobs().values() {
             if !self.staging.stages(&job.spec) {
                 continue;
             }
@@ -415,7 +421,7 @@
                     .entry(job.spec.image.clone())
                     .or_insert((true, job.spec.image_gb));
                 settled.0 &= claim.sent != Sent::Found;
-                if !self.board.machines().contains_key(&claim.machine) {
+                if !self.cluster_state.machines().contains_key(&claim.machine) {
                     continue;
                 }
                 let of = all.entry(job.spec.image.clone()).or_default();
@@ -458,7 +464,7 @@
             return;
         };
         let Some(wave) = &mut kept.wave else { return };
-        let machines = self.board.machines();
+        let machines = self.cluster_state.machines();
         let gb = kept.gb;
         kept.members.retain(|id, member| {
             let Some(machine) = machines.get(id) else {
@@ -511,7 +517,7 @@
     /// count, so the origin is not asked for their copies again.
     fn resume_wave(&mut self, image: &Image, on: &BTreeMap<MachineId, Does>, now: Time) {
         let mut ran: Vec<(MachineId, Vec<String>, Has)> = Vec::new();
-        for (id, machine) in self.board.machines() {
+        for (id, machine) in self.cluster_state.machines() {
             let has = match on.get(id) {
                 Some(Does::Runs) => Has::Whole,
                 Some(Does::Fetches) => Has::Part(self.part_of(id, image)),
@@ -557,13 +563,13 @@
         if self.staging.least_gb.is_none() {
             return;
         }
-        let machine = self.board.machines().get(&report.machine);
+        let machine = self.cluster_state.machines().get(&report.machine);
         let news =
             |name: &Image| machine.is_some_and(|m| m.cache.expects(name) && !m.cache.has(name));
         let whole = report.images.iter().filter(|i| i.of > 0 && i.parts >= i.of);
         let whole = whole.map(|i| Image::from(i.image.as_str()));
         for image in whole.filter(news).collect::<Vec<_>>() {
-            self.board
+            self.cluster_state
                 .edit_machine(&report.machine, |m| m.cache.is_there(&image));
         }
     }
--- a/src/control/drains.rs
+++ b/src/control/drains.rs
@@ -37,7 +37,11 @@
         if topology.tree.find(text).is_some() {
             return Ok(What::Domain(text.to_owned()));
         }
-        let known = |c: &Core| c.board.machines().contains_key(&MachineId::from(text));
+        let known = |c: &Core| {
+            c.cluster_state
+                .machines()
+                .contains_key(&MachineId::from(text))
+        };
         match self.cores.borrow().values().next() {
             Some(c) if known(c) => Ok(What::Machine(text.to_owned())),
             Some(_) => Err(Refused::Wrong(format!(
@@ -175,7 +179,7 @@
         let tree = &topology.tree;
         let mut domains: BTreeMap<u32, DomainShown> = BTreeMap::new();
         let mut unplaced = Vec::new();
-        for (id, m) in core.board.machines() {
+        for (id, m) in core.cluster_state.machines() {
             let level = tree.level_of(m.place);
             if level.is_none_or(|l| usize::from(l.0) + 2 < tree.levels().len()) {
                 unplaced.push(id.clone());
--- a/src/control/users.rs
+++ b/src/control/users.rs
@@ -4,7 +4,7 @@
 use sorrelhinge_protocol::users::read_job;
 
 use super::*;
-use crate::sched::Board;
+use crate::sched::ClusterState;
 
 impl Node {
     /// Why a job can never run, if that is so; none if it can't be told yet.
@@ -29,7 +29,7 @@
         }
         let topology = self.topology.borrow();
         Some(topology.as_ref().and_then(|t| {
-            let policy = Board::policy_of(Some(t), spec);
+            let policy = ClusterState::policy_of(Some(t), spec);
             policy.never(t, spec)
         }))
     }
@@ -59,7 +59,7 @@
     pub fn why_waits(&self, id: &JobId) -> Option<String> {
         let cores = self.cores.borrow();
         let mut here = cores.values().filter(|c| c.shard.homes(id));
-        here.find_map(|c| c.board.why_waits(id, self.now()))
+        here.find_map(|c| c.cluster_state.why_waits(id, self.now()))
     }
 
     /// The lanes of the blocks that are owned here; none: nothing is.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,7 +13,7 @@
 use sorrelhinge_topology::renting::Memory;
 use sorrelhinge_topology::tree::Domain;
 
-use crate::sched::{Board, Job, Progress};
+use crate::sched::{ClusterState, Job, Progress};
 use crate::types::{Amount, JobId, JobSpec, Kind, MachineId, MachineType, Time, TypeName, Zone};
 
 /// A machine on its way.
@@ -76,7 +76,7 @@
 /// What the plan is made from.
 pub struct Input<'a> {
     /// Jobs and machines.
-    pub board: &'a Board,
+    pub cluster_state: &'a ClusterState,
     /// What the cloud offers.
     pub types: &'a [Rc<MachineType>],
     /// Machines on their way.
@@ -250,7 +250,8 @@
                 if !spec.each.fits(room.available(soon)) || !pass(room) {
                     continue;
                 }
-                let apart = spec.kind == Kind::Service && !self.input.board.is_served(&bin.zone);
+                let apart =
+                    spec.kind == Kind::Service && !self.input.cluster_state.is_served(&bin.zone);
                 let rank = (spec.spot && !bin.spot, apart, !bin.used, cpu);
                 if best.as_ref().is_none_or(|(r, _)| rank < *r) {
                     best = Some((rank, at));
@@ -289,7 +290,8 @@
                     // the zone with the fewest machines, so that work spreads.
                     let useful = kind.total.cpu.min(left_cpu.max(spec.each.cpu)).max(1);
                     let crowd = self.crowd.get(zone).copied().unwrap_or(0);
-                    let apart = spec.kind == Kind::Service && !self.input.board.is_served(zone);
+                    let apart =
+                        spec.kind == Kind::Service && !self.input.cluster_state.is_served(zone);
                     let apart = if apart { UNSERVED } else { 1.0 };
                     let score = price / useful as f64 * (1.0 + 1e-4 * f64::from(crowd)) * apart;
                     if best.as_ref().is_none_or(|(s, _)| score < *s) {
@@ -375,14 +377,14 @@
 
 /// Makes the plan.
 pub fn plan(input: &Input, now: Time) -> Plan {
-    let board = input.board;
+    let cluster_state = input.cluster_state;
     let mut packing = Packing {
         input,
         rooms: Vec::new(),
         bins: Default::default(),
         crowd: HashMap::new(),
         total_cpu: 0,
-        guaranteed_cpu: board.guaranteed().cpu,
+        guaranteed_cpu: cluster_state.guaranteed().cpu,
         rent: BTreeMap::new(),
         hoped: 0,
         new_from: usize::MAX,
@@ -391,13 +393,13 @@
     // Held room is used, by a window that has not begun or whose work is to come.
     let mut held: HashMap<&MachineId, Amount> = HashMap::new();
     let mut cover: BTreeMap<(String, MachineId), u32> = BTreeMap::new();
-    for (window, id, tasks) in board.held_room() {
+    for (window, id, tasks) in cluster_state.held_room() {
         *held.entry(id).or_default() += window.each().times(i64::from(tasks));
         cover.insert((window.name.clone(), id.clone()), tasks);
     }
     // Tasks that could move to spot machines are packed anew, by job.
     let mut again: BTreeMap<&JobId, u32> = BTreeMap::new();
-    for (id, m) in board.machines().iter().filter(|(_, m)| m.usable) {
+    for (id, m) in cluster_state.machines().iter().filter(|(_, m)| m.usable) {
         let fixed = m.used - m.movable;
         let mut room = Room::new(m.kind.clone(), m.zone.clone(), m.spot);
         room.id = Some(id.clone());
@@ -415,7 +417,7 @@
             room.held = m.held.clone();
         }
         for task in &m.claims {
-            let Some(job) = board.job(&task.job) else {
+            let Some(job) = cluster_state.job(&task.job) else {
                 continue;
             };
             if job.spec.spot && !m.spot {
@@ -438,29 +440,29 @@
     }
     packing.new_from = packing.rooms.len();
     // What is being moved off draining machines needs room elsewhere.
-    for (_, m) in board.machines().iter().filter(|(_, m)| m.draining) {
+    for (_, m) in cluster_state.machines().iter().filter(|(_, m)| m.draining) {
         for task in &m.claims {
-            if board.job(&task.job).is_some_and(|j| !j.cancelled) {
+            if cluster_state.job(&task.job).is_some_and(|j| !j.cancelled) {
                 *again.entry(&task.job).or_insert(0) += 1;
             }
         }
     }
     let mut items: Vec<Item> = Vec::new();
     // What a team's limit forbids is not waiting for machines.
-    let mut open: Vec<i64> = board
+    let mut open: Vec<i64> = cluster_state
         .teams()
         .iter()
-        .zip(board.held_of_limits())
+        .zip(cluster_state.held_of_limits())
         .map(|(t, held)| (t.limit - t.used - held).cpu.max(0))
         .collect();
     let mut wanting: BTreeMap<&JobId, u32> = BTreeMap::new();
     // Nor is a job that fails wherever it runs: nothing is rented for it.
     let asks = |job: &Job| job.wants(now) && !job.doubted;
-    for (id, job) in board.wanting().filter(|(_, j)| asks(j)) {
+    for (id, job) in cluster_state.wanting().filter(|(_, j)| asks(j)) {
         // Held room waits for it already.
         let covered = match cover.is_empty() {
             true => 0,
-            false => board.covered(job, &mut cover),
+            false => cluster_state.covered(job, &mut cover),
         };
         let cpu = job.spec.each.cpu.max(1);
         let room = u32::try_from(open[job.team] / cpu).unwrap_or(u32::MAX);
@@ -472,7 +474,7 @@
         *wanting.entry(id).or_insert(0) += tasks;
     }
     for (id, tasks) in wanting {
-        if let Some(job) = board.job(id).filter(|_| tasks > 0) {
+        if let Some(job) = cluster_state.job(id).filter(|_| tasks > 0) {
             items.push(Item {
                 spec: job.spec.clone(),
                 tasks,
@@ -521,7 +523,7 @@
         match item
             .placed
             .as_ref()
-            .and_then(|id| Some((id, board.job(id)?)))
+            .and_then(|id| Some((id, cluster_state.job(id)?)))
         {
             Some((_, job)) => packing.pack_placed(item, job),
             None => packing.pack(item),
--- a/src/fleet/placed.rs
+++ b/src/fleet/placed.rs
@@ -18,7 +18,7 @@
     /// A machine of a sort, with the devices that all of its type have.
     pub(super) fn new_room(&self, kind: &Rc<MachineType>, zone: &Zone, spot: bool) -> Room {
         let mut room = Room::new(kind.clone(), zone.clone(), spot);
-        if let Some(topology) = self.input.board.topology() {
+        if let Some(topology) = self.input.cluster_state.topology() {
             room.stock = Rc::new(topology.stock("", None, &kind.name));
         }
         room
@@ -28,7 +28,7 @@
     /// else into ones that are on their way, in hope; else into new ones, as
     /// many as the bound allows. Only required rules are worth money.
     pub(super) fn pack_placed(&mut self, item: &Item, job: &Job) {
-        let Some(topology) = self.input.board.topology().cloned() else {
+        let Some(topology) = self.input.cluster_state.topology().cloned() else {
             // Nothing is placed by a controller that can't judge, so nothing
             // is rented for it either.
             return;
@@ -37,7 +37,7 @@
         let spec = &item.spec;
         let needs = policy.needs(Reach::Musts);
         let there = job.tasks.claims().values().map(|claim| {
-            let machine = self.input.board.machines().get(&claim.machine)?;
+            let machine = self.input.cluster_state.machines().get(&claim.machine)?;
             // What is to move off a draining machine does not stay there.
             (!machine.draining).then_some((machine.place, claim.machine.as_str()))
         });
--- a/src/sched/rooms.rs
+++ b/src/sched/capacity_index.rs
@@ -152,7 +152,7 @@
 
 /// The index.
 #[derive(Clone, Debug, Default)]
-pub struct Rooms {
+pub struct CapacityIndex {
     groups: BTreeMap<GroupKey, Group>,
     filed: HashMap<MachineId, Filed>,
     kinds: BTreeMap<TypeName, (Rc<MachineType>, usize)>,
@@ -160,7 +160,7 @@
     pub steps: Cell<u64>,
 }
 
-impl Rooms {
+impl CapacityIndex {
     /// Files a machine anew after a change.
     pub fn file(&mut self, id: &MachineId, machine: &Machine) {
         if !machine.usable {
--- a/src/sched/board.rs
+++ b/src/sched/cluster_state.rs
@@ -1,12 +1,12 @@
-//! The board: jobs, machines, claims, and the sums and indexes kept of them.
+//! The cluster state: jobs, machines, claims, and the sums and indexes kept of them.
 
 use sorrelhinge_topology::devices::Unit;
 
 use super::*;
 use crate::types::{Attempt, Image};
 
-impl Board {
-    /// A board without jobs and machines.
+impl ClusterState {
+    /// A cluster state without jobs and machines.
     pub fn new(teams: Vec<Team>) -> Self {
         Self {
             queues: vec![BTreeSet::new(); teams.len()],
@@ -289,7 +289,7 @@
             (true, false) => self.capacity -= machine.kind.total,
             _ => {}
         }
-        self.rooms.file(id, machine);
+        self.capacity_index.file(id, machine);
         Some(result)
     }
 
--- a/src/sched/gangs.rs
+++ b/src/sched/gangs.rs
@@ -6,7 +6,7 @@
 use sorrelhinge_topology::settings::Gangs;
 use sorrelhinge_topology::tree::Tree;
 
-use super::sites::Ask;
+use super::topology_rules::Ask;
 use super::*;
 use crate::types::Kind;
 
@@ -16,15 +16,15 @@
 
 /// What a job's rules say of a plan for all its tasks.
 struct JobRules<'a> {
-    board: &'a Board,
+    cluster_state: &'a ClusterState,
     job: &'a Job,
     reach: Reach,
 }
 
 impl Rules for JobRules<'_> {
     fn allowed(&self, chosen: &[(&Slot, u32)], slot: &Slot, wanted: u32) -> u32 {
-        let board = self.board;
-        let zone_of = |m: &MachineId| board.machines.get(m).map(|m| &m.zone);
+        let cluster_state = self.cluster_state;
+        let zone_of = |m: &MachineId| cluster_state.machines.get(m).map(|m| &m.zone);
         let Some(zone) = zone_of(&slot.machine) else {
             return 0;
         };
@@ -46,7 +46,7 @@
         }
         let policy = &self.job.policy;
         if policy.counts() {
-            let Some(topology) = &board.topology else {
+            let Some(topology) = &cluster_state.topology else {
                 return 0;
             };
             let at = (slot.place, slot.machine.as_str());
@@ -69,7 +69,7 @@
     }
 }
 
-impl Board {
+impl ClusterState {
     fn gang_settings(&self) -> Gangs {
         let settings = self.topology.as_ref().map(|t| t.settings.gangs.clone());
         settings.unwrap_or_default()
@@ -82,7 +82,9 @@
         let needs = job.policy.needs(reach);
         let mut slots = Vec::new();
         for (m_id, m) in &self.machines {
-            self.rooms.steps.set(self.rooms.steps.get() + 1);
+            self.capacity_index
+                .steps
+                .set(self.capacity_index.steps.get() + 1);
             let avoided = job.avoid.get(m_id).is_some_and(|until| now < *until);
             if !m.usable || avoided || !Self::suits(spec, m) || !Machine::could(&m.working, &needs)
             {
@@ -162,7 +164,7 @@
             }
             let slots = self.slots(id, job, reach, now);
             let rules = JobRules {
-                board: self,
+                cluster_state: self,
                 job,
                 reach,
             };
--- a/src/sched/holds.rs
+++ b/src/sched/holds.rs
@@ -27,7 +27,7 @@
 pub struct Hold {
     /// The window.
     pub window: Rc<Window>,
-    /// Its team's place in [`Board::teams`].
+    /// Its team's place in [`ClusterState::teams`].
     pub team: usize,
     /// So many tasks' room, with what its work uses.
     pub tasks: u32,
@@ -138,7 +138,7 @@
     }
 }
 
-impl Board {
+impl ClusterState {
     /// What windows are to have from now on; chooses the machines.
     pub fn set_holds(&mut self, holds: Vec<Hold>, now: Time) {
         let mut before = std::mem::take(&mut self.holds.0);
@@ -415,7 +415,7 @@
     }
 
     /// Of what is held, how many tasks of a job will find room there; notes it
-    /// in `left`, which begins as [`Board::held_room`].
+    /// in `left`, which begins as [`ClusterState::held_room`].
     pub fn covered(&self, job: &Job, left: &mut BTreeMap<(String, MachineId), u32>) -> u32 {
         let mut covered = 0;
         let wanted = job.tasks.pending();
--- a/src/sched/idle.rs
+++ b/src/sched/idle.rs
@@ -32,7 +32,7 @@
     spec.priority == Priority::Idle && spec.estimate_s >= SHORT_S
 }
 
-impl Board {
+impl ClusterState {
     /// Looks at what idle work may take now.
     pub fn look_at_idle(&mut self, now: Time) {
         let mut wants = vec![Amount::default(); self.teams.len()];
--- a/src/sched/lanes.rs
+++ b/src/sched/lanes.rs
@@ -44,7 +44,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
     /// The lane jobs that wait, the first first: as of the last look, see
-    /// [`Board::look_at_lanes`].
+    /// [`ClusterState::look_at_lanes`].
     order: Vec<Key>,
     bounds: BTreeMap<LaneId, Bound>,
     /// Thousandths of a CPU that each lane's claims take.
@@ -57,7 +57,7 @@
     (job.team, class, job.group(), job.spec.priority)
 }
 
-impl Board {
+impl ClusterState {
     /// Puts the lane jobs that wait in order, at `now` and `now_ms` of the time of
     /// day: who presses changes with time only.
     pub fn look_at_lanes(&mut self, lanes: &Lanes, now: Time, now_ms: u64) {
@@ -225,7 +225,9 @@
         let first: Vec<JobId> = first.map(|(id, _)| (*id).clone()).collect();
         for id in &first {
             while let Some(job) = self.jobs.get(id) {
-                self.rooms.steps.set(self.rooms.steps.get() + 1);
+                self.capacity_index
+                    .steps
+                    .set(self.capacity_index.steps.get() + 1);
                 if !job.wants(now)
                     || !self.may_claim(id, job)
                     || !self.within_part(job, self.others_wait())
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -1,29 +1,29 @@
 //! Scheduling without I/O or clock: fair shares, the delay walk, placement
-//! checks and preemption over a plain [`Board`].
+//! checks and preemption over a plain [`ClusterState`].
 //!
 //! The walk follows Algorithm 1 of the paper (section 4.2) with the changes
 //! that `docs/design.md` lists. No decision looks at every machine or every
-//! job: the board keeps its sums, its queues and an index of room up to date.
+//! job: the cluster state keeps its sums, its queues and an index of room up to date.
 
-mod board;
+mod capacity_index;
+mod cluster_state;
 mod gangs;
 mod holds;
 mod idle;
 mod lanes;
 mod machine;
-mod moves;
 mod preempt;
-mod rooms;
+mod rebalance;
 mod shares;
-mod sites;
 mod tasks;
+mod topology_rules;
 mod walk;
 
+pub use capacity_index::{CapacityIndex, GroupKey};
 pub use holds::{Hold, HoldSeen, Lending};
 pub use lanes::Laned;
 pub use machine::{Cache, Machine};
-pub use moves::{Move, Moving};
-pub use rooms::{GroupKey, Rooms};
+pub use rebalance::{Move, Moving};
 pub use shares::{water_fill, Standing};
 pub use tasks::{Claim, Progress, Sent, Tasks};
 
@@ -33,7 +33,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use rooms::{Nearness, Size};
+use capacity_index::{Nearness, Size};
 use sorrelhinge_blocks::fair;
 use sorrelhinge_blocks::served::Sort;
 use sorrelhinge_staging::patience;
@@ -95,7 +95,7 @@
 pub struct Job {
     /// As submitted.
     pub spec: Rc<JobSpec>,
-    /// Its team's place in [`Board::teams`].
+    /// Its team's place in [`ClusterState::teams`].
     pub team: usize,
     /// When it was submitted.
     pub submitted: Time,
@@ -107,7 +107,7 @@
     pub delay: Delay,
     /// When it should be done, by its aims or its deadline, earliest first.
     pub aims: Vec<Time>,
-    /// The earliest of them that it can still meet, see [`Board::look_at_dues`].
+    /// The earliest of them that it can still meet, see [`ClusterState::look_at_dues`].
     pub due: Time,
     /// Machines that refused it or failed it, until a time.
     pub avoid: BTreeMap<MachineId, Time>,
@@ -133,7 +133,7 @@
     pub try_at: Time,
     /// A task of it has been placed.
     pub started: bool,
-    /// It has waited for too long to begin, see [`Board::look_at_dues`].
+    /// It has waited for too long to begin, see [`ClusterState::look_at_dues`].
     pub aged: bool,
     /// Its standing in its lane, if it is in one.
     pub lane: Option<Laned>,
@@ -325,7 +325,7 @@
 /// Everything the scheduler decides from. Jobs and machines are changed
 /// through its methods only, which keep its sums and indexes.
 #[derive(Clone, Debug, Default)]
-pub struct Board {
+pub struct ClusterState {
     /// Teams.
     teams: Vec<Team>,
     /// Sizes of tasks seen of late.
@@ -352,7 +352,7 @@
     /// Per team, what their pending tasks want.
     demand: Vec<Amount>,
     /// Where there is room.
-    pub rooms: Rooms,
+    pub capacity_index: CapacityIndex,
     /// Room that is being made for a job, until a time.
     reserved: BTreeMap<MachineId, (JobId, Time)>,
     /// Room held for a gang, at each machine so much.
--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -4,7 +4,7 @@
 
 use sorrelhinge_staging::patience;
 
-use super::{idle, Board, Claim, Job, Progress};
+use super::{idle, Claim, ClusterState, Job, Progress};
 use crate::types::{Amount, JobId, Kind, MachineId, Priority, TaskId, Time};
 
 /// How many CPU-seconds may be wasted to start a job in time that its users
@@ -22,7 +22,7 @@
 /// Tasks to stop on one machine, and what that wastes.
 type Room = (f64, Vec<TaskId>);
 
-impl Board {
+impl ClusterState {
     /// What stopping a claim's task now would waste, in CPU-seconds.
     fn waste(&self, job: &Job, claim: &Claim, now: Time) -> f64 {
         // A fetch of minutes that is nearly over is not begun anew for somebody
@@ -68,7 +68,7 @@
                 let reserved = held.get(id).copied().unwrap_or(0);
                 (id.clone(), wanted.saturating_sub(reserved))
             })
-            .filter(|(_, rooms)| *rooms > 0)
+            .filter(|(_, places)| *places > 0)
             .take(MOST_JOBS)
             .collect();
         if waiting.is_empty() {
@@ -77,7 +77,7 @@
         let mut leaving = self.leaving();
         let mut idle = self.idle_beyond();
         let mut stops = Vec::new();
-        for (id, rooms) in waiting {
+        for (id, places) in waiting {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
@@ -97,7 +97,7 @@
             found.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
             let mut made = 0;
             for (_, m_id) in found {
-                if made == rooms {
+                if made == places {
                     break;
                 }
                 let Some(job) = self.jobs.get(&id) else { break };
--- a/src/sched/moves.rs
+++ b/src/sched/rebalance.rs
@@ -5,7 +5,7 @@
 use sorrelhinge_topology::drain::{self, Drain, Step, Tenant};
 use sorrelhinge_topology::repair::Stability;
 
-use super::sites::Ask;
+use super::topology_rules::Ask;
 use super::*;
 use crate::types::Kind;
 
@@ -21,7 +21,7 @@
     pub to: Option<MachineId>,
 }
 
-/// What moving looks at beside the board.
+/// What moving looks at beside the cluster state.
 pub struct Moving<'a> {
     /// Drains and the seconds left of each.
     pub drains: &'a [(Drain, f64)],
@@ -29,7 +29,7 @@
     pub stability: &'a Stability,
 }
 
-impl Board {
+impl ClusterState {
     /// Tasks of a job that don't run where they should.
     fn away(job: &Job) -> u32 {
         let running = job.tasks.claims().values().filter(|c| {
--- a/src/sched/sites.rs
+++ b/src/sched/topology_rules.rs
@@ -29,7 +29,7 @@
     reach: Reach,
 }
 
-impl Board {
+impl ClusterState {
     /// Takes up the operator's file, new or changed: every machine's place and
     /// devices, and every job's policy. Claims stay what they are; whatever
     /// they hold is held until their tasks are gone.
--- a/src/sched/walk.rs
+++ b/src/sched/walk.rs
@@ -3,11 +3,11 @@
 
 use std::ops::Bound;
 
-use super::sites::Ask;
+use super::topology_rules::Ask;
 use super::*;
 use crate::types::Kind;
 
-impl Board {
+impl ClusterState {
     // ---- order ----------------------------------------------------------
 
     /// Every team's standing now.
@@ -217,7 +217,7 @@
     /// Whether tasks of this size fit no smaller type than this one.
     pub(super) fn needs(&self, each: Amount, kind: &MachineType) -> bool {
         !self
-            .rooms
+            .capacity_index
             .kinds()
             .any(|k| k.total.cpu < kind.total.cpu && each.fits(k.total))
     }
@@ -258,7 +258,7 @@
         let scarce = self.shapes.iter().any(|s| {
             s.fits(kind.total)
                 && self
-                    .rooms
+                    .capacity_index
                     .kinds()
                     .any(|k| !s.fits(k.total) && spec.each.fits(k.total))
         });
@@ -271,12 +271,12 @@
     /// Which jobs wait that fit only types as large as each group's.
     pub(super) fn needy(&self, now: Time) -> Needy {
         let mut needy = Needy::new();
-        let smallest = self.rooms.kinds().min_by_key(|k| k.total.cpu);
+        let smallest = self.capacity_index.kinds().min_by_key(|k| k.total.cpu);
         for (id, job) in self.wanting() {
             if smallest.is_none_or(|k| job.spec.each.fits(k.total)) || !job.wants(now) {
                 continue;
             }
-            for (key, group) in self.rooms.groups() {
+            for (key, group) in self.capacity_index.groups() {
                 if Self::kind_suits(&job.spec, key.spot, &group.kind, &key.zone)
                     && self.needs(job.spec.each, &group.kind)
                     && self.limit_allows(job)
@@ -373,7 +373,7 @@
             }
         };
         let mut best: Option<Offer> = None;
-        for (key, group) in self.rooms.groups() {
+        for (key, group) in self.capacity_index.groups() {
             let kind = &*group.kind;
             if !Self::kind_suits(spec, key.spot, kind, &key.zone)
                 || !Self::zone_allows(job, &zones, &key.zone)
@@ -400,7 +400,7 @@
                 if best.as_ref().is_some_and(|b| cost > b.cost) {
                     break;
                 }
-                let found = self.rooms.first(
+                let found = self.capacity_index.first(
                     key,
                     group,
                     (spec.each, spec.spot),
@@ -427,9 +427,9 @@
     }
 
     pub(super) fn cached_somewhere(&self, spec: &JobSpec) -> bool {
-        self.rooms.groups().any(|(key, group)| {
+        self.capacity_index.groups().any(|(key, group)| {
             Self::kind_suits(spec, key.spot, &group.kind, &key.zone)
-                && Rooms::has_image(group, &spec.image)
+                && CapacityIndex::has_image(group, &spec.image)
         })
     }
 
@@ -501,7 +501,7 @@
     }
 
     /// Fills one machine, after its report: the walk of delay scheduling,
-    /// until nothing more launches. Launched tasks are claimed on the board.
+    /// until nothing more launches. Launched tasks are claimed on the cluster state.
     pub fn walk(&mut self, m_id: &MachineId, rule: DelayRule, now: Time) -> Vec<Launch> {
         self.walk_in(None, m_id, rule, now)
     }
@@ -549,7 +549,9 @@
         let needy = &pass.needy;
         let sort = (machine.spot, machine.retiring, machine.slow, &*machine.kind);
         for (id, job) in self.in_order(now) {
-            self.rooms.steps.set(self.rooms.steps.get() + 1);
+            self.capacity_index
+                .steps
+                .set(self.capacity_index.steps.get() + 1);
             if job.spec.kind == Kind::Gang
                 || !job.spec.each.fits(machine.free())
                 || !self.may_claim(id, job)
@@ -628,7 +630,9 @@
                         passed = Some(place);
                         continue;
                     }
-                    self.rooms.steps.set(self.rooms.steps.get() + 1);
+                    self.capacity_index
+                        .steps
+                        .set(self.capacity_index.steps.get() + 1);
                     if job.spec.kind == Kind::Gang {
                         gangs.push(id.clone());
                     } else {
--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -97,7 +97,7 @@
     /// A drain.
     Drain(u64),
     /// Machines that are gone.
-    Gone(u32),
+    DeletedMachines(u32),
     /// The number of blocks.
     Map,
     /// A block's owner.
@@ -157,7 +157,7 @@
                 .parse()
                 .ok()
                 .filter(|s| *s < GONE_SLOTS)
-                .map(Self::Gone);
+                .map(Self::DeletedMachines);
         }
         let (job, chunk) = rest.strip_prefix("task/")?.rsplit_once('/')?;
         Some(Self::Chunk(JobId::from(job), chunk.parse().ok()?))
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -298,7 +298,7 @@
                     }
                 }
             }
-            Some(Key::Gone(slot)) => {
+            Some(Key::DeletedMachines(slot)) => {
                 // One of a later format is left alone: it only saves time.
                 let record = parse::<GoneRecord>(key, value);
                 let record = record.filter(|r| r.version <= GoneRecord::VERSION);
--- a/tests/aging.rs
+++ b/tests/aging.rs
@@ -1,20 +1,20 @@
 //! No job waits for ever to begin: whatever comes after it, of whatever rank, and
 //! however large it is. And what goes first for that leaves the rest its part.
 
-mod boards;
+mod cluster_states;
 
 use std::rc::Rc;
 use std::sync::Arc;
 
-use boards::{board, RULE};
-use sorrelhinge::sched::{Board, Job, Launch, Tasks};
+use cluster_states::{cluster_state, RULE};
+use sorrelhinge::sched::{ClusterState, Job, Launch, Tasks};
 use sorrelhinge::types::{Amount, Image, JobId, JobSpec, Kind, Priority, Time};
 
 /// How long each task runs, in seconds.
 const RUN_S: f64 = 20.0;
 
 struct Cluster {
-    board: Board,
+    cluster_state: ClusterState,
     now: f64,
     running: Vec<(f64, Launch)>,
     begun: Vec<(JobId, f64)>,
@@ -24,7 +24,7 @@
     /// Machines of 4 CPUs and a team that may use `limit` CPUs of them.
     fn new(machines: u32, limit: f64) -> Self {
         Self {
-            board: board(machines, 4.0, false, &[("t", limit / 2.0, Some(limit))]),
+            cluster_state: cluster_state(machines, 4.0, false, &[("t", limit / 2.0, Some(limit))]),
             now: 0.0,
             running: Vec::new(),
             begun: Vec::new(),
@@ -59,33 +59,33 @@
             aims: vec![aim],
             ..Job::new(Rc::new(spec), 0, Time(self.now), Tasks::new(tasks, 64))
         };
-        self.board.add_job(JobId::from(id), job);
+        self.cluster_state.add_job(JobId::from(id), job);
     }
 
     /// A second passes.
     fn tick(&mut self) {
         self.now += 1.0;
         let now = Time(self.now);
-        self.board.look_at_dues(now);
+        self.cluster_state.look_at_dues(now);
         let (over, running) = std::mem::take(&mut self.running)
             .into_iter()
             .partition(|(since, _)| now.0 - since >= RUN_S);
         self.running = running;
         for (_, launch) in over {
-            self.board.release(&launch.task, now);
+            self.cluster_state.release(&launch.task, now);
             let index = launch.task.index;
-            let over = self.board.edit_job(&launch.task.job, |j| {
+            let over = self.cluster_state.edit_job(&launch.task.job, |j| {
                 j.tasks.set_done(index);
                 j.tasks.all_done()
             });
             if over == Some(true) {
-                self.board.remove_job(&launch.task.job);
+                self.cluster_state.remove_job(&launch.task.job);
             }
         }
-        for launch in self.board.place(RULE, now) {
+        for launch in self.cluster_state.place(RULE, now) {
             let id = &launch.task.job;
-            self.board.claimed_all(id);
-            let job = self.board.job(id).expect("it is there");
+            self.cluster_state.claimed_all(id);
+            let job = self.cluster_state.job(id).expect("it is there");
             let placed = job.tasks.claims().len() as u32 + job.tasks.done();
             if placed == job.spec.tasks {
                 self.begun.push((id.clone(), now.since(job.submitted)));
@@ -136,7 +136,7 @@
             cluster.submit("run-long", Priority::Normal, 5000, 40.0);
         }
         cluster.tick();
-        if let Some(job) = cluster.board.job(&JobId::from("run-long")) {
+        if let Some(job) = cluster.cluster_state.job(&JobId::from("run-long")) {
             let held = job.tasks.claims().len() as u32;
             most = most.max(held);
             // As many as the limit allows at once.
--- a/tests/boards/mod.rs
+++ b/tests/cluster_states/mod.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use sorrelhinge::sched::{Board, DelayRule, Machine, Team};
+use sorrelhinge::sched::{ClusterState, DelayRule, Machine, Team};
 use sorrelhinge::types::{Amount, MachineId, MachineType, Time, TypeName, Zone};
 
 /// Nobody waits for a machine that has its image.
@@ -14,7 +14,12 @@
 
 /// Machines of so many CPUs, spot ones or not; teams with their guarantees and, if
 /// there is one, their limits in CPUs.
-pub fn board(machines: u32, cpus: f64, spot: bool, teams: &[(&str, f64, Option<f64>)]) -> Board {
+pub fn cluster_state(
+    machines: u32,
+    cpus: f64,
+    spot: bool,
+    teams: &[(&str, f64, Option<f64>)],
+) -> ClusterState {
     let kind = Rc::new(MachineType {
         name: TypeName::from("t"),
         total: Amount::new(cpus, 0.0, 64.0),
@@ -37,11 +42,11 @@
         used: Amount::default(),
         held_back: Amount::default(),
     };
-    let mut board = Board::new(teams.iter().map(team).collect());
+    let mut cluster_state = ClusterState::new(teams.iter().map(team).collect());
     for n in 0..machines {
         let mut machine = Machine::new(kind.clone(), Zone::from("za"), spot, Time(0.0));
         machine.usable = true;
-        board.add_machine(MachineId::from(&*format!("vm-{n}")), machine);
+        cluster_state.add_machine(MachineId::from(&*format!("vm-{n}")), machine);
     }
-    board
+    cluster_state
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use sorrelhinge::api::read_job;
 use sorrelhinge::fleet::{plan, Input};
-use sorrelhinge::sched::{Board, Job, Machine, Progress, Tasks, Team};
+use sorrelhinge::sched::{ClusterState, Job, Machine, Progress, Tasks, Team};
 use sorrelhinge::state::record::{job_key, JobRecord};
 use sorrelhinge::state::view::View;
 use sorrelhinge::types::{
@@ -48,7 +48,7 @@
         zones: vec![Zone::from("za")],
     });
     let rented = |waited: f64, now: f64| {
-        let mut board = Board::new(vec![Team {
+        let mut cluster_state = ClusterState::new(vec![Team {
             name: Arc::from("red"),
             guarantee: Amount::new(100.0, 0.0, 0.0),
             limit: Amount::new(100.0, 0.0, 0.0),
@@ -58,19 +58,19 @@
         let id = MachineId::from("vm-1");
         let mut machine = Machine::new(kind.clone(), Zone::from("za"), true, Time(0.0));
         machine.usable = true;
-        board.add_machine(id.clone(), machine);
+        cluster_state.add_machine(id.clone(), machine);
         let (running, waiting) = (JobId::from("run-1"), JobId::from("run-2"));
-        board.add_job(running.clone(), job("run-1", 1, None));
+        cluster_state.add_job(running.clone(), job("run-1", 1, None));
         let task = TaskId {
             job: running,
             index: 0,
         };
-        board.claim(&task, &id, Time(now));
-        board.claim_mut(&task).expect("the claim").progress = Progress::Running(Time(now));
+        cluster_state.claim(&task, &id, Time(now));
+        cluster_state.claim_mut(&task).expect("the claim").progress = Progress::Running(Time(now));
         let blocked = Some(Time(now - waited));
-        board.add_job(waiting, job("run-2", 1, blocked));
+        cluster_state.add_job(waiting, job("run-2", 1, blocked));
         let input = Input {
-            board: &board,
+            cluster_state: &cluster_state,
             types: std::slice::from_ref(&kind),
             coming: &[],
             expected: &[],
--- a/tests/holds.rs
+++ b/tests/holds.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 use sorrelhinge::api::read_job;
 use sorrelhinge::fleet::{plan, Coming, Input, Lack, Plan};
-use sorrelhinge::sched::{Board, DelayRule, Hold, Job, Lending, Machine, Tasks, Team};
+use sorrelhinge::sched::{ClusterState, DelayRule, Hold, Job, Lending, Machine, Tasks, Team};
 use sorrelhinge::types::{Amount, JobId, JobSpec, MachineId, MachineType, Time, TypeName, Zone};
 use sorrelhinge_calendar::settings::Window;
 use sorrelhinge_topology::renting::Memory;
@@ -39,7 +39,7 @@
 }
 
 /// Two teams, of which the first has a limit, and machines in turn in two zones.
-fn board(limit: f64, machines: usize) -> Board {
+fn cluster_state(limit: f64, machines: usize) -> ClusterState {
     let team = |name: &str, limit: f64| Team {
         name: Arc::from(name),
         guarantee: Amount::default(),
@@ -47,14 +47,14 @@
         used: Amount::default(),
         held_back: Amount::default(),
     };
-    let mut board = Board::new(vec![team("red", limit), team("blue", 100.0)]);
+    let mut cluster_state = ClusterState::new(vec![team("red", limit), team("blue", 100.0)]);
     for n in 0..machines {
         let zone = Zone::from(["za", "zb"][n % 2]);
         let mut machine = Machine::new(kind(), zone, false, NOW);
         machine.usable = true;
-        board.add_machine(MachineId::from(format!("vm-{n}").as_str()), machine);
+        cluster_state.add_machine(MachineId::from(format!("vm-{n}").as_str()), machine);
     }
-    board
+    cluster_state
 }
 
 fn spec(team: &str, class: &str, tasks: u32, guess_s: f64) -> JobSpec {
@@ -67,15 +67,22 @@
 }
 
 /// Submits a job and places what can be; how many tasks were.
-fn place(board: &mut Board, id: &str, team: usize, class: &str, tasks: u32, guess_s: f64) -> usize {
+fn place(
+    cluster_state: &mut ClusterState,
+    id: &str,
+    team: usize,
+    class: &str,
+    tasks: u32,
+    guess_s: f64,
+) -> usize {
     let spec = spec(["red", "blue"][team], class, tasks, guess_s);
     let tasks = Tasks::new(spec.tasks, 64);
-    board.add_job(JobId::from(id), Job::new(Rc::new(spec), team, NOW, tasks));
-    board.place(RULE, NOW).len()
+    cluster_state.add_job(JobId::from(id), Job::new(Rc::new(spec), team, NOW, tasks));
+    cluster_state.place(RULE, NOW).len()
 }
 
 /// Holds room of two tasks for a window that begins after so many seconds.
-fn hold(board: &mut Board, zones: &[&str], left_s: f64) {
+fn hold(cluster_state: &mut ClusterState, zones: &[&str], left_s: f64) {
     let hold = Hold {
         window: window(zones),
         team: 0,
@@ -86,66 +93,70 @@
             wait_s: 0.0,
         },
     };
-    board.set_holds(vec![hold], NOW);
+    cluster_state.set_holds(vec![hold], NOW);
 }
 
-fn held(board: &Board) -> BTreeMap<MachineId, u32> {
-    let room = board.held_room();
+fn held(cluster_state: &ClusterState) -> BTreeMap<MachineId, u32> {
+    let room = cluster_state.held_room();
     room.map(|(_, id, tasks)| (id.clone(), tasks)).collect()
 }
 
 #[test]
 fn held_room_is_the_windows() {
-    let mut board = board(100.0, 3);
-    hold(&mut board, &[], -1.0);
-    assert_eq!(held(&board).len(), 2);
-    let others = place(&mut board, "b-1", 1, "bulk", 3, 500.0);
+    let mut cluster_state = cluster_state(100.0, 3);
+    hold(&mut cluster_state, &[], -1.0);
+    assert_eq!(held(&cluster_state).len(), 2);
+    let others = place(&mut cluster_state, "b-1", 1, "bulk", 3, 500.0);
     assert_eq!(others, 1, "another team's work");
-    let other = place(&mut board, "r-1", 0, "bulk", 3, 500.0);
+    let other = place(&mut cluster_state, "r-1", 0, "bulk", 3, 500.0);
     assert_eq!(other, 0, "other work of the team");
-    let own = place(&mut board, "r-2", 0, "bake", 3, 500.0);
+    let own = place(&mut cluster_state, "r-2", 0, "bake", 3, 500.0);
     assert_eq!(own, 2, "the window's own");
     // What its work uses is held no more, nor is it held a second time.
-    assert!(held(&board).is_empty());
-    hold(&mut board, &[], -1.0);
-    assert!(held(&board).is_empty());
+    assert!(held(&cluster_state).is_empty());
+    hold(&mut cluster_state, &[], -1.0);
+    assert!(held(&cluster_state).is_empty());
 }
 
 #[test]
 fn it_counts_in_the_limit_and_never_over_it() {
-    let mut board = board(12.0, 6);
-    hold(&mut board, &[], -1.0);
+    let mut cluster_state = cluster_state(12.0, 6);
+    hold(&mut cluster_state, &[], -1.0);
     // Twelve CPUs, of which eight are held: the team's other work has four.
-    assert_eq!(place(&mut board, "r-1", 0, "bulk", 3, 500.0), 1);
-    assert_eq!(place(&mut board, "r-2", 0, "bake", 3, 500.0), 2);
-    assert_eq!(board.teams()[0].used, Amount::new(12.0, 0.0, 3.0));
+    assert_eq!(place(&mut cluster_state, "r-1", 0, "bulk", 3, 500.0), 1);
+    assert_eq!(place(&mut cluster_state, "r-2", 0, "bake", 3, 500.0), 2);
+    assert_eq!(cluster_state.teams()[0].used, Amount::new(12.0, 0.0, 3.0));
 }
 
 #[test]
 fn it_is_lent_to_what_ends_before_even_twice_over() {
     for (guess_s, placed) in [(49.0, 2), (51.0, 0)] {
-        let mut board = board(100.0, 2);
-        hold(&mut board, &[], 100.0);
-        let lent = place(&mut board, "b-1", 1, "bulk", 2, guess_s);
+        let mut cluster_state = cluster_state(100.0, 2);
+        hold(&mut cluster_state, &[], 100.0);
+        let lent = place(&mut cluster_state, "b-1", 1, "bulk", 2, guess_s);
         assert_eq!(lent, placed, "{guess_s} s");
         // Its room is the window's still: it is free again by then.
-        hold(&mut board, &[], 100.0);
-        assert_eq!(held(&board).values().sum::<u32>(), 2);
+        hold(&mut cluster_state, &[], 100.0);
+        assert_eq!(held(&cluster_state).values().sum::<u32>(), 2);
         // Begun, it is lent no more.
-        hold(&mut board, &[], -1.0);
-        assert_eq!(held(&board).len(), 2 - placed);
+        hold(&mut cluster_state, &[], -1.0);
+        assert_eq!(held(&cluster_state).len(), 2 - placed);
     }
 }
 
 #[test]
 fn it_is_spread_over_zones_and_rented_once() {
-    let mut board = board(100.0, 1);
-    hold(&mut board, &["za", "zb"], -1.0);
-    let lacking: Vec<u32> = board.lacking("drop").iter().map(|(_, n)| *n).collect();
-    assert_eq!((held(&board).len(), lacking), (1, vec![0, 1]));
+    let mut cluster_state = cluster_state(100.0, 1);
+    hold(&mut cluster_state, &["za", "zb"], -1.0);
+    let lacking: Vec<u32> = cluster_state
+        .lacking("drop")
+        .iter()
+        .map(|(_, n)| *n)
+        .collect();
+    assert_eq!((held(&cluster_state).len(), lacking), (1, vec![0, 1]));
     // A job of the window's that waits is not rented for beside its hold.
-    place(&mut board, "r-1", 0, "bake", 2, 500.0);
-    hold(&mut board, &["za", "zb"], -1.0);
+    place(&mut cluster_state, "r-1", 0, "bake", 2, 500.0);
+    hold(&mut cluster_state, &["za", "zb"], -1.0);
     let mut lack = spec("red", "bake", 1, 500.0);
     lack.zone = Some(Zone::from("zb"));
     let lacks = [Lack {
@@ -158,9 +169,9 @@
         zone: Zone::from("zb"),
         spot: false,
     };
-    let plan_of = |board: &Board, lacks: &[Lack], coming: &[Coming]| {
+    let plan_of = |cluster_state: &ClusterState, lacks: &[Lack], coming: &[Coming]| {
         let input = Input {
-            board,
+            cluster_state,
             types: &[kind()],
             coming,
             expected: &[],
@@ -173,7 +184,7 @@
         plan(&input, NOW)
     };
     let rented = |plan: &Plan| plan.rent.iter().map(|w| w.count).sum::<u32>();
-    let mut idle = self::board(100.0, 1);
+    let mut idle = self::cluster_state(100.0, 1);
     hold(&mut idle, &["za", "zb"], -1.0);
     let first = plan_of(&idle, &lacks, &[]);
     assert_eq!(rented(&first), 1);
@@ -181,6 +192,6 @@
     let second = plan_of(&idle, &lacks, &[one]);
     assert_eq!(rented(&second), 0, "it is on its way");
     assert_eq!(second.coming["drop"], 1);
-    let waits = plan_of(&board, &[], &[]);
+    let waits = plan_of(&cluster_state, &[], &[]);
     assert_eq!(rented(&waits), 1, "one task runs, one waits");
 }
--- a/tests/idle.rs
+++ b/tests/idle.rs
@@ -1,22 +1,29 @@
 //! Work of idle priority beside all other: what it may take, what it keeps.
 
-mod boards;
+mod cluster_states;
 
 use std::rc::Rc;
 
-use boards::RULE;
+use cluster_states::RULE;
 use serde_json::json;
 use sorrelhinge::api::read_job;
-use sorrelhinge::sched::{Board, Job, Progress, Tasks};
+use sorrelhinge::sched::{ClusterState, Job, Progress, Tasks};
 use sorrelhinge::types::{JobId, Time};
 
 /// Ten machines of 16 CPUs, a team that is guaranteed half of them, and a guest.
-fn board() -> Board {
+fn cluster_state() -> ClusterState {
     let teams = [("house", 80.0, None), ("guest", 0.0, None)];
-    boards::board(10, 16.0, true, &teams)
+    cluster_states::cluster_state(10, 16.0, true, &teams)
 }
 
-fn add(board: &mut Board, uid: &str, team: usize, rank: &str, pieces: u32, guess_s: f64) -> JobId {
+fn add(
+    cluster_state: &mut ClusterState,
+    uid: &str,
+    team: usize,
+    rank: &str,
+    pieces: u32,
+    guess_s: f64,
+) -> JobId {
     let value = json!({"uid": uid, "jobclass": rank, "crew": if team == 0 {"house"} else {"guest"},
         "shape": "sweep", "rank": rank, "pieces": pieces, "cpus": 1.0, "cards": 0.0, "ram_gb": 1.0,
         "bundle": "img-1", "pull_gb": 0.1, "builds": null, "rack": null, "together": false,
@@ -25,27 +32,29 @@
     let spec = read_job(value).expect("a valid job");
     let tasks = Tasks::new(spec.tasks, 64);
     let id = JobId::from(uid);
-    board.add_job(id.clone(), Job::new(Rc::new(spec), team, Time(0.0), tasks));
+    cluster_state.add_job(id.clone(), Job::new(Rc::new(spec), team, Time(0.0), tasks));
     id
 }
 
-fn used(board: &Board, id: &JobId) -> usize {
-    board.job(id).map_or(0, |j| j.tasks.claims().len())
+fn used(cluster_state: &ClusterState, id: &JobId) -> usize {
+    cluster_state.job(id).map_or(0, |j| j.tasks.claims().len())
 }
 
 /// Looks, places, and lets what was placed run.
-fn turn(board: &mut Board, now: f64) {
-    board.look_at_idle(Time(now));
-    for launch in board.place(RULE, Time(now)) {
-        let claim = board.claim_mut(&launch.task).expect("it was placed");
+fn turn(cluster_state: &mut ClusterState, now: f64) {
+    cluster_state.look_at_idle(Time(now));
+    for launch in cluster_state.place(RULE, Time(now)) {
+        let claim = cluster_state
+            .claim_mut(&launch.task)
+            .expect("it was placed");
         claim.committed = true;
         claim.progress = Progress::Running(Time(now));
     }
 }
 
-fn end(board: &mut Board, id: &JobId, now: f64) {
-    board.edit_job(id, |job| job.cancelled = true);
-    let claims: Vec<_> = board
+fn end(cluster_state: &mut ClusterState, id: &JobId, now: f64) {
+    cluster_state.edit_job(id, |job| job.cancelled = true);
+    let claims: Vec<_> = cluster_state
         .job(id)
         .map_or(Vec::new(), |j| j.tasks.claims().keys().copied().collect());
     for index in claims {
@@ -53,51 +62,51 @@
             job: id.clone(),
             index,
         };
-        board.release(&task, Time(now));
+        cluster_state.release(&task, Time(now));
     }
 }
 
 #[test]
 fn idle_work_leaves_room_for_the_peak_of_all_other() {
-    let mut board = board();
-    let house = add(&mut board, "run-1", 0, "normal", 100, 30.0);
-    turn(&mut board, 1.0);
-    assert_eq!(used(&board, &house), 100);
-    let study = add(&mut board, "run-2", 1, "idle", 500, 60.0);
-    turn(&mut board, 2.0);
-    assert_eq!(used(&board, &study), 60, "what is left of 160");
-    end(&mut board, &house, 3.0);
-    turn(&mut board, 4.0);
-    let soon = used(&board, &study);
+    let mut cluster_state = cluster_state();
+    let house = add(&mut cluster_state, "run-1", 0, "normal", 100, 30.0);
+    turn(&mut cluster_state, 1.0);
+    assert_eq!(used(&cluster_state, &house), 100);
+    let study = add(&mut cluster_state, "run-2", 1, "idle", 500, 60.0);
+    turn(&mut cluster_state, 2.0);
+    assert_eq!(used(&cluster_state, &study), 60, "what is left of 160");
+    end(&mut cluster_state, &house, 3.0);
+    turn(&mut cluster_state, 4.0);
+    let soon = used(&cluster_state, &study);
     assert!((60..70).contains(&soon), "{soon}: the next job finds room");
-    let again = add(&mut board, "run-3", 0, "normal", 90, 30.0);
-    turn(&mut board, 5.0);
-    assert_eq!(used(&board, &again), 90);
-    end(&mut board, &again, 6.0);
+    let again = add(&mut cluster_state, "run-3", 0, "normal", 90, 30.0);
+    turn(&mut cluster_state, 5.0);
+    assert_eq!(used(&cluster_state, &again), 90);
+    end(&mut cluster_state, &again, 6.0);
     for second in 7..400 {
-        turn(&mut board, f64::from(second));
+        turn(&mut cluster_state, f64::from(second));
     }
-    assert!(used(&board, &study) > 155, "in the end it has all");
+    assert!(used(&cluster_state, &study) > 155, "in the end it has all");
 }
 
 #[test]
 fn short_idle_tasks_and_a_teams_guarantee_are_not_bounded() {
-    let mut board = board();
-    add(&mut board, "run-1", 0, "normal", 100, 30.0);
-    turn(&mut board, 1.0);
-    let own = add(&mut board, "run-2", 0, "idle", 500, 60.0);
-    turn(&mut board, 2.0);
+    let mut cluster_state = cluster_state();
+    add(&mut cluster_state, "run-1", 0, "normal", 100, 30.0);
+    turn(&mut cluster_state, 1.0);
+    let own = add(&mut cluster_state, "run-2", 0, "idle", 500, 60.0);
+    turn(&mut cluster_state, 2.0);
     assert_eq!(
-        used(&board, &own),
+        used(&cluster_state, &own),
         60,
         "beyond its guarantee the house is bounded"
     );
-    let mut board = self::board();
-    let own = add(&mut board, "run-1", 0, "idle", 500, 60.0);
-    let short = add(&mut board, "run-2", 1, "idle", 500, 4.0);
-    let long = add(&mut board, "run-3", 1, "idle", 500, 60.0);
-    turn(&mut board, 1.0);
-    let all = [&own, &short, &long].map(|id| used(&board, id));
+    let mut cluster_state = self::cluster_state();
+    let own = add(&mut cluster_state, "run-1", 0, "idle", 500, 60.0);
+    let short = add(&mut cluster_state, "run-2", 1, "idle", 500, 4.0);
+    let long = add(&mut cluster_state, "run-3", 1, "idle", 500, 60.0);
+    turn(&mut cluster_state, 1.0);
+    let all = [&own, &short, &long].map(|id| used(&cluster_state, id));
     assert!(all[0] >= 80 && all.iter().sum::<usize>() == 160, "{all:?}");
 }
 
@@ -105,25 +114,25 @@
 #[test]
 fn idle_work_keeps_a_part_that_only_production_takes() {
     for (rank, kept) in [("high", 48), ("critical", 0)] {
-        let mut board = board();
-        let study = add(&mut board, "run-1", 1, "idle", 500, 600.0);
-        turn(&mut board, 1.0);
-        assert_eq!(used(&board, &study), 160);
-        let other = add(&mut board, "run-2", 0, rank, 1000, 600.0);
+        let mut cluster_state = cluster_state();
+        let study = add(&mut cluster_state, "run-1", 1, "idle", 500, 600.0);
+        turn(&mut cluster_state, 1.0);
+        assert_eq!(used(&cluster_state, &study), 160);
+        let other = add(&mut cluster_state, "run-2", 0, rank, 1000, 600.0);
         let mut now = 2.0;
         while now < 120.0 {
-            turn(&mut board, now);
-            for task in board.preempt(|_| 5.0, Time(now)) {
+            turn(&mut cluster_state, now);
+            for task in cluster_state.preempt(|_| 5.0, Time(now)) {
                 assert_eq!(task.job, study);
-                board.release(&task, Time(now));
+                cluster_state.release(&task, Time(now));
             }
             now += 1.0;
         }
-        let left = used(&board, &study);
+        let left = used(&cluster_state, &study);
         assert!(
             left.abs_diff(kept) <= 1,
             "{left} of the study's tasks are left beside {rank} work"
         );
-        assert_eq!(used(&board, &other), 160 - left);
+        assert_eq!(used(&cluster_state, &other), 160 - left);
     }
 }
--- a/tests/lanes.rs
+++ b/tests/lanes.rs
@@ -1,19 +1,19 @@
 //! Lanes: urgent work jumps the queue, in an order that stays whatever ends, and
 //! the rest keeps its part (`docs/lanes.md`).
 
-mod boards;
+mod cluster_states;
 mod settings;
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use boards::RULE;
+use cluster_states::RULE;
 use hyper::Method;
 use serde_json::{json, Value};
 use sorrelhinge::api::read_job;
 use sorrelhinge::config::Config;
 use sorrelhinge::control::core::Core;
-use sorrelhinge::sched::{Board, Job, Laned, Tasks};
+use sorrelhinge::sched::{ClusterState, Job, Laned, Tasks};
 use sorrelhinge::state::record::{job_key, JobRecord};
 use sorrelhinge::state::view::View;
 use sorrelhinge::types::{Amount, JobId, JobSpec, Revision, TaskId, Time};
@@ -250,8 +250,8 @@
 }
 
 /// Teams `a` and `b` with their guarantees in CPUs, and machines of 4 CPUs.
-fn board(machines: u32, [a, b]: [f64; 2]) -> Board {
-    boards::board(machines, 4.0, false, &[("a", a, None), ("b", b, None)])
+fn cluster_state(machines: u32, [a, b]: [f64; 2]) -> ClusterState {
+    cluster_states::cluster_state(machines, 4.0, false, &[("a", a, None), ("b", b, None)])
 }
 
 fn lanes() -> Lanes {
@@ -260,7 +260,7 @@
 }
 
 /// A job comes; with a place it is in the lane.
-fn add(board: &mut Board, uid: &str, team: usize, place: Option<u64>, at: f64) {
+fn add(cluster_state: &mut ClusterState, uid: &str, team: usize, place: Option<u64>, at: f64) {
     let class = if place.is_some() { "fix" } else { "bake" };
     let crew = ["a", "b"][team];
     let value = json!({"uid": uid, "jobclass": class, "crew": crew, "shape": "sweep",
@@ -272,24 +272,24 @@
         lane: place.map(|p| Laned::new(LaneId(0), Revision(p))),
         ..Job::new(spec, team, Time(at), Tasks::new(1, 64))
     };
-    board.add_job(JobId::from(uid), job);
+    cluster_state.add_job(JobId::from(uid), job);
 }
 
 /// Looks and places: who was placed, in order.
-fn turn(board: &mut Board, now: f64) -> Vec<String> {
-    board.look_at_dues(Time(now));
-    board.look_at_lanes(&lanes(), Time(now), (now * 1000.0) as u64);
-    let launches = board.place(RULE, Time(now));
+fn turn(cluster_state: &mut ClusterState, now: f64) -> Vec<String> {
+    cluster_state.look_at_dues(Time(now));
+    cluster_state.look_at_lanes(&lanes(), Time(now), (now * 1000.0) as u64);
+    let launches = cluster_state.place(RULE, Time(now));
     let ids = launches.iter().map(|l| l.task.job.to_string());
     ids.collect()
 }
 
 /// All that is placed ends well.
-fn end(board: &mut Board, uids: &[String], now: f64) {
+fn end(cluster_state: &mut ClusterState, uids: &[String], now: f64) {
     for uid in uids {
         let task = TaskId::parse(&format!("{uid}/0")).expect("a task");
-        board.release(&task, Time(now));
-        board.remove_job(&task.job);
+        cluster_state.release(&task, Time(now));
+        cluster_state.remove_job(&task.job);
     }
 }
 
@@ -298,23 +298,35 @@
 #[test]
 fn a_flood_in_a_lane_leaves_the_rest_its_part() {
     for others in [0, 1] {
-        let mut board = board(10, [20.0, 20.0]);
+        let mut cluster_state = cluster_state(10, [20.0, 20.0]);
         for n in 0..60 {
-            add(&mut board, &format!("run-1{n:05}"), others, None, 0.0);
+            add(
+                &mut cluster_state,
+                &format!("run-1{n:05}"),
+                others,
+                None,
+                0.0,
+            );
         }
         for n in 0..200 {
             let place = 1000 - n;
-            add(&mut board, &format!("run-0{n:05}"), 0, Some(place), 1.0);
+            add(
+                &mut cluster_state,
+                &format!("run-0{n:05}"),
+                0,
+                Some(place),
+                1.0,
+            );
         }
         for round in 0..5 {
             let now = 2.0 + f64::from(round);
-            let placed = turn(&mut board, now);
+            let placed = turn(&mut cluster_state, now);
             let lane = placed.iter().filter(|uid| uid.starts_with("run-0"));
             // By place, which is not by id.
             let want = (0..5).map(|n| format!("run-0{:05}", 199 - 5 * round - n));
             assert!(lane.eq(want.collect::<Vec<_>>().iter()), "{placed:?}");
             assert_eq!(placed.len(), 10);
-            end(&mut board, &placed, now);
+            end(&mut cluster_state, &placed, now);
         }
     }
 }
@@ -324,30 +336,36 @@
 /// one that comes does not wait for the next look.
 #[test]
 fn turns_beyond_the_part_go_by_place() {
-    let mut board = board(10, [20.0, 20.0]);
-    add(&mut board, "run-200000", 0, None, 0.0);
-    too_wide(&mut board, "run-200000");
+    let mut cluster_state = cluster_state(10, [20.0, 20.0]);
+    add(&mut cluster_state, "run-200000", 0, None, 0.0);
+    too_wide(&mut cluster_state, "run-200000");
     for n in 0..20 {
         let submitted = 5.0 - 0.1 * n as f64;
-        add(&mut board, &format!("run-0{n:05}"), 0, Some(n), submitted);
+        add(
+            &mut cluster_state,
+            &format!("run-0{n:05}"),
+            0,
+            Some(n),
+            submitted,
+        );
     }
-    let placed = turn(&mut board, 6.0);
+    let placed = turn(&mut cluster_state, 6.0);
     let want: Vec<String> = (0..10).map(|n| format!("run-0{n:05}")).collect();
     assert_eq!(placed, want);
 
-    end(&mut board, &placed, 6.0);
-    let placed = turn(&mut board, 7.0);
-    end(&mut board, &placed, 7.0);
+    end(&mut cluster_state, &placed, 6.0);
+    let placed = turn(&mut cluster_state, 7.0);
+    end(&mut cluster_state, &placed, 7.0);
     for n in 0..20 {
-        add(&mut board, &format!("run-1{n:05}"), 1, None, 0.0);
+        add(&mut cluster_state, &format!("run-1{n:05}"), 1, None, 0.0);
     }
-    add(&mut board, "run-300000", 1, Some(30), 7.2);
-    let next = board.place(RULE, Time(7.2));
+    add(&mut cluster_state, "run-300000", 1, Some(30), 7.2);
+    let next = cluster_state.place(RULE, Time(7.2));
     assert_eq!(next[0].task.job.as_str(), "run-300000");
 }
 
-fn too_wide(board: &mut Board, uid: &str) {
-    board.edit_job(&JobId::from(uid), |job| {
+fn too_wide(cluster_state: &mut ClusterState, uid: &str) {
+    cluster_state.edit_job(&JobId::from(uid), |job| {
         let each = Amount::new(64.0, 0.0, 1.0);
         let spec = (*job.spec).clone();
         job.spec = Rc::new(JobSpec { each, ..spec });
@@ -358,28 +376,28 @@
 /// and again: those behind them go on.
 #[test]
 fn mistaken_jobs_and_one_that_fits_nowhere_hold_up_nobody() {
-    let mut board = board(2, [4.0, 4.0]);
+    let mut cluster_state = cluster_state(2, [4.0, 4.0]);
     for n in 0..12 {
-        add(&mut board, &format!("run-{n:06}"), 0, Some(n), 0.0);
-        add(&mut board, &format!("run-1{n:05}"), 1, None, 0.0);
+        add(&mut cluster_state, &format!("run-{n:06}"), 0, Some(n), 0.0);
+        add(&mut cluster_state, &format!("run-1{n:05}"), 1, None, 0.0);
     }
     let mistaken = "run-000001";
-    too_wide(&mut board, "run-000000");
+    too_wide(&mut cluster_state, "run-000000");
     let (mut sound, mut tries) = (Vec::new(), 0);
     for round in 0..40 {
         let now = 1.0 + f64::from(round);
-        let mut placed = turn(&mut board, now);
+        let mut placed = turn(&mut cluster_state, now);
         assert!(!placed.is_empty() || sound.len() == 10, "round {round}");
         if let Some(at) = placed.iter().position(|uid| uid == mistaken) {
             placed.remove(at);
             tries += 1;
             let task = TaskId::parse(&format!("{mistaken}/0")).expect("a task");
-            board.release(&task, Time(now));
+            cluster_state.release(&task, Time(now));
             // As its owner does: for longer each time.
             let hold_until = Time(now + f64::from(2 * tries));
-            board.edit_job(&task.job, |job| job.hold_until = hold_until);
+            cluster_state.edit_job(&task.job, |job| job.hold_until = hold_until);
         }
-        end(&mut board, &placed, now);
+        end(&mut cluster_state, &placed, now);
         sound.extend(placed.into_iter().filter(|uid| uid.starts_with("run-0")));
     }
     let want: Vec<String> = (2..12).map(|n| format!("run-{n:06}")).collect();
@@ -390,12 +408,12 @@
 /// Guarantees hold for lane jobs as for all others.
 #[test]
 fn a_lane_job_beyond_its_guarantee_waits_for_work_below_one() {
-    let mut board = board(4, [4.0, 12.0]);
+    let mut cluster_state = cluster_state(4, [4.0, 12.0]);
     for n in 0..4 {
-        add(&mut board, &format!("run-0{n:05}"), 0, Some(n), 0.0);
-        add(&mut board, &format!("run-1{n:05}"), 1, None, 1.0);
+        add(&mut cluster_state, &format!("run-0{n:05}"), 0, Some(n), 0.0);
+        add(&mut cluster_state, &format!("run-1{n:05}"), 1, None, 1.0);
     }
-    let mut placed = turn(&mut board, 2.0);
+    let mut placed = turn(&mut cluster_state, 2.0);
     // The first is within its team's guarantee and goes ahead, though it takes a lane's
     // part of two machines.
     assert_eq!(placed[0], "run-000000");
--- a/tests/place_model.rs
+++ b/tests/place_model.rs
@@ -7,7 +7,9 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use sorrelhinge::sched::{water_fill, Board, Delay, DelayRule, Job, Launch, Machine, Tasks, Team};
+use sorrelhinge::sched::{
+    water_fill, ClusterState, Delay, DelayRule, Job, Launch, Machine, Tasks, Team,
+};
 use sorrelhinge::types::{
     Amount, Image, JobId, JobSpec, Kind, MachineId, MachineType, Priority, TaskId, Time, TypeName,
     Zone,
@@ -490,12 +492,12 @@
             at: BTreeMap::new(),
             sites: Sites::default(),
         };
-        let mut board = Board::new(teams());
-        board.shapes = model.shapes.clone();
+        let mut cluster_state = ClusterState::new(teams());
+        cluster_state.shapes = model.shapes.clone();
         for id in &ids {
             let m = machine(&mut rng, &kinds);
             model.machines.insert(id.clone(), m.clone());
-            board.add_machine(id.clone(), m);
+            cluster_state.add_machine(id.clone(), m);
         }
         let priority = pick(&mut rng, &[Priority::Normal, Priority::High]);
         for n in 0..rng.random_range(1..9) {
@@ -510,19 +512,19 @@
         if seed % 2 == 1 {
             let (sites, topology) = Sites::generate(&mut rng, &model.machines, &mut model.jobs);
             model.sites = sites;
-            board.set_topology(Some(Rc::new(topology)), |_| None);
+            cluster_state.set_topology(Some(Rc::new(topology)), |_| None);
         }
         for (id, j) in &model.jobs {
-            let policy = Board::policy_of(board.topology().map(|t| &**t), &j.spec);
+            let policy = ClusterState::policy_of(cluster_state.topology().map(|t| &**t), &j.spec);
             let j = Job {
                 policy,
                 ..j.clone()
             };
-            board.add_job(id.clone(), j);
+            cluster_state.add_job(id.clone(), j);
         }
         for now in [1.0, 2.0, 3.5, 8.0, 40.0] {
-            board.look_at_dues(Time(now));
-            let real: Vec<(JobId, MachineId)> = board
+            cluster_state.look_at_dues(Time(now));
+            let real: Vec<(JobId, MachineId)> = cluster_state
                 .place(RULE, Time(now))
                 .into_iter()
                 .map(|Launch { task, machine, .. }: Launch| (task.job, machine))
@@ -535,10 +537,10 @@
 }
 
 /// A fleet whose machines are nearly all full, and jobs that find no place.
-fn crowded(machines: u32) -> (Board, MachineId) {
+fn crowded(machines: u32) -> (ClusterState, MachineId) {
     let kinds = [kind("small", 4.0), kind("large", 16.0)];
     let mut rng = StdRng::seed_from_u64(5);
-    let mut board = Board::new(vec![Team {
+    let mut cluster_state = ClusterState::new(vec![Team {
         name: Arc::from("t"),
         guarantee: Amount::new(1000.0, 0.0, 0.0),
         limit: Amount::new(1e6, 0.0, 0.0),
@@ -551,15 +553,15 @@
     for id in &ids {
         let mut m = machine(&mut rng, &kinds);
         (m.usable, m.used) = (true, m.kind.total);
-        board.add_machine(id.clone(), m);
+        cluster_state.add_machine(id.clone(), m);
     }
     for n in 0..300 {
         let mut j = job(&mut rng, n, &ids);
         (j.team, j.hold_until) = (0, Time(0.0));
-        board.add_job(JobId::from(format!("run-{n:03}").as_str()), j);
+        cluster_state.add_job(JobId::from(format!("run-{n:03}").as_str()), j);
     }
-    board.place(RULE, Time(1.0));
-    (board, ids[7].clone())
+    cluster_state.place(RULE, Time(1.0));
+    (cluster_state, ids[7].clone())
 }
 
 /// The work for an event must not grow with the fleet: steps are counted, not
@@ -567,26 +569,26 @@
 #[test]
 fn work_for_an_event_does_not_grow_with_the_fleet() {
     let steps = |machines: u32| {
-        let (mut board, id) = crowded(machines);
-        let count = |board: &Board| board.rooms.steps.get();
-        let before = count(&board);
-        assert!(board.walk(&id, RULE, Time(2.0)).is_empty());
-        let report = count(&board) - before;
+        let (mut cluster_state, id) = crowded(machines);
+        let count = |cluster_state: &ClusterState| cluster_state.capacity_index.steps.get();
+        let before = count(&cluster_state);
+        assert!(cluster_state.walk(&id, RULE, Time(2.0)).is_empty());
+        let report = count(&cluster_state) - before;
         // Room appears on one machine: its walk fills it.
-        board.edit_machine(&id, |m| m.used = Amount::default());
-        let before = count(&board);
-        let launches = board.walk(&id, RULE, Time(9.0));
+        cluster_state.edit_machine(&id, |m| m.used = Amount::default());
+        let before = count(&cluster_state);
+        let launches = cluster_state.walk(&id, RULE, Time(9.0));
         assert!(!launches.is_empty());
-        let freed = count(&board) - before;
+        let freed = count(&cluster_state) - before;
         // One more task for one more place.
         let task = TaskId {
             job: launches[0].task.job.clone(),
             index: launches[0].task.index,
         };
-        board.release(&task, Time(10.0));
-        let before = count(&board);
-        assert!(!board.place(RULE, Time(10.0)).is_empty());
-        (report, freed, count(&board) - before)
+        cluster_state.release(&task, Time(10.0));
+        let before = count(&cluster_state);
+        assert!(!cluster_state.place(RULE, Time(10.0)).is_empty());
+        (report, freed, count(&cluster_state) - before)
     };
     let (small, large) = (steps(200), steps(2000));
     assert_eq!(
@@ -611,7 +613,7 @@
     let mut rng = StdRng::seed_from_u64(3);
     let id = MachineId::from("vm-1");
     let mut first_at = |now: f64| {
-        let mut board = Board::new(vec![Team {
+        let mut cluster_state = ClusterState::new(vec![Team {
             name: Arc::from("t"),
             guarantee: Amount::new(10.0, 0.0, 0.0),
             limit: Amount::new(100.0, 0.0, 0.0),
@@ -630,13 +632,13 @@
             j.avoid = BTreeMap::new();
             j.aims = vec![j.submitted.after(70.0)];
             j.due = j.aims[0];
-            board.add_job(JobId::from(format!("run-{n}").as_str()), j);
+            cluster_state.add_job(JobId::from(format!("run-{n}").as_str()), j);
         }
         let mut m = Machine::new(kinds[0].clone(), Zone::from("za"), false, Time(0.0));
         m.usable = true;
-        board.add_machine(id.clone(), m);
-        board.look_at_dues(Time(now));
-        board.place(RULE, Time(now))[0].task.job.clone()
+        cluster_state.add_machine(id.clone(), m);
+        cluster_state.look_at_dues(Time(now));
+        cluster_state.place(RULE, Time(now))[0].task.job.clone()
     };
     assert_eq!(first_at(61.0), JobId::from("run-0"), "it still makes it");
     assert_eq!(first_at(65.0), JobId::from("run-1"), "it is late anyway");
--- a/tests/rules/commands.rs
+++ b/tests/rules/commands.rs
@@ -113,7 +113,7 @@
     let id = sends[0].machine.clone();
     core.dispatched(&id, Sending::Unknown, Time(4.0));
     let sent = |core: &Core| {
-        let job = core.board.jobs().values().next().expect("the job");
+        let job = core.cluster_state.jobs().values().next().expect("the job");
         job.tasks.claims().values().next().map(|c| c.sent)
     };
     let w = workers
--- a/tests/rules/recording.rs
+++ b/tests/rules/recording.rs
@@ -195,7 +195,12 @@
     let o = &mut world.owners[b];
     o.core.left_here(&o.view, &left, now, 0);
     o.core.place_all(now);
-    let claimed = |o: &Owner| o.core.board.job(&id).map(|j| j.tasks.claims().len());
+    let claimed = |o: &Owner| {
+        o.core
+            .cluster_state
+            .job(&id)
+            .map(|j| j.tasks.claims().len())
+    };
     assert_eq!(claimed(o), Some(1), "the task that was left, and no other");
     let key = chunk_key(&id, 0);
     let claim = json!({"a": 2, "d": 0, "c": [[0, 1, theirs]]});
--- a/tests/rules/silence.rs
+++ b/tests/rules/silence.rs
@@ -25,7 +25,7 @@
         .expect("something runs");
     let job = JobId::from(task.rsplit_once('/').expect("piece").0);
     let claimed = |o: &Owner| {
-        o.core.board.job(&job).is_some_and(|j| {
+        o.core.cluster_state.job(&job).is_some_and(|j| {
             j.tasks
                 .claims()
                 .values()
--- a/tests/rules/takeover.rs
+++ b/tests/rules/takeover.rs
@@ -15,7 +15,7 @@
 fn claims_on_machines_that_an_owner_gave_back_count_for_no_later_owner() {
     let mut world = World::new(11);
     let claimed = |o: &Owner| {
-        let teams = o.core.board.teams().iter();
+        let teams = o.core.cluster_state.teams().iter();
         teams.map(|t| t.used.cpu).sum::<i64>()
     };
     while world.on_machines().count() == 0 {
@@ -47,7 +47,7 @@
     world.take_over();
     let o = world.owners.last().expect("an owner");
     assert_eq!(claimed(o), 0);
-    assert_eq!(o.core.board.unknown_machines().count(), 0);
+    assert_eq!(o.core.cluster_state.unknown_machines().count(), 0);
 }
 
 /// A new owner can find a done job whose chunk was not deleted yet: its tasks
@@ -63,7 +63,7 @@
     world.store.write("h/task/run-000000/000000", chunk);
     world.take_over();
     let owner = world.owners.last_mut().expect("an owner");
-    assert!(owner.core.board.jobs().is_empty());
+    assert!(owner.core.cluster_state.jobs().is_empty());
     let batch = owner
         .core
         .next_batch(&owner.view, 4, true, Time(0.0))
--- a/tests/sched_model.rs
+++ b/tests/sched_model.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use proptest::prelude::*;
-use sorrelhinge::sched::{water_fill, Board, DelayRule, Job, Machine, Tasks, Team};
+use sorrelhinge::sched::{water_fill, ClusterState, DelayRule, Job, Machine, Tasks, Team};
 use sorrelhinge::types::{
     Amount, Image, JobId, JobSpec, Kind, MachineId, MachineType, Priority, Time, TypeName, Zone,
 };
@@ -216,7 +216,7 @@
         finish in prop::collection::vec(any::<bool>(), 5),
     ) {
         let rule = DelayRule { fetches: 1.0, max_s: 9.0 };
-        let mut board = Board::new((0..2).map(|t| Team {
+        let mut cluster_state = ClusterState::new((0..2).map(|t| Team {
             name: Arc::from("t"),
             guarantee: Amount::new(GUARANTEE[t] as f64, 0.0, 0.0),
             limit: Amount::new(LIMIT[t] as f64, 0.0, 0.0),
@@ -231,20 +231,20 @@
             for i in images {
                 machine.cache.touch(&Image::from(format!("i{i}").as_str()), 2.0, 8.0, true);
             }
-            board.add_machine(id.clone(), machine);
+            cluster_state.add_machine(id.clone(), machine);
         }
         let mut model = Model {
             jobs: Vec::new(), used: [0, 0], free: 8, here, elsewhere,
         };
         for (i, case) in cases.iter().enumerate() {
-            board.add_job(JobId::from(format!("run-{i}").as_str()), job(case, i as f64));
+            cluster_state.add_job(JobId::from(format!("run-{i}").as_str()), job(case, i as f64));
             model.jobs.push(Plain { case: case.clone(), left: case.tasks, anywhere: false, skipped_at: None });
         }
         let mut now = 0.0;
         let mut on: Vec<(usize, sorrelhinge::types::TaskId)> = Vec::new();
         for (round, gap) in gaps.iter().enumerate() {
             now += gap;
-            let real = board.walk(&m, rule, Time(now));
+            let real = cluster_state.walk(&m, rule, Time(now));
             let plain = model.walk(now, 2.0);
             let real_jobs: Vec<usize> = real.iter().map(|l| {
                 l.task.job.as_str().trim_start_matches("run-").parse().unwrap_or(usize::MAX)
@@ -254,9 +254,9 @@
             // Some tasks run and finish before the next report.
             if finish[round] {
                 for (i, task) in on.drain(..) {
-                    board.ran(&task);
-                    board.release(&task, Time(now));
-                    board.edit_job(&task.job, |j| j.tasks.set_done(task.index));
+                    cluster_state.ran(&task);
+                    cluster_state.release(&task, Time(now));
+                    cluster_state.edit_job(&task.job, |j| j.tasks.set_done(task.index));
                     let case = &model.jobs[i].case;
                     model.free += i64::from(case.cpus);
                     model.used[case.team] -= i64::from(case.cpus);
--- a/tests/staging.rs
+++ b/tests/staging.rs
@@ -10,7 +10,7 @@
 use sorrelhinge::api::read_job;
 use sorrelhinge::config::Tuning;
 use sorrelhinge::control::core::{Batch, Core, Source};
-use sorrelhinge::sched::{Board, DelayRule, Job, Machine, Tasks, Team};
+use sorrelhinge::sched::{ClusterState, DelayRule, Job, Machine, Tasks, Team};
 use sorrelhinge::state::record::{image_hash, job_key, wave_key, JobRecord, GRANT};
 use sorrelhinge::state::view::View;
 use sorrelhinge::types::{
@@ -393,7 +393,7 @@
     assert_eq!(changes[2]["delete"], wave_key(BlockId(1), hash));
 }
 
-fn board(machines: usize) -> Board {
+fn cluster_state(machines: usize) -> ClusterState {
     let team = Team {
         name: "red".into(),
         guarantee: Amount::new(100.0, 0.0, 0.0),
@@ -401,26 +401,26 @@
         used: Amount::default(),
         held_back: Amount::default(),
     };
-    let mut board = Board::new(vec![team]);
-    board.staged_gb = Some(20.0);
+    let mut cluster_state = ClusterState::new(vec![team]);
+    cluster_state.staged_gb = Some(20.0);
     for n in 0..machines {
         let mut machine = Machine::new(Rc::new(kind()), Zone::from("za"), false, Time(0.0));
         machine.usable = true;
-        board.add_machine(MachineId::from(format!("m{n}").as_str()), machine);
+        cluster_state.add_machine(MachineId::from(format!("m{n}").as_str()), machine);
     }
-    board
+    cluster_state
 }
 
-fn add(board: &mut Board, uid: &str, spec: JobSpec) {
+fn add(cluster_state: &mut ClusterState, uid: &str, spec: JobSpec) {
     let tasks = Tasks::new(spec.tasks, 64);
     let job = Job::new(Rc::new(spec), 0, Time(0.0), tasks);
-    board.add_job(JobId::from(uid), job);
+    cluster_state.add_job(JobId::from(uid), job);
 }
 
 /// A fetch that is nearly over is not given up for one that has just begun.
 #[test]
 fn the_fetch_that_has_just_begun_gives_way() {
-    let mut board = board(2);
+    let mut cluster_state = cluster_state(2);
     let bulk = |uid: &str| JobSpec {
         kind: Kind::Array,
         priority: Priority::Normal,
@@ -429,15 +429,26 @@
     let mut on = Vec::new();
     // 40 GB at 0.5 GB/s: one has 70 s of 80 behind it, the other 1 s.
     for (uid, at) in [("run-1", 0.0), ("run-2", 70.0)] {
-        add(&mut board, uid, bulk(uid));
-        for launch in board.place(RULE, Time(at)) {
-            board.claim_mut(&launch.task).expect("its claim").committed = true;
+        add(&mut cluster_state, uid, bulk(uid));
+        for launch in cluster_state.place(RULE, Time(at)) {
+            cluster_state
+                .claim_mut(&launch.task)
+                .expect("its claim")
+                .committed = true;
             on.push(launch.task);
         }
     }
-    add(&mut board, "run-3", service("run-3", 1, "small", 0.1, 4.0));
-    assert_eq!(board.place(RULE, Time(71.0)).len(), 0, "there is no room");
-    let stopped = board.preempt(|_| 0.0, Time(71.0));
+    add(
+        &mut cluster_state,
+        "run-3",
+        service("run-3", 1, "small", 0.1, 4.0),
+    );
+    assert_eq!(
+        cluster_state.place(RULE, Time(71.0)).len(),
+        0,
+        "there is no room"
+    );
+    let stopped = cluster_state.preempt(|_| 0.0, Time(71.0));
     assert_eq!(stopped, on[1..]);
 }
 
@@ -449,9 +460,13 @@
 /// Replicas that need the same weights share machines.
 #[test]
 fn replicas_share_weights() {
-    let mut board = board(4);
-    add(&mut board, "run-1", service("run-1", 4, MODEL, 60.0, 2.0));
-    let placed = board.place(RULE, Time(0.0));
+    let mut cluster_state = cluster_state(4);
+    add(
+        &mut cluster_state,
+        "run-1",
+        service("run-1", 4, MODEL, 60.0, 2.0),
+    );
+    let placed = cluster_state.place(RULE, Time(0.0));
     let on: BTreeSet<&MachineId> = placed.iter().map(|l| &l.machine).collect();
     assert_eq!((placed.len(), on.len()), (4, 2), "two on each of two");
 }
@@ -460,21 +475,21 @@
 /// that was used least recently.
 #[test]
 fn an_upgrade_leaves_the_version_that_serves() {
-    let mut board = board(1);
+    let mut cluster_state = cluster_state(1);
     let mut run = |uid: &str, image: &str, gb: f64| {
-        add(&mut board, uid, service(uid, 1, image, gb, 1.0));
-        let placed = board.place(RULE, Time(0.0));
-        board.ran(&placed[0].task);
+        add(&mut cluster_state, uid, service(uid, 1, image, gb, 1.0));
+        let placed = cluster_state.place(RULE, Time(0.0));
+        cluster_state.ran(&placed[0].task);
         if image == "old" {
-            board.release(&placed[0].task, Time(0.0));
-            board.remove_job(&JobId::from(uid));
+            cluster_state.release(&placed[0].task, Time(0.0));
+            cluster_state.remove_job(&JobId::from(uid));
         }
     };
     // 100 GB of room: beside the first two the third doesn't fit.
     run("run-1", MODEL, 60.0);
     run("run-2", "old", 30.0);
     run("run-3", "llm-2", 30.0);
-    let cache = &board.machines()[&MachineId::from("m0")].cache;
+    let cache = &cluster_state.machines()[&MachineId::from("m0")].cache;
     let has = [MODEL, "old", "llm-2"].map(|i| cache.has(&Image::from(i)));
     assert_eq!(has, [true, false, true]);
 }
--- a/tests/topology_cases.rs
+++ b/tests/topology_cases.rs
@@ -1,5 +1,5 @@
 //! The hard cases of placing by failure domains and devices, one by one, on a
-//! board or with the block owner's core.
+//! cluster state or with the block owner's core.
 
 mod settings;
 
@@ -11,7 +11,7 @@
 use sorrelhinge::control::core::{Core, Source};
 use sorrelhinge::fleet;
 use sorrelhinge::sched::{
-    Board, Claim, DelayRule, Job, Launch, Machine, Moving, Progress, Sent, Tasks, Team,
+    Claim, ClusterState, DelayRule, Job, Launch, Machine, Moving, Progress, Sent, Tasks, Team,
 };
 use sorrelhinge::state::record::{job_key, JobRecord, GRANT};
 use sorrelhinge::state::view::View;
@@ -69,16 +69,16 @@
     spec
 }
 
-/// A board with two machines behind each switch.
+/// A cluster state with two machines behind each switch.
 struct World {
-    board: Board,
+    cluster_state: ClusterState,
     stability: Stability,
     now: f64,
 }
 
 impl World {
     fn new(topology: &Rc<Topology>, zones: &str, switches: u32, machines: u32) -> Self {
-        let mut board = Board::new(vec![Team {
+        let mut cluster_state = ClusterState::new(vec![Team {
             name: Arc::from("t"),
             guarantee: Amount::new(100.0, 0.0, 0.0),
             limit: Amount::new(1000.0, 0.0, 0.0),
@@ -91,13 +91,14 @@
                     let zone_name = Zone::from(format!("z{zone}").as_str());
                     let mut m = Machine::new(kind(), zone_name, false, Time(0.0));
                     m.usable = true;
-                    board.add_machine(MachineId::from(format!("vm-{zone}{s}{n}").as_str()), m);
+                    cluster_state
+                        .add_machine(MachineId::from(format!("vm-{zone}{s}{n}").as_str()), m);
                 }
             }
         }
-        board.set_topology(Some(topology.clone()), |_| None);
+        cluster_state.set_topology(Some(topology.clone()), |_| None);
         Self {
-            board,
+            cluster_state,
             stability: Stability::default(),
             now: 0.0,
         }
@@ -105,26 +106,26 @@
 
     fn add(&mut self, id: &str, spec: JobSpec) -> JobId {
         let id = JobId::from(id);
-        let policy = Board::policy_of(self.board.topology().map(|t| &**t), &spec);
+        let policy = ClusterState::policy_of(self.cluster_state.topology().map(|t| &**t), &spec);
         let tasks = Tasks::new(spec.tasks, 64);
         let job = Job {
             policy,
             ..Job::new(Rc::new(spec), 0, Time(self.now), tasks)
         };
-        self.board.add_job(id.clone(), job);
+        self.cluster_state.add_job(id.clone(), job);
         id
     }
 
     /// Places what can be placed, and has it run.
     fn place(&mut self) -> Vec<Launch> {
-        let launches = self.board.place(RULE, Time(self.now));
+        let launches = self.cluster_state.place(RULE, Time(self.now));
         for l in &launches {
             let now = Time(self.now);
-            if let Some(c) = self.board.claim_mut(&l.task) {
+            if let Some(c) = self.cluster_state.claim_mut(&l.task) {
                 (c.committed, c.sent) = (true, Sent::Answered);
                 c.progress = Progress::Running(now);
             }
-            self.board.ran(&l.task);
+            self.cluster_state.ran(&l.task);
         }
         launches
     }
@@ -138,12 +139,12 @@
             .map(|(t, _)| t)
             .collect();
         for task in stopping {
-            self.board.release(&task, Time(self.now));
+            self.cluster_state.release(&task, Time(self.now));
         }
     }
 
     fn claims(&self) -> Vec<(TaskId, Claim)> {
-        let jobs = self.board.jobs().iter();
+        let jobs = self.cluster_state.jobs().iter();
         jobs.flat_map(|(id, j)| {
             j.tasks.claims().iter().map(|(&index, c)| {
                 let job = id.clone();
@@ -155,7 +156,7 @@
 
     /// Switches of a job's tasks, by the machines' names.
     fn switches(&self, id: &JobId) -> Vec<String> {
-        let claims = self.board.job(id).expect("the job").tasks.claims();
+        let claims = self.cluster_state.job(id).expect("the job").tasks.claims();
         let mut out: Vec<String> = claims
             .values()
             .map(|c| c.machine.as_str()[3..5].to_owned())
@@ -165,11 +166,14 @@
     }
 
     fn usable(&mut self, prefix: &str, usable: bool) {
-        let ids: Vec<MachineId> = self.board.machines().keys().cloned().collect();
+        let ids: Vec<MachineId> = self.cluster_state.machines().keys().cloned().collect();
         for id in ids.iter().filter(|id| id.as_str().starts_with(prefix)) {
-            self.board.edit_machine(id, |m| m.usable = usable);
+            self.cluster_state.edit_machine(id, |m| m.usable = usable);
             if !usable {
-                let (t, m) = (self.board.topology(), &self.board.machines()[id]);
+                let (t, m) = (
+                    self.cluster_state.topology(),
+                    &self.cluster_state.machines()[id],
+                );
                 let tree = &t.expect("topology").tree;
                 self.stability.lost(tree, m.place, Time(self.now));
             }
@@ -179,10 +183,10 @@
     /// A domain is lost for good: its machines and their tasks are gone.
     fn lose(&mut self, prefix: &str) {
         self.usable(prefix, false);
-        let ids: Vec<MachineId> = self.board.machines().keys().cloned().collect();
+        let ids: Vec<MachineId> = self.cluster_state.machines().keys().cloned().collect();
         for id in ids.iter().filter(|id| id.as_str().starts_with(prefix)) {
-            for task in self.board.claims_on(id) {
-                self.board.release(&task, Time(self.now));
+            for task in self.cluster_state.claims_on(id) {
+                self.cluster_state.release(&task, Time(self.now));
             }
         }
     }
@@ -192,7 +196,9 @@
             drains: &[],
             stability: &self.stability,
         };
-        self.board.repair(&moving, Time(self.now)).map(|m| m.task)
+        self.cluster_state
+            .repair(&moving, Time(self.now))
+            .map(|m| m.task)
     }
 }
 
@@ -212,10 +218,13 @@
     w.place();
     assert_eq!(w.switches(&hard), ["a0", "a1"]);
     assert_eq!(w.switches(&soft).len(), 3);
-    w.board.edit_job(&soft, |j| j.cancelled = true);
+    w.cluster_state.edit_job(&soft, |j| j.cancelled = true);
     w.now = 1.0;
     w.place();
-    let why = w.board.why_waits(&hard, Time(1.0)).expect("a reason");
+    let why = w
+        .cluster_state
+        .why_waits(&hard, Time(1.0))
+        .expect("a reason");
     assert!(why.contains("at most 1 in a switch"), "{why}");
     // A domain comes back, and the third goes there.
     w.usable("vm-b1", true);
@@ -282,15 +291,15 @@
         {domain = \"za/s2\", patterns = [\"vm-a2*\"]},\
         {domain = \"za/s3\", patterns = [\"vm-a3*\"]}]";
     let changed = Rc::new(Topology::parse(text).expect("valid"));
-    w.board.set_topology(Some(changed), |_| None);
+    w.cluster_state.set_topology(Some(changed), |_| None);
     assert!(w.claims().iter().all(|(_, c)| c.stop.is_none()));
     w.now = 200.0;
     assert_eq!(w.repair(), None, "no place that the rules allow");
     let mut m = Machine::new(kind(), Zone::from("za"), false, Time(0.0));
     m.usable = true;
     let new = MachineId::from("vm-a30");
-    w.board.add_machine(new.clone(), m);
-    w.board.locate(&new, None);
+    w.cluster_state.add_machine(new.clone(), m);
+    w.cluster_state.locate(&new, None);
     let moved = w.repair().expect("now there is one");
     w.settle();
     let launches = w.place();
@@ -301,8 +310,8 @@
     let text = "version = 1\nlevels = [\"zone\", \"switch\", \"machine\"]\nplace = [\
         {domain = \"za/s0\", patterns = [\"vm-a0*\"]}]";
     let gone = Rc::new(Topology::parse(text).expect("valid"));
-    w.board.set_topology(Some(gone), |_| None);
-    w.board.release(&moved, Time(w.now));
+    w.cluster_state.set_topology(Some(gone), |_| None);
+    w.cluster_state.release(&moved, Time(w.now));
     assert_eq!(w.place(), []);
     assert_eq!(w.switches(&id).len(), 2);
 }
@@ -324,19 +333,23 @@
         index: 0,
     };
     // Told to stop is not gone.
-    w.board.stop(&task, true);
+    w.cluster_state.stop(&task, true);
     assert_eq!(w.place(), []);
     w.now = 1.0;
     w.place();
-    let why = w.board.why_waits(&second, Time(1.0)).expect("a reason");
+    let why = w
+        .cluster_state
+        .why_waits(&second, Time(1.0))
+        .expect("a reason");
     assert!(why.contains("its devices are taken"), "{why}");
     // The file names another unit: it is free. The old one comes back: held.
-    w.board.set_topology(Some(topology("a", 1, "")), |_| None);
+    w.cluster_state
+        .set_topology(Some(topology("a", 1, "")), |_| None);
     assert_eq!(w.place(), []);
-    w.board.set_topology(Some(t.clone()), |_| None);
+    w.cluster_state.set_topology(Some(t.clone()), |_| None);
     assert_eq!(w.place(), []);
-    w.board.edit_job(&first, |j| j.cancelled = true);
-    w.board.release(&task, Time(1.0));
+    w.cluster_state.edit_job(&first, |j| j.cancelled = true);
+    w.cluster_state.release(&task, Time(1.0));
     let launches = w.place();
     assert_eq!(launches.len(), 1);
     assert_eq!(launches[0].task.job, second);
@@ -404,8 +417,8 @@
     assert_eq!(w.place().len(), 10);
     assert_eq!(w.switches(&a).len(), 10);
     assert_eq!(w.switches(&b).len(), 0, "six places are free, but not ten");
-    assert!(w.board.held_for_gangs().all(|(_, job)| *job == b));
-    assert!(w.board.held_for_gangs().count() > 0);
+    assert!(w.cluster_state.held_for_gangs().all(|(_, job)| *job == b));
+    assert!(w.cluster_state.held_for_gangs().count() > 0);
     // A single task must not take what is held; what is beyond it may.
     let small = w.add(
         "run-c",
@@ -421,8 +434,8 @@
             job: a.clone(),
             index,
         };
-        w.board.release(&task, Time(w.now));
-        w.board.edit_job(&a, |j| j.tasks.set_done(index));
+        w.cluster_state.release(&task, Time(w.now));
+        w.cluster_state.edit_job(&a, |j| j.tasks.set_done(index));
         w.now += 0.6;
         let launched = w.place();
         let of_b = launched.iter().filter(|l| l.task.job == b).count();
@@ -437,7 +450,7 @@
         .map(|(_, c)| c.attempt.0)
         .collect();
     assert_eq!(attempts.len(), 1);
-    assert_eq!(w.board.held_for_gangs().count(), 0);
+    assert_eq!(w.cluster_state.held_for_gangs().count(), 0);
 }
 
 /// A gang that fits behind one switch is placed behind one.
@@ -457,7 +470,10 @@
     let at: BTreeSet<String> = w.switches(&id).into_iter().collect();
     assert_eq!(at.len(), 1, "{at:?}");
     assert_eq!(
-        w.board.gang_domain(&id, &t.tree).expect("a domain").len(),
+        w.cluster_state
+            .gang_domain(&id, &t.tree)
+            .expect("a domain")
+            .len(),
         "za/s0".len()
     );
 }
@@ -488,9 +504,9 @@
         keep: false,
     };
     let step = |w: &mut World, left_s: f64| {
-        let ids: Vec<MachineId> = w.board.machines().keys().cloned().collect();
+        let ids: Vec<MachineId> = w.cluster_state.machines().keys().cloned().collect();
         for id in ids.iter().filter(|id| id.as_str() < "vm-a2") {
-            w.board
+            w.cluster_state
                 .edit_machine(id, |m| (m.draining, m.usable) = (true, false));
         }
         let drains = [(drain.clone(), left_s)];
@@ -498,7 +514,7 @@
             drains: &drains,
             stability: &w.stability,
         };
-        w.board.drain(&moving, Time(w.now))
+        w.cluster_state.drain(&moving, Time(w.now))
     };
     let on_drained = |w: &World, id: &JobId| {
         let drained = |s: &&String| s.as_str() < "a2";
@@ -546,7 +562,7 @@
     let rent = |w: &World, memory: &Memory, coming: &[fleet::Coming]| {
         let types = [kind()];
         let input = fleet::Input {
-            board: &w.board,
+            cluster_state: &w.cluster_state,
             types: &types,
             coming,
             expected: &[],
@@ -683,7 +699,7 @@
     }
 
     fn claimed(&self) -> Vec<String> {
-        let job = self.core.board.job(&JobId::from("run-1"));
+        let job = self.core.cluster_state.job(&JobId::from("run-1"));
         let claims = job.expect("the job").tasks.claims().values();
         claims.map(|c| c.machine.to_string()).collect()
     }
@@ -778,7 +794,11 @@
     );
     let claim = |o: &Owner| {
         let task = TaskId::parse(piece).expect("a task");
-        o.core.board.claim_of(&task).cloned().expect("its claim")
+        o.core
+            .cluster_state
+            .claim_of(&task)
+            .cloned()
+            .expect("its claim")
     };
     assert_eq!(claim(&o).stop, None, "there is no other place yet");
     // The others come up: everything goes there, and none to the rack.
