Answers always stop what must not run

Two ways in which an answer renewed the lease of a cancelled job's task without a kill: - An owner that does not know the machine types has no link to any machine. With the cloud away while controllers begin anew, it answered all reports with its token and no command for as long as that lasted. Core::answer now compares the report itself with the claims (control::core::unlinked). - The kill went out at most every 2 s, directly or in an answer. A direct command that was lost a moment before a report kept the kill out of the answer, and on a machine that direct commands don't reach, again and again.

Both tests fail with their guard broken and pass with it.

--- a/src/control/core/links.rs
+++ b/src/control/core/links.rs
@@ -558,6 +558,7 @@
             return orders;
         };
         let fenced = link.fenced();
+        let in_reply = starts != Some(Sent::Flying);
         let Some(usable) = self.cluster_state.machines().get(id).map(|m| m.usable) else {
             return orders;
         };
@@ -595,10 +596,11 @@
             };
             let key = (task.clone(), *attempt);
             let saving = *phase == TaskPhase::Saving && mercy_s > 0.0;
-            let due = link
-                .kill_sent
-                .get(&key)
-                .is_none_or(|t| now.since(*t) >= KILL_AGAIN_S);
+            // An answer renews the lease of a task that must not run, so it always
+            // has the kill: the direct command that had it last may be lost.
+            let renews = in_reply && mercy_s == 0.0;
+            let sent = link.kill_sent.get(&key);
+            let due = renews || sent.is_none_or(|t| now.since(*t) >= KILL_AGAIN_S);
             if !saving && due {
                 link.kill_sent.insert(key, now);
                 orders.push(Command::Kill {
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -17,6 +17,7 @@
 mod renting;
 mod sharing;
 mod staging;
+mod unlinked;
 
 use sorrelhinge_blocks::largest_jobs::Largest;
 use sorrelhinge_blocks::served::{Served, Sort, Waits};
--- /dev/null
+++ b/src/control/core/unlinked.rs
@@ -0,0 +1,51 @@
+//! Answers to workers whose machine this owner has no link to yet.
+//!
+//! A link needs the machine's type, which a controller learns from the cloud, and
+//! a report that certainly is no late copy. Until then the answer still renews the
+//! worker's lease (PROTOCOL, "Leases"), so it has to stop what must not run: while
+//! the cloud was away and all controllers had just begun, tasks of cancelled jobs
+//! were kept alive by answers without a command for as long as that lasted.
+
+use super::Core;
+use crate::sched::Job;
+use crate::state::view::View;
+use crate::types::{MachineId, Time};
+use crate::worker::{Command, Reply, Report, ReportedTask, TaskPhase};
+
+impl Core {
+    /// The answer to a worker's report.
+    pub fn answer(&mut self, report: &Report, view: &View, now: Time) -> Reply {
+        if self.links.contains_key(&report.machine) {
+            return self.reply(&report.machine, view, now);
+        }
+        let running = report.pieces.iter();
+        let running = running.filter(|task| task.phase != TaskPhase::Ended);
+        let stopped = running.filter(|task| !self.may_run_on(&report.machine, task));
+        Reply {
+            baton: self.base_token(),
+            orders: stopped.map(kill_at_once).collect(),
+        }
+    }
+
+    /// Whether a reported task is claimed there, for a job that is not cancelled.
+    fn may_run_on(&self, machine: &MachineId, reported: &ReportedTask) -> bool {
+        let Some(task) = reported.id() else {
+            return false;
+        };
+        let live = |job: &&Job| !job.cancelled;
+        let Some(job) = self.cluster_state.job(&task.job).filter(live) else {
+            return false;
+        };
+        let claim = job.tasks.claims().get(&task.index);
+        claim.is_some_and(|c| c.attempt == reported.attempt && c.machine == *machine)
+    }
+}
+
+/// The command that ends a task without time to save.
+fn kill_at_once(task: &ReportedTask) -> Command {
+    Command::Kill {
+        piece: task.piece.clone(),
+        attempt: task.attempt,
+        mercy_s: 0.0,
+    }
+}
--- a/src/control/workers.rs
+++ b/src/control/workers.rs
@@ -196,7 +196,7 @@
                 if self.paces.walk.borrow().due(now) {
                     self.timed("walk", &self.paces.walk, || c.walk(&report.machine, now));
                 }
-                reply = Some(c.reply(&report.machine, &self.view.borrow(), now));
+                reply = Some(c.answer(report, &self.view.borrow(), now));
             }
         }
         let owning = cores.contains_key(&block);
--- a/tests/rules/commands.rs
+++ b/tests/rules/commands.rs
@@ -7,7 +7,7 @@
 use sorrelhinge::state::record::{job_key, JobRecord};
 use sorrelhinge::state::Outcome;
 use sorrelhinge::types::{JobId, MachineId, Time};
-use sorrelhinge::worker::Sending;
+use sorrelhinge::worker::{Command, Sending};
 
 use crate::*;
 
@@ -18,23 +18,7 @@
 #[test]
 fn whoever_renews_the_lease_of_a_cancelled_task_kills_it() {
     let mut world = World::new(7);
-    let (at, piece) = loop {
-        world.step(true);
-        assert!(world.now < 600.0, "nothing ever ran");
-        let runs = world.on_machines().find(|(_, piece)| {
-            let id = piece.split('/').next().expect("a job");
-            world.store.keys[&job_key(&JobId::from(id))].1["p"] == "l"
-        });
-        let Some((worker, piece)) = runs else {
-            continue;
-        };
-        let at = world.workers.iter().position(|w| w.id == worker.id);
-        break (at.expect("the worker"), piece.clone());
-    };
-    let id = JobId::from(piece.split('/').next().expect("a job"));
-    let mut record = world.store.keys[&job_key(&id)].1.clone();
-    record["p"] = json!("c");
-    world.store.write(&job_key(&id), record);
+    let (at, piece) = cancelled_task(&mut world);
     for _ in 0..5 {
         world.take_over();
         let report = world.workers[at].report();
@@ -57,6 +41,87 @@
     }
 }
 
+/// A job that runs is cancelled in the record; where one of its tasks is, and the job.
+fn cancelled_task(world: &mut World) -> (usize, String) {
+    let (at, piece) = loop {
+        world.step(true);
+        assert!(world.now < 600.0, "nothing ever ran");
+        let runs = world.on_machines().find(|(_, piece)| {
+            let id = job_of(piece);
+            world.store.keys[&job_key(&JobId::from(id.as_str()))].1["p"] == "l"
+        });
+        let Some((worker, piece)) = runs else {
+            continue;
+        };
+        let at = world.workers.iter().position(|w| w.id == worker.id);
+        break (at.expect("the worker"), piece.clone());
+    };
+    let key = job_key(&JobId::from(job_of(&piece).as_str()));
+    let mut record = world.store.keys[&key].1.clone();
+    record["p"] = json!("c");
+    world.store.write(&key, record);
+    (at, piece)
+}
+
+/// What commands tell a worker to do with a task.
+fn verbs_for(orders: &[Command], piece: &str) -> Vec<Value> {
+    let orders = serde_json::to_value(orders).expect("orders");
+    let orders = orders.as_array().expect("a list").iter();
+    let orders = orders.filter(|o| o["piece"] == json!(piece));
+    orders.map(|o| o["verb"].clone()).collect()
+}
+
+/// The cloud's machine types are not known yet, as the cloud is away and the
+/// controller has just begun: the owner has no link to any machine, and answers
+/// reports all the same. Its answers renewed the leases of cancelled jobs' tasks
+/// without a kill, for as long as the cloud was away.
+#[test]
+fn an_owner_that_knows_no_machine_types_kills_cancelled_tasks_all_the_same() {
+    let mut world = World::new(7);
+    let (at, piece) = cancelled_task(&mut world);
+    world.take_over();
+    let report = world.workers[at].report();
+    let running = report.pieces.iter().any(|p| p.piece == piece);
+    assert!(running, "{piece} is reported");
+    let now = Time(world.now);
+    let view = &world.owners.last().expect("an owner").view;
+    let grant = (world.grants, view.grant.stamp);
+    let mut core = Core::load(world.config(), &[], view, grant, None, now, 0);
+    assert!(core.report(&report, Source::Beat, now));
+    let reply = core.answer(&report, view, now);
+    assert_eq!(verbs_for(&reply.orders, &piece), ["kill"]);
+    for other in report.pieces.iter().filter(|p| p.piece != piece) {
+        let key = job_key(&JobId::from(job_of(&other.piece).as_str()));
+        let live = world.store.keys[&key].1["p"] == "l";
+        let kept = verbs_for(&reply.orders, &other.piece).is_empty();
+        assert_eq!(kept, live, "{other:?}");
+    }
+}
+
+/// A kill that was sent directly may be lost, and the answer to the next report
+/// renews the lease: it has the kill however lately it was sent before.
+#[test]
+fn an_answer_has_the_kill_though_a_direct_command_had_it_a_moment_ago() {
+    let mut world = World::new(7);
+    let (at, piece) = cancelled_task(&mut world);
+    world.take_over();
+    let report = world.workers[at].report();
+    let now = Time(world.now);
+    let Owner { core, view, .. } = world.owners.last_mut().expect("an owner");
+    assert!(core.report(&report, Source::Beat, now));
+    let sends = core.dispatch(view, now);
+    let send = sends.iter().find(|s| s.machine == report.machine);
+    let direct = &send.expect("a direct command").orders.orders;
+    assert_eq!(verbs_for(direct, &piece), ["kill"]);
+    core.dispatched(&report.machine, Sending::Unknown, now);
+    let later = Time(now.0 + 0.5);
+    let report = world.workers[at].report();
+    let Owner { core, view, .. } = world.owners.last_mut().expect("an owner");
+    assert!(core.report(&report, Source::Beat, later));
+    let reply = core.answer(&report, view, later);
+    assert_eq!(verbs_for(&reply.orders, &piece), ["kill"]);
+}
+
 /// A start that was not answered may be carried out minutes later. Until a
 /// report carries the raised token, its absence proves nothing.
 #[test]
