--- a/src/control/core/calendar.rs
+++ b/src/control/core/calendar.rs
@@ -2,6 +2,12 @@
 //! and which steps are due. Steps and their records are of
 //! [`sorrelhinge_calendar::plan`]; where room is held, of [`crate::sched::Hold`].
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use sorrelhinge_blocks::shard::BlockId;
+use sorrelhinge_blocks::yields::{Leave, Waiting};
 use sorrelhinge_calendar::plan::{
     arbitrate, divide, steps, Change as Due, Clock, Refused, Seen, TeamRoom, Want, Whole,
 };
@@ -9,12 +15,16 @@
 use sorrelhinge_calendar::settings::Window;
 use sorrelhinge_calendar::shown::{rows, WindowShown};
 
-use sorrelhinge_blocks::shard::BlockId;
-use sorrelhinge_blocks::yields::{Leave, Waiting};
-
 use super::renting::is_drained;
-use super::*;
+use super::Core;
+use crate::fleet;
 use crate::sched::{Hold, HoldSeen, Lending};
+use crate::state::record::Phase;
+use crate::state::view::{Versioned, View};
+use crate::state::{Change, Txn, When};
+use crate::types::{
+    Amount, Image, JobSpec, Kind, MachineType, Priority, Revision, Time, TypeName, Zone,
+};
 
 /// A machine that takes this many usual boots is slow, and one that takes longer
 /// is given up.
--- a/src/control/core/deleted_machines.rs
+++ b/src/control/core/deleted_machines.rs
@@ -4,8 +4,12 @@
 //! that were given back long ago. A new owner would count them against limits
 //! until the machine list and the cloud have told it what this owner knew.
 
-use super::*;
+use sorrelhinge_blocks::shard::Shard;
+
 use crate::state::record::{gone_key, GoneRecord, GONE_SLOTS};
+use crate::state::view::View;
+use crate::state::Change;
+use crate::types::{MachineId, Time};
 
 /// Names wait so long for company, in seconds.
 const WAIT_S: f64 = 3.0;
--- /dev/null
+++ b/src/control/core/job_changes.rs
@@ -0,0 +1,116 @@
+//! Changes of jobs: new and cancelled ones, and claims that are given up.
+
+use super::Core;
+use crate::control::pending::ChunkId;
+use crate::sched::{Claim, Sent};
+use crate::state::record::Phase;
+use crate::state::view::View;
+use crate::types::{JobId, TaskId, Time};
+
+impl Core {
+    /// Jobs changed in the state service: new ones, and cancelled ones.
+    pub fn jobs_changed(&mut self, view: &View, changed: &[JobId], now: Time, wall_ms: u64) {
+        for id in changed {
+            let Some(entry) = view.job(id) else { continue };
+            match self.cluster_state.job(id) {
+                None => {
+                    if entry.record.value.phase == Phase::Live && self.shard.homes(id) {
+                        self.add_job(id, entry, now, wall_ms);
+                        if let Some(job) = self.cluster_state.job(id) {
+                            let (spec, at) = (job.spec.clone(), job.submitted);
+                            self.arrived(&spec, at);
+                        }
+                    }
+                }
+                Some(job) => {
+                    let cancelled = job.cancelled;
+                    self.catch_up(id, entry, now);
+                    if entry.record.value.phase == Phase::Cancelled && !cancelled {
+                        self.cluster_state.edit_job(id, |job| job.cancelled = true);
+                        self.largest_over(id, "cancelled", now);
+                        self.clear(id);
+                        self.pending.not_finished(id);
+                        self.settle_stopped(id, now);
+                    }
+                }
+            }
+            self.forget_job(view, id, now);
+        }
+    }
+
+    /// Removes a job that is over and leaves nothing behind.
+    pub(super) fn forget_job(&mut self, view: &View, id: &JobId, now: Time) {
+        let Some(entry) = view.job(id) else { return };
+        let over = entry.record.value.phase != Phase::Live;
+        let Some(job) = self.cluster_state.job(id) else {
+            return;
+        };
+        let homed = job.tasks.at_home();
+        if !over && (homed || job.tasks.pending() > 0) || !job.tasks.claims().is_empty() {
+            return;
+        }
+        if !homed {
+            // What it claimed here is first taken out of the record.
+            if !self.claims_here(entry) {
+                self.cluster_state.remove_job(id);
+            }
+            return;
+        }
+        // The job's own record is not to claim anything for ever.
+        if entry.record.value.inline.is_some() && self.claims_here(entry) {
+            self.pending.released((id.clone(), 0), now);
+            return;
+        }
+        for &chunk in entry.chunks.keys() {
+            self.pending.useless((id.clone(), chunk), now);
+        }
+        self.cluster_state.remove_job(id);
+    }
+
+    /// Drops claims of a cancelled job, or of tasks to be stopped, whose start
+    /// was certainly never sent; the others are stopped.
+    pub(super) fn settle_stopped(&mut self, id: &JobId, now: Time) {
+        let Some(job) = self.cluster_state.job(id) else {
+            return;
+        };
+        let cancelled = job.cancelled;
+        let mut unsent = Vec::new();
+        let mut stop = Vec::new();
+        for (&index, claim) in job.tasks.claims() {
+            // Whatever is to happen there, its machine is told.
+            self.active.insert((0, claim.machine.clone()));
+            let task = TaskId {
+                job: id.clone(),
+                index,
+            };
+            if cancelled || claim.stop.is_some() {
+                if claim.sent == Sent::No {
+                    unsent.push(task);
+                } else if cancelled {
+                    stop.push(task);
+                }
+            }
+        }
+        for task in unsent {
+            self.release(&task, now);
+        }
+        for task in stop {
+            self.cluster_state.stop(&task, false);
+        }
+    }
+
+    /// The chunk that a task is recorded in.
+    pub(super) fn chunk_of(&self, task: &TaskId) -> ChunkId {
+        let job = self.cluster_state.job(&task.job);
+        let chunk = job.map_or(0, |j| j.tasks.chunk_of(task.index));
+        (task.job.clone(), chunk)
+    }
+
+    pub(super) fn release(&mut self, task: &TaskId, now: Time) -> Option<Claim> {
+        let claim = self.cluster_state.release(task, now)?;
+        self.gangs.insert(task.job.clone());
+        self.pending.released(self.chunk_of(task), now);
+        self.touched.insert(claim.machine.clone());
+        Some(claim)
+    }
+}
--- a/src/control/core/lanes.rs
+++ b/src/control/core/lanes.rs
@@ -3,7 +3,8 @@
 use sorrelhinge_lanes::order::may_wait_ms;
 use sorrelhinge_lanes::shown::{LaneShown, LanesShown, WaitShown};
 
-use super::*;
+use super::Core;
+use crate::types::Time;
 
 /// Most jobs of a lane that operators are shown.
 const MOST_SHOWN: usize = 100;
--- a/src/control/core/largest_jobs.rs
+++ b/src/control/core/largest_jobs.rs
@@ -3,7 +3,8 @@
 
 use sorrelhinge_blocks::largest_jobs::BEGIN_S;
 
-use super::*;
+use super::Core;
+use crate::types::{JobId, Time};
 
 impl Core {
     /// A job came, or was found by this owner.
--- a/src/control/core/links.rs
+++ b/src/control/core/links.rs
@@ -1,7 +1,20 @@
 //! The lines to the workers: reports in, commands out, and what machines
 //! there are.
 
-use super::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use sorrelhinge_overload::hearing::Hearing;
+
+use super::link::Link;
+use super::{Core, Dispatch, Source, KILL_AGAIN_S, MOST_FLYING, SUSPECT_LEAST_S, SUSPECT_REPORTS};
+use crate::sched::{Claim, Job, Machine, Progress, Sent};
+use crate::state::view::View;
+use crate::types::{
+    JobId, JobSpec, Kind, MachineId, MachineType, Seq, Session, TaskId, Time, Token, TypeName, Zone,
+};
+use crate::worker::{Command, Orders, Reply, Report, ReportedTask, Sending, TaskPhase, Why};
 
 impl Core {
     /// The cloud's machine types.
--- a/src/control/core/moving.rs
+++ b/src/control/core/moving.rs
@@ -1,10 +1,15 @@
 //! What moves on purpose: drains, repair, and gangs that start anew.
 
-use sorrelhinge_topology::drain::Progress as Drained;
-use sorrelhinge_topology::repair;
+use std::collections::BTreeMap;
+use std::rc::Rc;
 
-use super::*;
+use sorrelhinge_topology::drain::{Drain, Progress as Drained};
+use sorrelhinge_topology::{repair, Topology};
+
+use super::Core;
 use crate::sched::Moving;
+use crate::state::view::View;
+use crate::types::{Kind, MachineId, Time};
 
 /// How often a job that waits is spoken of in the log.
 const TELL_S: f64 = 60.0;
--- a/src/control/core/record.rs
+++ b/src/control/core/record.rs
@@ -1,6 +1,14 @@
 //! Claims and results on their way into the record.
 
-use super::*;
+use std::collections::BTreeSet;
+
+use super::{Batch, Core, TXN_BYTES};
+use crate::control::pending::{Due, Haste};
+use crate::sched::Job;
+use crate::state::record::{chunk_key, job_key, ChunkRecord, JobRecord, Phase};
+use crate::state::view::{JobEntry, Versioned, View};
+use crate::state::{Change, Txn, When};
+use crate::types::{Attempt, JobId, Kind, MachineId, Revision, TaskId, Time};
 
 impl Core {
     /// All tasks of a job are done: that is to be recorded.
--- a/src/control/core/renting.rs
+++ b/src/control/core/renting.rs
@@ -1,8 +1,19 @@
 //! The fleet: what to rent, keep room for and give back.
 
-use sorrelhinge_topology::drain::Target;
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
 
-use super::*;
+use sorrelhinge_topology::drain::{Drain, Target};
+
+use super::link::Link;
+use super::{
+    Coming, Core, FLEET_LOG_S, HANGS_REPORTS, IDLE_S, RECENT_S, SERVICE_ROOM, UNUSED_SHARE,
+};
+use crate::cloud::{Listed, MachinePhase, Rental};
+use crate::fleet;
+use crate::types::{Amount, JobSpec, Kind, MachineId, MachineType, Priority, Time, TypeName, Zone};
+use crate::worker::TaskPhase;
 
 /// Names of deleted machines are kept for so many leases, and so many of them.
 const DELETED_LEASES: f64 = 12.0;
--- /dev/null
+++ b/src/control/core/served.rs
@@ -0,0 +1,70 @@
+//! What the log says of who is served, and of the takeover.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sorrelhinge_blocks::served::{Sort, Waits};
+
+use super::Core;
+use crate::types::Time;
+
+/// How often it is told who is served, in seconds, and how often at the most if
+/// that changes.
+const SERVED_S: f64 = 30.0;
+const SERVED_LEAST_S: f64 = 5.0;
+
+impl Core {
+    /// Tells how long it took to hear of all machines, for the log.
+    pub(super) fn look_who_is_heard(&mut self, now: Time) {
+        let unheard = self.links.values().filter(|l| !l.fenced()).count();
+        let missing = self.cluster_state.unknown_machines().count();
+        let all = self.links.len() + missing;
+        if self.unheard_yet && all > 0 && (unheard + missing) * 50 <= all {
+            self.unheard_yet = false;
+            let after_s = (now.since(self.started) * 10.0).round() / 10.0;
+            tracing::info!(
+                after_s,
+                machines = all,
+                "heard of all machines but one in fifty"
+            );
+        }
+    }
+
+    /// Says in the log what each class and team gets, now and then and when it
+    /// changes who starves.
+    pub(super) fn tell_served(&mut self, now: Time) {
+        let mut waits: BTreeMap<Sort, Waits> = BTreeMap::new();
+        for (_, job) in self.cluster_state.wanting().filter(|(_, j)| !j.started) {
+            let w = waits.entry(job.sort()).or_default();
+            w.jobs += 1;
+            w.oldest_s = w.oldest_s.max(now.since(job.submitted));
+        }
+        self.largest_late(now);
+        let lines = self.served.lines(&waits);
+        let starving = lines.iter().filter(|l| l.starves);
+        let starving: BTreeSet<Sort> = starving.map(|l| l.sort.clone()).collect();
+        let due = match starving == self.starved {
+            true => SERVED_S,
+            false => SERVED_LEAST_S,
+        };
+        if now.since(self.last_served) < due {
+            return;
+        }
+        self.last_served = now;
+        self.starved = starving;
+        self.tell_lanes(now);
+        for l in lines {
+            tracing::info!(
+                block = %self.shard.block,
+                class = %l.sort.0,
+                team = %l.sort.1,
+                accepted = l.accepted,
+                started = l.started,
+                done = l.done,
+                waiting = l.waits.jobs,
+                oldest_s = (l.waits.oldest_s * 10.0).round() / 10.0,
+                starves = l.starves,
+                "served"
+            );
+        }
+    }
+}
--- a/src/control/core/sharing.rs
+++ b/src/control/core/sharing.rs
@@ -1,10 +1,17 @@
 //! Several blocks: what of a job others hold, what is left to them or to this
 //! block, its part of the limits, and handing it on.
 
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
+
 use sorrelhinge_blocks::slices::Need;
 use sorrelhinge_blocks::yields::{Leave, Waiting, Yields, LEFT_S, TAKEN_S};
 
-use super::*;
+use super::Core;
+use crate::sched::{Machine, Sent};
+use crate::state::record::{block_key, ChunkRecord, Phase};
+use crate::state::view::{JobEntry, View};
+use crate::types::{Amount, Attempt, JobId, Kind, MachineId, TaskId, Time, Zone};
 
 /// In which zone machines of all blocks are, as far as it was heard.
 pub type Places = Rc<std::cell::RefCell<HashMap<MachineId, Zone>>>;
--- a/src/control/core/staging.rs
+++ b/src/control/core/staging.rs
@@ -6,14 +6,23 @@
 //! between owners; of several each has its part of what is asked of the origin.
 
 use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::ops::Bound;
 
-use sorrelhinge_blocks::shard::BlockId;
+use sorrelhinge_blocks::shard::{BlockId, Shard};
 use sorrelhinge_staging::patience;
 use sorrelhinge_staging::plan::{Has, Limits, Ran, Source as From, Uploads, Wave};
 use sorrelhinge_staging::record::WaveRecord;
 
-use super::*;
+use super::Core;
+use crate::config::Config;
+use crate::sched::{Claim, Progress, Sent};
 use crate::state::record::{image_hash, wave_key};
+use crate::state::view::{Versioned, View};
+use crate::state::{Change, When};
+use crate::types::{Image, JobSpec, MachineId, Revision, TaskId, Time};
+use crate::worker::Report;
 
 /// Starts that wait are looked at so many at a time: with thousands of them, and
 /// no upload free, all at once would hold up everything else.
