--- a/src/control/core/load.rs
+++ b/src/control/core/load.rs
@@ -107,6 +107,8 @@
             uptake: Uptake::default(),
             claimed_cpu: 0,
             deaf_until: now,
+            starts_until: Time(f64::INFINITY),
+            starts_withheld: BTreeSet::new(),
             missing: BTreeMap::new(),
             listed: false,
             arrivals: BTreeMap::new(),
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -141,6 +141,10 @@
     claimed_cpu: i64,
     /// Until then silence tells nothing.
     deaf_until: Time,
+    /// No task is started after this; no bound until one is told.
+    starts_until: Time,
+    /// Machines on which starts were due since.
+    starts_withheld: BTreeSet<MachineId>,
     missing: BTreeMap<MachineId, u32>,
     /// A machine list was read under this grant.
     listed: bool,
