Freshness of the view: one decision, and never past what is safe

How old a view may be while workers are answered was counted in place, and at least one second: with cancel_s within a second of lease_s the last lease could outlast cancel_s. It is now a pure type with its proof, used by the controller.

An answer of the state service that leaves a gap, as the view was replaced by an older one between question and answer, was not taken in, and yet counted as fresh. View::apply now tells, and it does not.

--- /dev/null
+++ b/crates/overload/src/freshness.rs
@@ -0,0 +1,90 @@
+//! How old a view of the records may be while workers are answered by it.
+//!
+//! An answer to a report renews the worker's lease, and with it the life of every
+//! task on the machine. A controller that the state service does not serve cannot
+//! see that a job was cancelled through another one. So it answers only for as long
+//! as a lease renewed by the answer ends within `cancel_s` (PROTOCOL, "Rules":
+//! `ran_cancelled`) of any cancellation that the view may miss.
+//!
+//! # Why the bound is enough
+//!
+//! Let the read behind the view be sent at `r`, the cancellation be confirmed at `c`,
+//! a report be sent at `s`, and the check of [`Freshness::may_answer_workers`] be made
+//! at `a`, all of one ideal clock.
+//!
+//! 1. The read is linearizable and a cancellation is confirmed only once it is
+//!    recorded, so a cancellation that the view misses has `c > r`.
+//! 2. The check is made for a report that has arrived: `s < a`, however long the
+//!    report was on its way and by whom it was passed on.
+//! 3. The worker counts its lease from the *sending* of the report (PROTOCOL,
+//!    "Leases"), so it ends by `s + lease_s < a + lease_s` of the worker's clock. An
+//!    answer that is sent late, by a process that stood still after the check,
+//!    renews no longer; commands in it are dropped 4 s after `s`.
+//! 4. The check passes only while `a - r <= horizon` of the controller's clock.
+//!
+//! So the lease ends by `r + horizon + lease_s < c + horizon + lease_s`. Each of the
+//! two clocks and the one by which `cancel_s` is counted are off by [`CLOCK_DRIFT`] at
+//! the most; [`longest_safe_s`] takes that off. Whoever answers is held to the same
+//! bound by a view of its own, so the number of controllers that renew one lease,
+//! and the order of their answers, change nothing. A machine that hangs is no
+//! exception: its lease runs on, and was renewed only as above.
+
+use sorrelhinge_protocol::types::Time;
+
+/// Steady clocks of two machines drift apart by this part at the most (PROTOCOL,
+/// the list at the top).
+pub const CLOCK_DRIFT: f64 = 0.0005;
+/// Kept between the end of the last lease and `cancel_s`, in seconds: the worker has
+/// to notice that the lease has ended, and to end its tasks.
+const MARGIN_S: f64 = 3.0;
+/// While `cancel_s` leaves no room for the whole margin, workers are answered for this
+/// long if that is safe, in seconds: usually a read is not older.
+const LEAST_S: f64 = 1.0;
+
+/// The moment as of which a view shows all changes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Freshness {
+    read_sent_at: Time,
+}
+
+impl Freshness {
+    /// Of a view that a linearizable read sent at `sent_at` has replaced.
+    pub fn replaced(sent_at: Time) -> Self {
+        Self {
+            read_sent_at: sent_at,
+        }
+    }
+
+    /// A linearizable read sent at `sent_at` was taken into the view. Answers may
+    /// overtake each other: an older one makes the view no older.
+    #[must_use]
+    pub fn read(self, sent_at: Time) -> Self {
+        match sent_at > self.read_sent_at {
+            true => Self::replaced(sent_at),
+            false => self,
+        }
+    }
+
+    /// Seconds since the last read that the view rests on was sent.
+    pub fn age_s(self, now: Time) -> f64 {
+        now.since(self.read_sent_at)
+    }
+
+    /// Whether a report that has arrived may be answered by the view.
+    pub fn may_answer_workers(self, now: Time, lease_s: f64, cancel_s: f64) -> bool {
+        self.age_s(now) <= horizon_s(lease_s, cancel_s)
+    }
+}
+
+/// How old a view may be while workers are answered by it, in seconds. Negative if
+/// `cancel_s` is not longer than a lease: then no answer is safe.
+pub fn horizon_s(lease_s: f64, cancel_s: f64) -> f64 {
+    let usual = (cancel_s - lease_s - MARGIN_S).max(LEAST_S);
+    usual.min(longest_safe_s(lease_s, cancel_s))
+}
+
+/// The largest bound for which the proof above holds: the controller's and the
+/// worker's clock may be slow, the one that counts `cancel_s` fast.
+fn longest_safe_s(lease_s: f64, cancel_s: f64) -> f64 {
+    cancel_s * (1.0 - CLOCK_DRIFT) / (1.0 + CLOCK_DRIFT) - lease_s
+}
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`pressure`]: which resource binds, and what is shed while it does;
 //! - [`carry`]: how many machines can be served;
 //! - [`renewal`]: who renews leases while the owner of the machines has no time;
+//! - [`freshness`]: how old a view may be while workers are answered by it;
 //! - [`order`]: which report is a copy that came late;
 //! - [`hearing`]: whether a machine that reports also hears.
 //!
@@ -19,6 +20,7 @@
 
 pub mod asked;
 pub mod carry;
+pub mod freshness;
 pub mod hearing;
 pub mod order;
 pub mod pace;
--- a/src/control/following.rs
+++ b/src/control/following.rs
@@ -14,7 +14,7 @@
             return false;
         }
         let view = self.view.borrow();
-        let served = self.fresh_at.get().elapsed() < STALE;
+        let served = self.unserved() < STALE;
         let behind = self
             .behind_since
             .get()
@@ -86,8 +86,13 @@
         }
     }
 
+    /// For how long the state service has not served this controller.
+    pub(super) fn unserved(&self) -> Duration {
+        Duration::from_secs_f64(self.freshness.get().age_s(self.now()))
+    }
+
     pub(super) async fn read_new(&self, wait: Duration) -> bool {
-        let asked = Instant::now();
+        let asked = self.now();
         if !self.view.borrow().loaded {
             return self.read_all().await;
         }
@@ -98,17 +103,16 @@
             .await
         {
             Ok(events) => {
-                self.view.borrow_mut().apply(since, events);
+                let whole = self.view.borrow_mut().apply(since, events);
                 // A watch answers when something changes, or when its time is
                 // over: what it says was so at its end, but it may have been
-                // held up on the way. Only short reads count as fresh.
-                if wait.is_zero() {
-                    self.fresh_at.set(asked);
-                } else {
-                    self.fresh_at.set(self.fresh_at.get().max(asked));
+                // held up on the way. It too shows all that was so when it was
+                // sent; what does not fit the view shows nothing.
+                if whole {
+                    self.freshness.set(self.freshness.get().read(asked));
                 }
                 self.view_changed();
-                true
+                whole
             }
             Err(StateError::TooOld) => self.read_all().await,
             Err(error) => {
@@ -119,12 +123,12 @@
     }
 
     pub(super) async fn read_all(&self) -> bool {
-        let asked = Instant::now();
+        let asked = self.now();
         match self.state.read_all().await {
             Ok((ledger, items)) => {
                 tracing::info!(%ledger, keys = items.len(), "read everything");
                 self.view.borrow_mut().replace(ledger, items);
-                self.fresh_at.set(asked);
+                self.freshness.set(Freshness::replaced(asked));
                 self.view_changed();
                 true
             }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -26,6 +26,7 @@
 use sorrelhinge_lanes::part::Turn as LaneTurn;
 use sorrelhinge_lanes::LaneId;
 use sorrelhinge_overload::asked::Asked;
+use sorrelhinge_overload::freshness::Freshness;
 use sorrelhinge_overload::order::Order;
 use sorrelhinge_overload::pace::Pace;
 use sorrelhinge_overload::renewal::Renewals;
@@ -112,7 +113,8 @@
     sync_wanted: Notify,
     syncs_started: Cell<u64>,
     synced: watch::Sender<(u64, bool)>,
-    fresh_at: Cell<Instant>,
+    /// As of when the view shows all changes.
+    freshness: Cell<Freshness>,
     newest_hint: Cell<Revision>,
     behind_since: Cell<Option<Instant>>,
     work: Notify,
@@ -238,7 +240,7 @@
             sync_wanted: Notify::new(),
             syncs_started: Cell::new(0),
             synced: watch::Sender::new((0, false)),
-            fresh_at: Cell::new(Instant::now()),
+            freshness: Cell::new(Freshness::replaced(Time(0.0))),
             newest_hint: Cell::new(Revision(0)),
             behind_since: Cell::new(None),
             work: Notify::new(),
--- a/src/control/renewing.rs
+++ b/src/control/renewing.rs
@@ -15,10 +15,13 @@
 impl Node {
     /// Whether this controller's view of the records is new enough to answer
     /// workers without the state service: beyond this, a job may have been
-    /// cancelled elsewhere, and leases must be able to end its tasks in time.
+    /// cancelled elsewhere, and leases must be able to end its tasks in time
+    /// (`sorrelhinge_overload::freshness`). Asked before each answer, for a report
+    /// that has come.
     pub(super) fn knows_the_cancelled(&self) -> bool {
-        let horizon = (self.cfg.cancel_s - self.cfg.lease_s - 3.0).max(1.0);
-        self.view.borrow().loaded && self.fresh_at.get().elapsed().as_secs_f64() <= horizon
+        let (lease_s, cancel_s) = (self.cfg.lease_s, self.cfg.cancel_s);
+        let freshness = self.freshness.get();
+        self.view.borrow().loaded && freshness.may_answer_workers(self.now(), lease_s, cancel_s)
     }
 
     /// Whether a worker's lease may be renewed without its machine's owner:
--- a/src/control/workers.rs
+++ b/src/control/workers.rs
@@ -56,7 +56,7 @@
         Company {
             others: !self.cfg.others.is_empty(),
             unheard_s: unheard.as_secs_f64(),
-            unserved_s: self.fresh_at.get().elapsed().as_secs_f64(),
+            unserved_s: self.unserved().as_secs_f64(),
         }
     }
 
@@ -150,7 +150,7 @@
     /// Whether the state service serves others and not this controller.
     pub fn cut_off(&self) -> bool {
         let behind = self.behind_since.get();
-        behind.is_some_and(|t| t.elapsed() >= CUT_OFF) && self.fresh_at.get().elapsed() >= CUT_OFF
+        behind.is_some_and(|t| t.elapsed() >= CUT_OFF) && self.unserved() >= CUT_OFF
     }
 
     /// Passes a user's request on to a controller that may be served.
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -203,10 +203,15 @@
     }
 
     /// Takes in what following brought, asked for from `since`. Answers may
-    /// overtake each other, so an older one changes nothing.
-    pub fn apply(&mut self, since: Revision, events: Events) {
-        if since > self.ledger || events.ledger <= self.ledger {
-            return;
+    /// overtake each other, so an older one changes nothing. False if changes are
+    /// missing between the view and `since`, as it was replaced by an older one
+    /// meanwhile: then it does not show what the answer tells.
+    pub fn apply(&mut self, since: Revision, events: Events) -> bool {
+        if since > self.ledger {
+            return false;
+        }
+        if events.ledger <= self.ledger {
+            return true;
         }
         for event in &events.events {
             if event.stamp <= self.ledger {
@@ -219,6 +224,7 @@
             }
         }
         self.ledger = events.ledger;
+        true
     }
 
     fn write(&mut self, key: &str, value: &RawValue, stamp: Revision) {
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -15,6 +15,7 @@
 mod silence;
 mod store;
 mod takeover;
+mod views;
 mod worker;
 mod workload;
 mod world;
