A reading of everything that is answered late takes nothing back

Cause: a controller that starts reads everything twice at once, to follow and because a user or a hint asks. If the first reading was answered last, it replaced the newer view (View::replace), and changes asked for meanwhile no longer followed on it: View::apply dropped them, and read_new called the view fresh all the same. A poll was then answered 404 for an accepted job, and the view counted as fresh for renewals.

Changed: View::replace keeps what is newer; View::apply says whether the view is as new as the answer, and read_new calls it fresh only then. A late reading does not set fresh_at back.

--- a/src/control/following.rs
+++ b/src/control/following.rs
@@ -98,7 +98,12 @@
             .await
         {
             Ok(events) => {
-                self.view.borrow_mut().apply(since, events);
+                if !self.view.borrow_mut().apply(since, events) {
+                    // Changes are missing between what is known here and these: no
+                    // answer may rest on it.
+                    tracing::error!(%since, "changes that do not follow on what is known");
+                    return false;
+                }
                 // A watch answers when something changes, or when its time is
                 // over: what it says was so at its end, but it may have been
                 // held up on the way. Only short reads count as fresh.
@@ -124,7 +129,8 @@
             Ok((ledger, items)) => {
                 tracing::info!(%ledger, keys = items.len(), "read everything");
                 self.view.borrow_mut().replace(ledger, items);
-                self.fresh_at.set(asked);
+                // One that was sent earlier may be answered last.
+                self.fresh_at.set(self.fresh_at.get().max(asked));
                 self.view_changed();
                 true
             }
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -180,8 +180,15 @@
         Some(summary)
     }
 
-    /// Replaces everything by what was read.
+    /// Replaces everything by what was read, unless what is here is as new.
+    ///
+    /// Two readings can be on their way at once, and the older one can be answered
+    /// last. It hid jobs whose acceptance users had been told of, and changes that
+    /// were read after the newer one no longer followed on what was here.
     pub fn replace(&mut self, ledger: Revision, items: Vec<Item>) {
+        if self.loaded && ledger <= self.ledger {
+            return;
+        }
         let known: Vec<JobId> = self.jobs.keys().cloned().collect();
         let places: Vec<Revision> = self.jobs.values().map(|e| e.place).collect();
         *self = Self {
@@ -203,10 +210,15 @@
     }
 
     /// Takes in what following brought, asked for from `since`. Answers may
-    /// overtake each other, so an older one changes nothing.
-    pub fn apply(&mut self, since: Revision, events: Events) {
-        if since > self.ledger || events.ledger <= self.ledger {
-            return;
+    /// overtake each other, so an older one changes nothing. Returns whether what is
+    /// here is now at least as new as the answer: it is not if the answer does not
+    /// follow on what is here.
+    pub fn apply(&mut self, since: Revision, events: Events) -> bool {
+        if events.ledger <= self.ledger {
+            return true;
+        }
+        if since > self.ledger {
+            return false;
         }
         for event in &events.events {
             if event.stamp <= self.ledger {
@@ -219,6 +231,7 @@
             }
         }
         self.ledger = events.ledger;
+        true
     }
 
     fn write(&mut self, key: &str, value: &RawValue, stamp: Revision) {
