--- a/src/control/following.rs
+++ b/src/control/following.rs
@@ -128,7 +128,8 @@
             Ok((ledger, items)) => {
                 tracing::info!(%ledger, keys = items.len(), "read everything");
                 self.view.borrow_mut().replace(ledger, items);
-                self.freshness.set(Freshness::replaced(asked));
+                // One that was sent earlier may be answered last: the view is newer then.
+                self.freshness.set(self.freshness.get().read(asked));
                 self.view_changed();
                 true
             }
--- a/src/state/view.rs
+++ b/src/state/view.rs
@@ -180,8 +180,15 @@
         Some(summary)
     }
 
-    /// Replaces everything by what was read.
+    /// Replaces everything by what was read, unless what is here is as new.
+    ///
+    /// Two readings can be on their way at once, and the older one can be answered
+    /// last. It hid jobs whose acceptance users had been told of, and changes that
+    /// were read after the newer one no longer followed on what was here.
     pub fn replace(&mut self, ledger: Revision, items: Vec<Item>) {
+        if self.loaded && ledger <= self.ledger {
+            return;
+        }
         let known: Vec<JobId> = self.jobs.keys().cloned().collect();
         let places: Vec<Revision> = self.jobs.values().map(|e| e.place).collect();
         *self = Self {
@@ -203,16 +210,16 @@
     }
 
     /// Takes in what following brought, asked for from `since`. Answers may
-    /// overtake each other, so an older one changes nothing. False if changes are
-    /// missing between the view and `since`, as it was replaced by an older one
-    /// meanwhile: then it does not show what the answer tells.
+    /// overtake each other, so an older one changes nothing. Returns whether what is
+    /// here is now at least as new as the answer: it is not if the answer does not
+    /// follow on what is here.
     pub fn apply(&mut self, since: Revision, events: Events) -> bool {
-        if since > self.ledger {
-            return false;
-        }
         if events.ledger <= self.ledger {
             return true;
         }
+        if since > self.ledger {
+            return false;
+        }
         for event in &events.events {
             if event.stamp <= self.ledger {
                 continue;
