--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! 127.0.0.0/8, so networks tell where it is. All starts are checked as they
 //! happen: no task on two machines, no unit missing, broken or taken.
 
+pub mod history;
 pub mod lines;
 pub mod nodes;
 pub mod place;
