--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! 127.0.0.0/8, so networks tell where it is. All starts are checked as they
 //! happen: no task on two machines, no unit missing, broken or taken.
 
+pub mod cloud;
 pub mod history;
 pub mod lines;
 pub mod nodes;
@@ -32,8 +33,9 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use cloud::Cloud;
 use lines::Cut;
-use nodes::{Cloud, Nodes};
+use nodes::Nodes;
 use place::Place;
 use store::Store;
 
