--- a/crates/overload/src/turnstile.rs
+++ b/crates/overload/src/admission.rs
@@ -27,11 +27,11 @@
 
 /// Beyond this wait, in seconds, the newest reads first: most of those behind
 /// it would be given up before an answer, and then none would be in time.
-const NEWEST_FIRST_S: f64 = 1.5;
+const NEWEST_FIRST_AFTER_S: f64 = 1.5;
 
 /// Who waits to read. `T` stands for whoever waits.
 #[derive(Debug)]
-pub struct Turnstile<T> {
+pub struct AdmissionQueue<T> {
     queues: [VecDeque<(Time, T)>; CLASSES.len()],
     per_turn: usize,
     left: usize,
@@ -40,15 +40,15 @@
 
 /// What a turn comes to.
 #[derive(Debug, PartialEq, Eq)]
-pub struct Turn<T> {
+pub struct Admission<T> {
     /// These may read now.
-    pub pass: Vec<T>,
+    pub admitted: Vec<T>,
     /// These have waited for longer than anybody waits for an answer: reading
     /// what they ask would be in vain.
-    pub late: Vec<T>,
+    pub expired: Vec<T>,
 }
 
-impl<T> Turnstile<T> {
+impl<T> AdmissionQueue<T> {
     /// `per_turn` may read in a turn. Whoever asked has given up after
     /// `patience_s` seconds.
     pub fn new(per_turn: usize, patience_s: f64) -> Self {
@@ -61,7 +61,7 @@
     }
 
     /// Whether one more may read in this turn, ahead of nobody who waits.
-    pub fn pass(&mut self) -> bool {
+    pub fn try_admit(&mut self) -> bool {
         let free = self.left > 0 && self.waiting() == 0;
         if free {
             self.left -= 1;
@@ -70,7 +70,7 @@
     }
 
     /// Waits for a later turn.
-    pub fn wait(&mut self, class: Class, who: T, now: Time) {
+    pub fn enqueue(&mut self, class: Class, who: T, now: Time) {
         self.queues[class as usize].push_back((now, who));
     }
 
@@ -80,17 +80,19 @@
     }
 
     /// The next turn: one of each class, then in the order of the classes.
-    pub fn turn(&mut self, now: Time) -> Turn<T> {
-        let mut turn = Turn {
-            pass: Vec::new(),
-            late: Vec::new(),
+    pub fn admit_next(&mut self, now: Time) -> Admission<T> {
+        let mut admission = Admission {
+            admitted: Vec::new(),
+            expired: Vec::new(),
         };
         for queue in &mut self.queues {
             while queue
                 .front()
                 .is_some_and(|(since, _)| now.since(*since) > self.patience_s)
             {
-                turn.late.extend(queue.pop_front().map(|(_, who)| who));
+                admission
+                    .expired
+                    .extend(queue.pop_front().map(|(_, who)| who));
             }
         }
         self.left = self.per_turn;
@@ -99,7 +101,7 @@
                 for _ in 0..most.min(self.left) {
                     let crowded = queue
                         .front()
-                        .is_some_and(|(since, _)| now.since(*since) > NEWEST_FIRST_S);
+                        .is_some_and(|(since, _)| now.since(*since) > NEWEST_FIRST_AFTER_S);
                     let next = if crowded {
                         queue.pop_back()
                     } else {
@@ -107,11 +109,11 @@
                     };
                     let Some((_, who)) = next else { break };
                     self.left -= 1;
-                    turn.pass.push(who);
+                    admission.admitted.push(who);
                 }
             }
         }
-        turn
+        admission
     }
 
     /// How long the longest has waited, in seconds.
--- a/crates/overload/src/asked.rs
+++ b/crates/overload/src/asked.rs
@@ -5,8 +5,8 @@
 //! every 5 s, was then refused sixteen times in a row now and then: with thousands
 //! of jobs some were without an answer for over 75 s, which counts as forgotten.
 //!
-//! What is remembered is bounded: [`MOST_KNOWN`] jobs that are recorded and
-//! [`MOST_UNKNOWN`] ids that are not, apart, so that a flood of made-up ids pushes
+//! What is remembered is bounded: [`MAX_RECORDED_JOBS`] jobs that are recorded and
+//! [`MAX_UNRECORDED_JOBS`] ids that are not, apart, so that a flood of made-up ids pushes
 //! no real job out. An entry takes 25 bytes of a table that may be a little more
 //! than half empty once entries were removed: less than 2 MB for both. What there is
 //! no room for is not refused.
@@ -19,17 +19,17 @@
 
 /// How many recorded jobs are remembered: seven eighths of 32,768 places, 0.8 MB,
 /// or twice that after many removals.
-pub const MOST_KNOWN: usize = 28_672;
+pub const MAX_RECORDED_JOBS: usize = 28_672;
 /// How many ids that belong to no recorded job: an eighth of that.
-pub const MOST_UNKNOWN: usize = 3_584;
+pub const MAX_UNRECORDED_JOBS: usize = 3_584;
 /// An answer that is older, in seconds, is too old to refuse a newer one: users
 /// ask every 5 s, so every second poll is refused.
-pub const OLD_S: f64 = 9.0;
+pub const STALE_ANSWER_S: f64 = 9.0;
 /// Who did not ask for so long, in seconds, is forgotten: longer than the 75 s
 /// after which a job without an answer counts as forgotten.
-pub const FORGOTTEN_S: f64 = 120.0;
+pub const ASKED_MEMORY_S: f64 = 120.0;
 /// A full table is looked through no more often than this, in seconds.
-const TIDY_S: f64 = 5.0;
+const CLEANUP_INTERVAL_S: f64 = 5.0;
 
 /// What is done with a poll.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,9 +86,13 @@
     /// The entry of an id, new if there is room for it.
     fn entry(&mut self, key: u64, now: Time) -> Option<&mut Entry> {
         let full = self.entries.len() >= self.most && !self.entries.contains_key(&key);
-        if full && self.tidied.is_none_or(|t| now.since(t) >= TIDY_S) {
+        if full
+            && self
+                .tidied
+                .is_none_or(|t| now.since(t) >= CLEANUP_INTERVAL_S)
+        {
             self.tidied = Some(now);
-            let since = tenths(now).saturating_sub((FORGOTTEN_S * 10.0) as u32);
+            let since = tenths(now).saturating_sub((ASKED_MEMORY_S * 10.0) as u32);
             self.entries.retain(|_, e| e.asked >= since);
         }
         if self.entries.len() >= self.most && !self.entries.contains_key(&key) {
@@ -111,7 +115,7 @@
 
 impl Default for Asked {
     fn default() -> Self {
-        Self::new(MOST_KNOWN, MOST_UNKNOWN)
+        Self::new(MAX_RECORDED_JOBS, MAX_UNRECORDED_JOBS)
     }
 }
 
@@ -147,7 +151,7 @@
         };
         entry.asked = tenths(now);
         let old = match entry.answered {
-            Some(at) => tenths(now).saturating_sub(at.get()) >= (OLD_S * 10.0) as u32,
+            Some(at) => tenths(now).saturating_sub(at.get()) >= (STALE_ANSWER_S * 10.0) as u32,
             None => poll.known,
         };
         if old {
--- a/crates/overload/src/order.rs
+++ b/crates/overload/src/order.rs
@@ -12,10 +12,10 @@
 
 /// A machine that did not report for so long is forgotten, in seconds: well over
 /// a lease, and longer than packets are held.
-pub const KEPT_S: f64 = 600.0;
+pub const MACHINE_MEMORY_S: f64 = 600.0;
 /// So many machines are known at the most. Beyond, those that were quiet for
 /// longest are forgotten first.
-pub const MOST: usize = 20_000;
+pub const MAX_MACHINES: usize = 20_000;
 
 /// The newest report of each machine that came here.
 #[derive(Default)]
@@ -50,15 +50,17 @@
     }
 
     fn tidy(&mut self, now: Time) {
-        let full = self.newest.len() >= MOST;
-        let due = self.tidied.is_none_or(|t| now.since(t) > KEPT_S / 4.0);
+        let full = self.newest.len() >= MAX_MACHINES;
+        let due = self
+            .tidied
+            .is_none_or(|t| now.since(t) > MACHINE_MEMORY_S / 4.0);
         if !full && !due {
             return;
         }
         self.tidied = Some(now);
-        let mut keep_s = KEPT_S;
+        let mut keep_s = MACHINE_MEMORY_S;
         self.newest.retain(|_, (_, _, at)| now.since(*at) <= keep_s);
-        while self.newest.len() >= MOST {
+        while self.newest.len() >= MAX_MACHINES {
             keep_s /= 2.0;
             if keep_s < 1.0 {
                 self.newest.clear();
--- a/crates/overload/src/pace.rs
+++ b/crates/overload/src/pace.rs
@@ -14,7 +14,7 @@
 }
 
 /// How many times longer the pauses are for each second that requests wait.
-const YIELDS: f64 = 4.0;
+const SLOWDOWN_PER_WAIT_S: f64 = 4.0;
 
 impl Pace {
     /// Every `least_s` seconds, and for at most this `share` of the time; but
@@ -38,7 +38,7 @@
     /// `wait_s` seconds: the longer they do, the smaller its part, as an answer
     /// that comes too late costs a connection and a lease.
     pub fn done(&mut self, cost_s: f64, wait_s: f64, now: Time) {
-        let pause = (cost_s / self.share * (1.0 + YIELDS * wait_s.clamp(0.0, 2.0)))
+        let pause = (cost_s / self.share * (1.0 + SLOWDOWN_PER_WAIT_S * wait_s.clamp(0.0, 2.0)))
             .clamp(self.least_s, self.most_s);
         self.next = now.after(pause);
     }
--- a/crates/overload/src/pressure.rs
+++ b/crates/overload/src/pressure.rs
@@ -102,11 +102,11 @@
 }
 
 /// Time constant of the averages, in seconds.
-const SMOOTH_S: f64 = 1.5;
+const SMOOTHING_S: f64 = 1.5;
 /// A resource has to bind for so long before the next level sheds.
-const UP_S: f64 = 4.0;
+const RAISE_AFTER_S: f64 = 4.0;
 /// None may bind for so long before a level is left.
-const DOWN_S: f64 = 3.0;
+const LOWER_AFTER_S: f64 = 3.0;
 
 fn bounds(resource: Resource) -> Bounds {
     match resource {
@@ -157,9 +157,9 @@
     pub fn take(&mut self, sample: Sample, now: Time) -> bool {
         let before = (self.binds, self.level);
         let sheds_before = self.sheds.contains(&true);
-        let passed = self.last.map_or(SMOOTH_S, |t| now.since(t));
+        let passed = self.last.map_or(SMOOTHING_S, |t| now.since(t));
         self.last = Some(now);
-        let part = 1.0 - (-passed / SMOOTH_S).exp();
+        let part = 1.0 - (-passed / SMOOTHING_S).exp();
         let measured = [
             sample.wait_s,
             sample.sockets,
@@ -183,7 +183,7 @@
             self.since = Some(now);
         }
         let since = *self.since.get_or_insert(now);
-        let wait = if bound { UP_S } else { DOWN_S };
+        let wait = if bound { RAISE_AFTER_S } else { LOWER_AFTER_S };
         if now.since(since) >= wait {
             self.level = if bound {
                 self.level.up()
--- a/crates/overload/src/hearing.rs
+++ b/crates/overload/src/reachability.rs
@@ -1,4 +1,4 @@
-//! Whether a machine hears: that it reports shows nothing of what it is told.
+//! Whether a machine can be reached: that it reports shows nothing of what it is told.
 //!
 //! A machine whose reports arrived and which no command reached was usable again
 //! at each report: one task was claimed there 279 times in 280 s, a change each
@@ -7,39 +7,39 @@
 
 use sorrelhinge_protocol::types::Time;
 
-/// So many reports that show no effect make a machine one that may be deaf: the
+/// So many reports that show no effect make a machine one that may be unreachable: the
 /// first may have been on its way already, the second been made before the answer.
-pub const REPORTS: u32 = 3;
+pub const DOUBT_AFTER_REPORTS: u32 = 3;
 /// After an effect was seen, one command that fails proves nothing for so many
 /// report intervals.
-const SURE_REPORTS: f64 = 3.0;
-/// A machine that was deaf for a while rests after its first effect, longer each
+const CONFIRMED_REPORT_INTERVALS: f64 = 3.0;
+/// A machine that could not be reached for a while gets nothing new after its first effect, longer each
 /// time, in seconds. One that hears now and then cost claims at each time.
-const REST_S: f64 = 4.0;
-const MOST_REST_S: f64 = 128.0;
+const FIRST_QUARANTINE_S: f64 = 4.0;
+const MAX_QUARANTINE_S: f64 = 128.0;
 /// What it did before that, in seconds, is forgotten.
-const FORGOTTEN_S: f64 = 600.0;
+const SPELL_MEMORY_S: f64 = 600.0;
 /// So many sessions in a row that ended though reports were answered: some may be
 /// bad luck, where connections break.
-const LOST_SESSIONS: u32 = 3;
+const MAX_LOST_SESSIONS: u32 = 3;
 /// A session that lasted for more leases had an answer.
-const HEARD_LEASES: f64 = 1.5;
+const ANSWERED_SESSION_LEASES: f64 = 1.5;
 /// Whose lease ends while it is silent for this part of it hung, or was cut off.
-const SILENT_LEASES: f64 = 0.9;
+const SILENT_GAP_LEASES: f64 = 0.9;
 
-/// What tells whether one machine hears.
+/// What tells whether one machine can be reached.
 #[derive(Clone, Debug, Default)]
-pub struct Hearing {
+pub struct Reachability {
     /// When an effect was last seen.
     proved: Option<Time>,
     /// Since when it is asked for one.
     asked: Option<Time>,
     /// Reports since then.
     reports: u32,
-    /// How often it was deaf, and until when it rests.
+    /// How often it could not be reached, and until when it is quarantined.
     spells: u32,
     last_spell: Option<Time>,
-    rests_until: Option<Time>,
+    quarantined_until: Option<Time>,
     /// Its reports have been answered all the time since, and last.
     answered_since: Option<Time>,
     answered: Option<Time>,
@@ -49,7 +49,7 @@
     last_lost: Option<Time>,
 }
 
-impl Hearing {
+impl Reachability {
     /// Something was sent whose effect its reports have to show.
     pub fn asked(&mut self, now: Time) {
         if self.asked.is_none() {
@@ -73,42 +73,44 @@
     }
 
     /// Whether an effect is waited for.
-    pub fn waits(&self) -> bool {
+    pub fn awaits_effect(&self) -> bool {
         self.asked.is_some()
     }
 
     /// An effect was seen: one bit of it ends all doubt.
     pub fn proved(&mut self, now: Time) {
-        if self.asked.is_some() && self.reports > REPORTS {
-            let old = self.last_spell.is_none_or(|t| now.since(t) > FORGOTTEN_S);
+        if self.asked.is_some() && self.reports > DOUBT_AFTER_REPORTS {
+            let old = self
+                .last_spell
+                .is_none_or(|t| now.since(t) > SPELL_MEMORY_S);
             self.spells = if old { 1 } else { self.spells + 1 };
             self.last_spell = Some(now);
-            let rest = REST_S * f64::from(self.spells.min(16) - 1).exp2();
-            self.rests_until = Some(now.after(rest.min(MOST_REST_S)));
+            let rest = FIRST_QUARANTINE_S * f64::from(self.spells.min(16) - 1).exp2();
+            self.quarantined_until = Some(now.after(rest.min(MAX_QUARANTINE_S)));
         }
         self.proved = Some(now);
         self.asked = None;
         self.reports = 0;
     }
 
-    /// Whether it heard a moment ago.
-    pub fn is_sure(&self, report_s: f64, now: Time) -> bool {
+    /// Whether an effect was seen a moment ago.
+    pub fn is_confirmed(&self, report_s: f64, now: Time) -> bool {
         self.proved
-            .is_some_and(|t| now.since(t) < SURE_REPORTS * report_s)
+            .is_some_and(|t| now.since(t) < CONFIRMED_REPORT_INTERVALS * report_s)
     }
 
-    /// Whether it may be deaf: nothing new is to count on it.
+    /// Whether it may be unreachable: nothing new is to count on it.
     pub fn in_doubt(&self) -> bool {
-        self.asked.is_some() && self.reports > REPORTS
+        self.asked.is_some() && self.reports > DOUBT_AFTER_REPORTS
     }
 
-    /// Whether it rests after it was deaf.
-    pub fn rests(&self, now: Time) -> bool {
-        self.rests_until.is_some_and(|t| now < t)
+    /// Whether it is quarantined after it could not be reached.
+    pub fn is_quarantined(&self, now: Time) -> bool {
+        self.quarantined_until.is_some_and(|t| now < t)
     }
 
-    /// Whether it was deaf for `patience_s` while its reports came and were answered.
-    pub fn is_deaf(&self, patience_s: f64, now: Time) -> bool {
+    /// Whether it could not be reached for `patience_s` while its reports came and were answered.
+    pub fn is_unreachable(&self, patience_s: f64, now: Time) -> bool {
         self.in_doubt() && self.asked.is_some_and(|t| now.since(t) >= patience_s)
     }
 
@@ -116,7 +118,7 @@
     pub fn answered(&mut self, lease_s: f64, now: Time) {
         self.unanswered = false;
         // One that hangs until its lease ends is silent for as long.
-        let gap = |t: Time| now.since(t) > SILENT_LEASES * lease_s;
+        let gap = |t: Time| now.since(t) > SILENT_GAP_LEASES * lease_s;
         if self.answered.is_none_or(gap) || self.answered_since.is_none() {
             self.answered_since = Some(now);
         }
@@ -127,7 +129,7 @@
     /// its reports were answered all the time, and its leases ended all the same,
     /// one after the other. What is started there ends with the next lease.
     pub fn session_ended(&mut self, lease_s: f64, now: Time) -> bool {
-        let most = SILENT_LEASES * lease_s;
+        let most = SILENT_GAP_LEASES * lease_s;
         let lately = self.answered.is_some_and(|t| now.since(t) <= most);
         let long = self.answered_since.is_some_and(|t| now.since(t) >= most);
         self.answered_since = None;
@@ -135,9 +137,9 @@
             return false;
         }
         let row = self.last_lost;
-        let row = row.is_some_and(|t| now.since(t) <= HEARD_LEASES * lease_s);
+        let row = row.is_some_and(|t| now.since(t) <= ANSWERED_SESSION_LEASES * lease_s);
         self.lost_sessions = if row { self.lost_sessions + 1 } else { 1 };
         self.last_lost = Some(now);
-        self.lost_sessions >= LOST_SESSIONS
+        self.lost_sessions >= MAX_LOST_SESSIONS
     }
 }
--- a/crates/overload/src/renewal.rs
+++ b/crates/overload/src/renewal.rs
@@ -55,9 +55,9 @@
 /// At the most one machine's reports in so many seconds are kept from the
 /// owner, as a multiple of the usual time between two. The owner's commands wait
 /// for no longer.
-const REPORTS: f64 = 2.5;
+const MAX_WITHHELD_REPORT_INTERVALS: f64 = 2.5;
 /// Machines that did not report for so many of them are forgotten.
-const FORGOTTEN: f64 = 12.0;
+const FORGOTTEN_REPORT_INTERVALS: f64 = 12.0;
 
 impl Renewals {
     /// What to do with a report. `relief`: the owner asks to be spared those
@@ -75,7 +75,7 @@
             return Route::Ask;
         };
         asked.seen = now;
-        let lately = now.since(asked.at) < REPORTS * report_s;
+        let lately = now.since(asked.at) < MAX_WITHHELD_REPORT_INTERVALS * report_s;
         if relief && lately && asked.content == content {
             Route::Renew
         } else {
@@ -104,7 +104,7 @@
     }
 
     fn tidy(&mut self, report_s: f64, now: Time) {
-        let keep_s = FORGOTTEN * report_s;
+        let keep_s = FORGOTTEN_REPORT_INTERVALS * report_s;
         if self.tidied.is_none_or(|t| now.since(t) > keep_s / 2.0) {
             self.tidied = Some(now);
             self.asked.retain(|_, a| now.since(a.seen) <= keep_s);
@@ -123,9 +123,9 @@
 }
 
 /// Requests wait for so long, in seconds: relief is asked for.
-const SHORT_S: f64 = 0.25;
+const LONG_WAIT_S: f64 = 0.25;
 /// So long is no delay.
-const CALM_S: f64 = 0.08;
+const CALM_WAIT_S: f64 = 0.08;
 /// For so long there must have been none.
 const CALM_FOR_S: f64 = 20.0;
 
@@ -133,13 +133,13 @@
     /// Takes in how long requests wait, in seconds, and whether all workers
     /// report elsewhere already.
     pub fn take(&mut self, spread: bool, wait_s: f64, now: Time) {
-        if wait_s > CALM_S {
+        if wait_s > CALM_WAIT_S {
             self.calm_since = None;
         } else {
             self.calm_since.get_or_insert(now);
         }
         let calm = self.calm_since.is_some_and(|t| now.since(t) >= CALM_FOR_S);
-        if spread && wait_s > SHORT_S {
+        if spread && wait_s > LONG_WAIT_S {
             self.on = true;
         } else if calm || !spread {
             self.on = false;
--- a/crates/overload/src/spread.rs
+++ b/crates/overload/src/report_offload.rs
@@ -11,26 +11,26 @@
 use sorrelhinge_protocol::types::{MachineId, NodeId, Time};
 
 /// Above this part of the connections that workers may hold, some are sent
-/// elsewhere; they come back below `RETURN` of it.
-const SEND: f64 = 0.8;
-const RETURN: f64 = 0.5;
+/// elsewhere; they come back below `RETURN_BELOW_SHARE` of it.
+const OFFLOAD_ABOVE_SHARE: f64 = 0.8;
+const RETURN_BELOW_SHARE: f64 = 0.5;
 /// With this much waiting, in seconds, more are sent elsewhere.
-const WAIT_S: f64 = 0.15;
+const LONG_WAIT_S: f64 = 0.15;
 /// One step of the part, and how long it is given to show, in seconds.
-const STEP: f64 = 0.2;
-const STEP_EVERY_S: f64 = 2.0;
-const BACK_EVERY_S: f64 = 15.0;
+const STEP_SHARE: f64 = 0.2;
+const STEP_INTERVAL_S: f64 = 2.0;
+const RETURN_INTERVAL_S: f64 = 15.0;
 
 /// The part of the workers that reports elsewhere.
 #[derive(Clone, Debug, Default)]
-pub struct Spread {
+pub struct ReportOffload {
     share: f64,
     since: Option<Time>,
 }
 
 /// What it is decided from.
 #[derive(Clone, Copy, Debug)]
-pub struct Crowd {
+pub struct ReportLoad {
     /// Machines there are.
     pub machines: usize,
     /// Connections that workers may hold here.
@@ -41,7 +41,7 @@
     pub helpers: usize,
 }
 
-impl Spread {
+impl ReportOffload {
     /// Starts with the part that an earlier owner had.
     pub fn from_share(share: f64) -> Self {
         Self {
@@ -51,27 +51,27 @@
     }
 
     /// Takes in how things stand.
-    pub fn take(&mut self, crowd: Crowd, now: Time) {
-        let room = crowd.room.max(1) as f64;
-        let machines = crowd.machines as f64;
+    pub fn take(&mut self, report_load: ReportLoad, now: Time) {
+        let room = report_load.room.max(1) as f64;
+        let machines = report_load.machines as f64;
         let quiet_s = self.since.map_or(f64::INFINITY, |t| now.since(t));
-        if crowd.helpers == 0 {
+        if report_load.helpers == 0 {
             self.share = 0.0;
             return;
         }
         // Sockets can be counted ahead: no step has to show first.
-        let needed = (1.0 - SEND * room / machines.max(1.0)).max(0.0);
+        let needed = (1.0 - OFFLOAD_ABOVE_SHARE * room / machines.max(1.0)).max(0.0);
         if needed > self.share {
             self.share = needed;
             self.since = Some(now);
-        } else if crowd.wait_s > WAIT_S {
-            if quiet_s >= STEP_EVERY_S {
-                self.share = (self.share + STEP).min(1.0);
+        } else if report_load.wait_s > LONG_WAIT_S {
+            if quiet_s >= STEP_INTERVAL_S {
+                self.share = (self.share + STEP_SHARE).min(1.0);
                 self.since = Some(now);
             }
-        } else if quiet_s >= BACK_EVERY_S {
-            let fits = (1.0 - RETURN * room / machines.max(1.0)).max(0.0);
-            self.share = (self.share - STEP / 2.0).max(fits).min(self.share);
+        } else if quiet_s >= RETURN_INTERVAL_S {
+            let fits = (1.0 - RETURN_BELOW_SHARE * room / machines.max(1.0)).max(0.0);
+            self.share = (self.share - STEP_SHARE / 2.0).max(fits).min(self.share);
             self.since = Some(now);
         }
     }
--- a/crates/overload/src/sockets.rs
+++ b/crates/overload/src/sockets.rs
@@ -11,7 +11,7 @@
 
 use sorrelhinge_protocol::types::Time;
 
-use crate::turnstile::{Class, CLASSES};
+use crate::admission::{Class, CLASSES};
 
 /// A connection; a later one has a higher number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -33,31 +33,32 @@
 
 /// The state service's connections, the cloud's, listeners and what the
 /// process has open anyway.
-const OUTSIDE: usize = 48;
+const RESERVED_SOCKETS: usize = 48;
 /// To and from each other controller, also while an old connection still ends.
-const EACH_PEER: usize = 6;
+const SOCKETS_PER_PEER: usize = 6;
 /// At most this part is set aside.
-const MOST_ASIDE: usize = 3;
+const RESERVED_DIVISOR: usize = 3;
 /// Part of the rest beyond which connections end with each answer.
-const IDLE_WORKERS: f64 = 0.6;
-const WORKERS: f64 = 0.8;
-const USERS: f64 = 0.9;
+const IDLE_WORKERS_SHARE: f64 = 0.6;
+const WORKERS_SHARE: f64 = 0.8;
+const USERS_SHARE: f64 = 0.9;
 /// A connection on which nothing was asked yet is left alone for so long, in
 /// seconds.
-const GRACE_S: f64 = 1.0;
+const NEW_CONNECTION_GRACE_S: f64 = 1.0;
 
 impl Limits {
     /// Of `sockets` in all, with so many other controllers, and up to `direct`
     /// commands under way to workers.
     pub fn of(sockets: usize, others: usize, direct: usize) -> Self {
-        let aside = (OUTSIDE + EACH_PEER * others + direct).min(sockets / MOST_ASIDE);
+        let aside =
+            (RESERVED_SOCKETS + SOCKETS_PER_PEER * others + direct).min(sockets / RESERVED_DIVISOR);
         let most = (sockets - aside).max(1);
         let part = |p: f64| ((most as f64 * p) as usize).max(1);
         Self {
             most,
-            idle_workers: part(IDLE_WORKERS),
-            workers: part(WORKERS),
-            users: part(USERS),
+            idle_workers: part(IDLE_WORKERS_SHARE),
+            workers: part(WORKERS_SHARE),
+            users: part(USERS_SHARE),
         }
     }
 }
@@ -97,7 +98,7 @@
 
 /// In which order classes give way, once nobody is left who connected and
 /// asked nothing.
-const GIVE_WAY: [Class; 4] = [Class::Idle, Class::Busy, Class::User, Class::New];
+const EVICTION_ORDER: [Class; 4] = [Class::Idle, Class::Busy, Class::User, Class::New];
 
 impl Sockets {
     /// None yet.
@@ -153,9 +154,9 @@
     fn longest_idle(&mut self, now: Time) -> Option<ConnId> {
         let silent = self.idle[Class::New as usize]
             .first_key_value()
-            .is_some_and(|(_, (_, since))| now.since(*since) >= GRACE_S);
+            .is_some_and(|(_, (_, since))| now.since(*since) >= NEW_CONNECTION_GRACE_S);
         let first = silent.then_some(Class::New);
-        let class = first.into_iter().chain(GIVE_WAY).find(|c| {
+        let class = first.into_iter().chain(EVICTION_ORDER).find(|c| {
             // One that connected just now did so to ask something.
             (*c != Class::New || silent) && !self.idle[*c as usize].is_empty()
         })?;
--- a/crates/overload/tests/model.rs
+++ b/crates/overload/tests/model.rs
@@ -1,16 +1,16 @@
 //! The decisions against slow plain models, over generated orders of events.
 
 use proptest::prelude::*;
-use sorrelhinge_overload::asked::{Asked, Poll, Verdict, FORGOTTEN_S, OLD_S};
-use sorrelhinge_overload::carry::{Carry, Uptake};
-use sorrelhinge_overload::hearing::{Hearing, REPORTS};
-use sorrelhinge_overload::order::{Order, KEPT_S, MOST};
+use sorrelhinge_overload::admission::{AdmissionQueue, Class, CLASSES};
+use sorrelhinge_overload::asked::{Asked, Poll, Verdict, ASKED_MEMORY_S, STALE_ANSWER_S};
+use sorrelhinge_overload::fleet_limit::{ClaimRate, FleetLimit};
+use sorrelhinge_overload::order::{Order, MACHINE_MEMORY_S, MAX_MACHINES};
 use sorrelhinge_overload::pace::Pace;
 use sorrelhinge_overload::pressure::{Level, Pressure, Resource, Sample};
+use sorrelhinge_overload::reachability::{Reachability, DOUBT_AFTER_REPORTS};
 use sorrelhinge_overload::renewal::{Content, Relief, Renewals, Route};
+use sorrelhinge_overload::report_offload::{ReportLoad, ReportOffload};
 use sorrelhinge_overload::sockets::{ConnId, Limits, Opened, Sockets};
-use sorrelhinge_overload::spread::{Crowd, Spread};
-use sorrelhinge_overload::turnstile::{Class, Turnstile, CLASSES};
 use sorrelhinge_protocol::types::{JobId, MachineId, NodeId, Seq, Session, Time};
 use sorrelhinge_protocol::worker::Report;
 
@@ -152,45 +152,45 @@
     /// Everybody who waits passes or is told that it is too late, once; nobody
     /// is passed by for ever, and no turn lets in more than its number.
     #[test]
-    fn everybody_passes_the_turnstile_once_or_is_late(
+    fn everybody_is_admitted_once_or_expires(
         arrivals in prop::collection::vec((0_usize..4, 0_u8..6), 1..300),
     ) {
-        let mut stile: Turnstile<usize> = Turnstile::new(6, 4.0);
+        let mut queue: AdmissionQueue<usize> = AdmissionQueue::new(6, 4.0);
         let mut now = 0.0;
         let mut waiting: Vec<(usize, f64)> = Vec::new();
         let (mut passed, mut late) = (0, 0);
-        let mut turn = |stile: &mut Turnstile<usize>, waiting: &mut Vec<(usize, f64)>, now: f64| {
-            let turn = stile.turn(Time(now));
-            assert!(turn.pass.len() <= 6);
-            for who in &turn.pass {
+        let mut turn = |queue: &mut AdmissionQueue<usize>, waiting: &mut Vec<(usize, f64)>, now: f64| {
+            let turn = queue.admit_next(Time(now));
+            assert!(turn.admitted.len() <= 6);
+            for who in &turn.admitted {
                 let at = waiting.iter().position(|(w, _)| w == who).expect("it waits");
                 assert!(now - waiting.swap_remove(at).1 <= 4.0, "reading it would be in vain");
             }
-            for who in &turn.late {
+            for who in &turn.expired {
                 let at = waiting.iter().position(|(w, _)| w == who).expect("it waits");
                 assert!(now - waiting.swap_remove(at).1 > 4.0);
             }
-            passed += turn.pass.len();
-            late += turn.late.len();
+            passed += turn.admitted.len();
+            late += turn.expired.len();
         };
         let mut direct = 0;
         for (who, (class, pause)) in arrivals.iter().enumerate() {
-            if stile.pass() {
+            if queue.try_admit() {
                 direct += 1;
                 prop_assert!(waiting.is_empty(), "ahead of somebody who waits");
             } else {
-                stile.wait(CLASSES[*class], who, Time(now));
+                queue.enqueue(CLASSES[*class], who, Time(now));
                 waiting.push((who, now));
             }
-            prop_assert_eq!(stile.waiting(), waiting.len());
+            prop_assert_eq!(queue.waiting(), waiting.len());
             if *pause == 5 {
                 now += 0.5;
-                turn(&mut stile, &mut waiting, now);
+                turn(&mut queue, &mut waiting, now);
             }
         }
-        while stile.waiting() > 0 {
+        while queue.waiting() > 0 {
             now += 0.3;
-            turn(&mut stile, &mut waiting, now);
+            turn(&mut queue, &mut waiting, now);
         }
         prop_assert_eq!(direct + passed + late, arrivals.len());
     }
@@ -198,19 +198,19 @@
 
 /// Each class has a place in each turn, however many of a better class wait.
 #[test]
-fn no_class_starves_at_the_turnstile() {
-    let mut stile = Turnstile::new(8, 60.0);
-    while stile.pass() {}
+fn no_class_starves_in_the_admission_queue() {
+    let mut queue = AdmissionQueue::new(8, 60.0);
+    while queue.try_admit() {}
     for n in 0..400 {
-        stile.wait(Class::New, ("new", n), Time(0.0));
+        queue.enqueue(Class::New, ("new", n), Time(0.0));
     }
-    stile.wait(Class::Idle, ("idle", 0), Time(0.0));
-    stile.wait(Class::User, ("user", 0), Time(0.0));
-    let turn = stile.turn(Time(0.1));
-    assert!(turn.pass.contains(&("idle", 0)) && turn.pass.contains(&("user", 0)));
-    assert_eq!(turn.pass.len(), 8);
+    queue.enqueue(Class::Idle, ("idle", 0), Time(0.0));
+    queue.enqueue(Class::User, ("user", 0), Time(0.0));
+    let turn = queue.admit_next(Time(0.1));
+    assert!(turn.admitted.contains(&("idle", 0)) && turn.admitted.contains(&("user", 0)));
+    assert_eq!(turn.admitted.len(), 8);
     // Once the wait is long, whoever came last is still waited for.
-    assert_eq!(stile.turn(Time(3.0)).pass[0], ("new", 399));
+    assert_eq!(queue.admit_next(Time(3.0)).admitted[0], ("new", 399));
 }
 
 /// Room is set aside for the service's own connections whatever the bound is.
@@ -318,41 +318,41 @@
 /// with room to spare, and is forgotten once the fleet is far below it.
 #[test]
 fn the_bound_on_machines_is_found_and_forgotten() {
-    let mut carry = Carry::default();
-    carry.take(5000, 0.0, false, Time(0.0));
-    assert_eq!(carry.most(), None);
+    let mut fleet_limit = FleetLimit::default();
+    fleet_limit.take(5000, 0.0, false, Time(0.0));
+    assert_eq!(fleet_limit.most(), None);
     for half in 0..12 {
-        carry.take(5000, 1.5, true, Time(f64::from(half) * 0.5));
+        fleet_limit.take(5000, 1.5, true, Time(f64::from(half) * 0.5));
     }
-    let most = carry.most().expect("a bound");
+    let most = fleet_limit.most().expect("a bound");
     assert!((4400..4800).contains(&most), "two steps: {most}");
     // What is claimed is bounded too: room for more than that is enough.
-    let mut uptake = Uptake::default();
+    let mut claim_rate = ClaimRate::default();
     for second in 0..60 {
-        uptake.take(50_000, Time(f64::from(second)));
+        claim_rate.take(50_000, Time(f64::from(second)));
     }
-    assert!(uptake.lasts(2_000_000, 20.0) && !uptake.lasts(1_000_000, 20.0));
-    carry.take(5000, 0.4, false, Time(10.0));
+    assert!(claim_rate.lasts(2_000_000, 20.0) && !claim_rate.lasts(1_000_000, 20.0));
+    fleet_limit.take(5000, 0.4, false, Time(10.0));
     assert_eq!(
-        carry.most(),
+        fleet_limit.most(),
         Some(most),
         "it still waits: no more are rented"
     );
     for second in 0..60 {
-        carry.take(4500, 0.0, false, Time(10.0 + f64::from(second)));
+        fleet_limit.take(4500, 0.0, false, Time(10.0 + f64::from(second)));
     }
-    assert!(carry.most().is_some_and(|m| m > most));
+    assert!(fleet_limit.most().is_some_and(|m| m > most));
     for second in 0..60 {
-        carry.take(300, 0.0, false, Time(80.0 + f64::from(second)));
+        fleet_limit.take(300, 0.0, false, Time(80.0 + f64::from(second)));
     }
-    assert_eq!(carry.most(), None);
+    assert_eq!(fleet_limit.most(), None);
 }
 
 /// Workers are sent elsewhere before the sockets are full, always the same
 /// ones first, evenly over the helpers, and come back once there is room.
 #[test]
 fn workers_are_spread_before_the_sockets_are_full() {
-    let crowd = |machines: usize, wait_s: f64, helpers: usize| Crowd {
+    let report_load = |machines: usize, wait_s: f64, helpers: usize| ReportLoad {
         machines,
         room: 2000,
         wait_s,
@@ -362,18 +362,18 @@
     let machines: Vec<MachineId> = (0..6000)
         .map(|n| MachineId::from(format!("vm-{n:06}").as_str()))
         .collect();
-    let homes = |spread: &Spread, helpers: &[NodeId]| -> Vec<Option<NodeId>> {
-        let home = |m| spread.home(m, helpers.iter()).cloned();
+    let homes = |offload: &ReportOffload, helpers: &[NodeId]| -> Vec<Option<NodeId>> {
+        let home = |m| offload.home(m, helpers.iter()).cloned();
         machines.iter().map(home).collect()
     };
-    let mut spread = Spread::default();
-    spread.take(crowd(1500, 0.0, 3), Time(0.0));
-    assert_eq!(spread.share(), 0.0, "one controller is enough");
-    assert!(homes(&spread, &helpers).iter().all(Option::is_none));
-    spread.take(crowd(6000, 0.0, 0), Time(1.0));
-    assert_eq!(spread.share(), 0.0, "nobody helps");
-    spread.take(crowd(6000, 0.0, 3), Time(2.0));
-    let first = homes(&spread, &helpers);
+    let mut offload = ReportOffload::default();
+    offload.take(report_load(1500, 0.0, 3), Time(0.0));
+    assert_eq!(offload.share(), 0.0, "one controller is enough");
+    assert!(homes(&offload, &helpers).iter().all(Option::is_none));
+    offload.take(report_load(6000, 0.0, 0), Time(1.0));
+    assert_eq!(offload.share(), 0.0, "nobody helps");
+    offload.take(report_load(6000, 0.0, 3), Time(2.0));
+    let first = homes(&offload, &helpers);
     let here = first.iter().filter(|h| h.is_none()).count();
     assert!(here <= 1700, "{here} stay, of room for 2,000");
     for helper in &helpers {
@@ -381,22 +381,22 @@
         assert!((1200..1800).contains(&there), "{there} at {helper}");
     }
     for second in 3..10 {
-        spread.take(crowd(6000, 0.5, 3), Time(f64::from(second)));
+        offload.take(report_load(6000, 0.5, 3), Time(f64::from(second)));
     }
-    let more = homes(&spread, &helpers);
+    let more = homes(&offload, &helpers);
     for (before, after) in first.iter().zip(&more) {
         assert!(before.is_none() || before == after, "nobody is moved about");
     }
     // One helper goes: only its workers have a new home.
-    let fewer = homes(&spread, &helpers[..2]);
+    let fewer = homes(&offload, &helpers[..2]);
     for (before, after) in more.iter().zip(&fewer) {
         let lost = before.as_ref() == Some(&helpers[2]);
         assert!(lost || before == after);
     }
     for second in 10..600 {
-        spread.take(crowd(800, 0.0, 3), Time(f64::from(second)));
+        offload.take(report_load(800, 0.0, 3), Time(f64::from(second)));
     }
-    assert_eq!(spread.share(), 0.0, "all are back");
+    assert_eq!(offload.share(), 0.0, "all are back");
 }
 
 /// A report as a worker makes it; `what` stands for all that its tasks tell.
@@ -490,7 +490,7 @@
             now += (pause * 10.0_f64).round() / 10.0;
             let (job, known) = (run(n), n < 6);
             let verdict = asked.poll(Poll { job: &job, known, shed }, Time(now));
-            let age = |at: f64| now - at - OLD_S;
+            let age = |at: f64| now - at - STALE_ANSWER_S;
             let expected = match last.get(&n) {
                 _ if !shed => Verdict::Answer,
                 None if known => Verdict::Answer,
@@ -564,7 +564,7 @@
         }
         verdict
     };
-    let later = 6.0 + FORGOTTEN_S;
+    let later = 6.0 + ASKED_MEMORY_S;
     let (answer, refuse) = (Verdict::Answer, Verdict::Refuse);
     for (n, at, verdict) in [
         (0, 1.0, answer),
@@ -613,17 +613,22 @@
     let mut order = Order::default();
     let id = |n: usize| MachineId::from(&*format!("vm-{n:07}"));
     let stays = id(9_999_999);
-    for n in 0..3 * MOST {
+    for n in 0..3 * MAX_MACHINES {
         let now = Time(n as f64 * 0.001);
         assert!(order.is_new(&id(n), Session(1), Seq(1), now));
         if n % 100 == 0 {
             assert!(order.is_new(&stays, Session(1), Seq(n as u64 + 1), now));
         }
-        assert!(order.len() <= MOST + 1);
+        assert!(order.len() <= MAX_MACHINES + 1);
     }
     let again = order.is_new(&stays, Session(1), Seq(1), Time(61.0));
     assert!(!again, "it is known");
-    order.is_new(&stays, Session(2), Seq(1), Time(61.0 + 2.0 * KEPT_S));
+    order.is_new(
+        &stays,
+        Session(2),
+        Seq(1),
+        Time(61.0 + 2.0 * MACHINE_MEMORY_S),
+    );
     assert_eq!(order.len(), 1);
 }
 
@@ -650,24 +655,24 @@
     /// Against the whole history: nobody is deaf who showed an effect, was asked for
     /// none, or was told nothing in that time.
     #[test]
-    fn nobody_is_deaf_without_evidence(history in prop::collection::vec(told(), 1..200)) {
+    fn nothing_is_unreachable_without_evidence(history in prop::collection::vec(told(), 1..200)) {
         let (patience, lease) = (5.0, 20.0);
-        let mut hearing = Hearing::default();
+        let mut reachability = Reachability::default();
         let (mut now, mut log) = (0.0, Vec::new());
         for what in history {
             match what {
-                Told::Asked => hearing.asked(Time(now)),
+                Told::Asked => reachability.asked(Time(now)),
                 Told::Report(answered) => {
-                    hearing.reported(Time(now));
+                    reachability.reported(Time(now));
                     if answered {
-                        hearing.answered(lease, Time(now));
+                        reachability.answered(lease, Time(now));
                     }
                 }
-                Told::Proved => hearing.proved(Time(now)),
+                Told::Proved => reachability.proved(Time(now)),
                 Told::Pause(tenths) => now += f64::from(tenths) / 10.0,
             }
             log.push((now, what));
-            if !hearing.is_deaf(patience, Time(now)) {
+            if !reachability.is_unreachable(patience, Time(now)) {
                 continue;
             }
             let proof = log.iter().rposition(|(_, w)| matches!(w, Told::Proved));
@@ -676,32 +681,32 @@
             let asked = asked.map(|(at, _)| *at).expect("asked for an effect");
             prop_assert!(now - asked >= patience);
             let reports = since.iter().filter(|(at, w)| *at >= asked && matches!(w, Told::Report(_)));
-            prop_assert!(reports.count() > REPORTS as usize);
+            prop_assert!(reports.count() > DOUBT_AFTER_REPORTS as usize);
         }
     }
 
     /// Who is asked, reports, is answered and shows nothing is found out, after the
-    /// patience and no sooner; one bit of hearing ends it, and then it rests.
+    /// patience and no sooner; one effect ends it, and then it is quarantined.
     #[test]
     fn who_shows_nothing_is_found_out(every in 0.2..2.0_f64, patience in 4.0..30.0_f64) {
-        let mut hearing = Hearing::default();
-        hearing.proved(Time(0.0));
-        hearing.asked(Time(1.0));
+        let mut reachability = Reachability::default();
+        reachability.proved(Time(0.0));
+        reachability.asked(Time(1.0));
         let (mut now, mut found) = (1.0, None);
         while now < 60.0 {
             now += every;
-            hearing.reported(Time(now));
-            hearing.answered(20.0, Time(now));
-            if found.is_none() && hearing.is_deaf(patience, Time(now)) {
+            reachability.reported(Time(now));
+            reachability.answered(20.0, Time(now));
+            if found.is_none() && reachability.is_unreachable(patience, Time(now)) {
                 found = Some(now - 1.0);
             }
         }
         let found = found.expect("found out");
-        let most = patience.max(every * f64::from(REPORTS + 1)) + every;
+        let most = patience.max(every * f64::from(DOUBT_AFTER_REPORTS + 1)) + every;
         prop_assert!((patience..=most + 1e-9).contains(&found), "{} of {}", found, most);
-        hearing.proved(Time(now));
-        prop_assert!(!hearing.in_doubt() && hearing.rests(Time(now + 1.0)));
-        prop_assert!(!hearing.rests(Time(now + 10.0)));
+        reachability.proved(Time(now));
+        prop_assert!(!reachability.in_doubt() && reachability.is_quarantined(Time(now + 1.0)));
+        prop_assert!(!reachability.is_quarantined(Time(now + 10.0)));
     }
 }
 
@@ -710,14 +715,14 @@
 /// lost its session by itself, while one whose answers were lost did not.
 #[test]
 fn what_was_not_answered_is_no_deafness() {
-    let mut hearing = Hearing::default();
-    hearing.answered(20.0, Time(0.0));
-    hearing.asked(Time(1.0));
+    let mut reachability = Reachability::default();
+    reachability.answered(20.0, Time(0.0));
+    reachability.asked(Time(1.0));
     for s in 1..90 {
-        hearing.reported(Time(f64::from(s)));
-        assert!(!hearing.is_deaf(20.0, Time(f64::from(s))));
+        reachability.reported(Time(f64::from(s)));
+        assert!(!reachability.is_unreachable(20.0, Time(f64::from(s))));
     }
-    let (mut hung, mut unheard) = (Hearing::default(), Hearing::default());
+    let (mut hung, mut unheard) = (Reachability::default(), Reachability::default());
     for lease in 0..4 {
         let begun = f64::from(lease) * 30.0;
         hung.answered(20.0, Time(begun));
--- a/src/control/core/links.rs
+++ b/src/control/core/links.rs
@@ -52,7 +52,7 @@
                 seen: Token(0),
                 last_heard: now,
                 told_of: Seq(0),
-                hearing: Hearing::default(),
+                reachability: Reachability::default(),
                 tasks: BTreeMap::new(),
                 flying: false,
                 direct_retry: now,
@@ -120,7 +120,7 @@
     pub fn hears(&self, id: &MachineId) -> bool {
         self.links
             .get(id)
-            .is_none_or(|l| l.fenced() && !l.hearing.in_doubt())
+            .is_none_or(|l| l.fenced() && !l.reachability.in_doubt())
     }
 
     /// Takes in a worker's report. False if a newer grant than ours commands
@@ -180,13 +180,13 @@
             .collect();
         // That it reports is no sign that it hears: each report made a machine
         // usable again that no command reached.
-        link.hearing.reported(now);
+        link.reachability.reported(now);
         if took_up {
-            link.hearing.proved(now);
+            link.reachability.proved(now);
         }
         // Its leases end though its reports are answered: whatever runs there is
         // lost each time. While requests wait too long, answers may be too late.
-        if ended && link.hearing.session_ended(lease_s, now) && !hears_badly {
+        if ended && link.reachability.session_ended(lease_s, now) && !hears_badly {
             link.leaving = true;
         }
         link.images.clone_from(&report.images);
@@ -207,7 +207,7 @@
             self.reconcile(&report.machine, source, now);
         }
         if let Some(link) = self.links.get_mut(&report.machine) {
-            if link.fenced() && link.hearing.in_doubt() {
+            if link.fenced() && link.reachability.in_doubt() {
                 // It has the present token and does nothing: a higher one has
                 // to be taken up before anything more goes there.
                 link.token = link.token.raised();
@@ -223,7 +223,11 @@
 
     /// A task that we started is in the report: the machine hears.
     fn see_starts(&mut self, id: &MachineId, now: Time) {
-        let Some(link) = self.links.get_mut(id).filter(|l| l.hearing.waits()) else {
+        let Some(link) = self
+            .links
+            .get_mut(id)
+            .filter(|l| l.reachability.awaits_effect())
+        else {
             return;
         };
         let began = self.cluster_state.claims_on(id).into_iter().any(|task| {
@@ -233,7 +237,7 @@
             })
         });
         if began {
-            link.hearing.proved(now);
+            link.reachability.proved(now);
         }
     }
 
@@ -299,7 +303,7 @@
             && !link.leaving
             && !link.deleting
             && now >= link.shunned_until
-            && !link.hearing.rests(now)
+            && !link.reachability.is_quarantined(now)
             && !silent;
         let leaving = link.leaving || link.deleting;
         let doubted = link.doubted;
@@ -524,10 +528,10 @@
         let starts = orders.iter().any(|o| matches!(o, Command::Start { .. }));
         let lease_s = self.cfg.lease_s;
         if let Some(link) = self.links.get_mut(id) {
-            link.hearing.answered(lease_s, now);
+            link.reachability.answered(lease_s, now);
             // Its next reports have to show that.
             if starts || !link.fenced() {
-                link.hearing.asked(now);
+                link.reachability.asked(now);
             }
         }
         let token = self.links.get(id).map_or(self.base_token(), |l| l.token);
@@ -726,7 +730,7 @@
         match outcome {
             Sending::Executed(report) => {
                 link.direct_failures = 0;
-                link.hearing.proved(now);
+                link.reachability.proved(now);
                 link.passed = false;
                 link.direct_retry = now;
                 // The session that took the command may end right after it;
@@ -736,7 +740,7 @@
             }
             Sending::Refused(report) => {
                 link.direct_failures = 0;
-                link.hearing.proved(now);
+                link.reachability.proved(now);
                 // Not at once: a report that was overtaken leaves the session
                 // as it was.
                 link.direct_retry = now.after(0.02);
@@ -754,7 +758,7 @@
                         mark(Sent::Flying, Sent::No);
                         // It may report on and hear nothing. Whether it does,
                         // the token shows, by whatever way it gets there.
-                        if !link.hearing.is_sure(self.cfg.report_s, now) {
+                        if !link.reachability.is_confirmed(self.cfg.report_s, now) {
                             link.token = link.token.raised();
                         }
                     }
@@ -770,7 +774,7 @@
                 link.doubted = true;
                 // Its reports have to show the token.
                 if !link.fenced() {
-                    link.hearing.asked(now);
+                    link.reachability.asked(now);
                 }
                 let pause = 0.25 * f64::from(link.direct_failures.min(5)).exp2();
                 link.direct_retry = now.after(pause);
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -21,8 +21,8 @@
 use sorrelhinge_blocks::largest_jobs::Largest;
 use sorrelhinge_blocks::served::{Served, Sort, Waits};
 use sorrelhinge_blocks::shard::Shard;
-use sorrelhinge_overload::carry::Uptake;
-use sorrelhinge_overload::hearing::Hearing;
+use sorrelhinge_overload::fleet_limit::ClaimRate;
+use sorrelhinge_overload::reachability::Reachability;
 use sorrelhinge_topology::drain::Drain;
 use sorrelhinge_topology::renting::Memory;
 use sorrelhinge_topology::repair::Stability;
@@ -76,7 +76,7 @@
     /// The newest report that another controller spoke of.
     told_of: Seq,
     /// Whether anything that is sent there has an effect.
-    hearing: Hearing,
+    reachability: Reachability,
     tasks: BTreeMap<(TaskId, Attempt), (TaskPhase, Option<Why>)>,
     /// A direct command is under way.
     flying: bool,
@@ -198,7 +198,7 @@
     /// How many machines can be served, if that was found to be a bound.
     most_machines: Option<usize>,
     /// What is claimed a second, and since that was last looked at.
-    uptake: Uptake,
+    claim_rate: ClaimRate,
     claimed_cpu: i64,
     /// Until then silence tells nothing.
     deaf_until: Time,
@@ -361,7 +361,7 @@
             rentals: 0,
             renting: 0,
             most_machines: None,
-            uptake: Uptake::default(),
+            claim_rate: ClaimRate::default(),
             claimed_cpu: 0,
             deaf_until: now,
             missing: BTreeMap::new(),
--- a/src/control/core/renting.rs
+++ b/src/control/core/renting.rs
@@ -182,12 +182,16 @@
         let patience = self.cfg.lease_s * DRIFT + 2.0 * self.cfg.report_s;
         // If most hear nothing it may be this controller that can't be heard. Another
         // may then be the owner before long; if none is, they go all the same.
-        let doubtful = self.links.values().filter(|l| l.hearing.in_doubt()).count();
+        let doubtful = self
+            .links
+            .values()
+            .filter(|l| l.reachability.in_doubt())
+            .count();
         let patience = match doubtful * 2 <= self.links.len() {
             true => patience,
             false => MOST_DEAF * patience,
         };
-        let deaf = |l: &Link| !l.deleting && l.hearing.is_deaf(patience, now);
+        let deaf = |l: &Link| !l.deleting && l.reachability.is_unreachable(patience, now);
         let deaf = self.links.iter().filter(|(_, l)| deaf(l));
         deaf.map(|(id, _)| id.clone()).collect()
     }
@@ -310,10 +314,10 @@
         // Nor does silence tell anything where requests wait too long to be
         // read: giving machines back then, and renting others, is how a fleet
         // that is too large for its controllers would be kept so.
-        let hearing = heard * 2 > self.links.len()
+        let hears_most = heard * 2 > self.links.len()
             && now.since(self.started) > self.cfg.silent_s()
             && now >= self.deaf_until;
-        let deaf = match hearing {
+        let deaf = match hears_most {
             true => self.deaf(now),
             false => Vec::new(),
         };
@@ -332,7 +336,7 @@
             let hangs = link.suspect
                 && (link.hangs >= 2
                     || link.hangs == 1 && quiet_s > HANGS_REPORTS * self.cfg.report_s);
-            if hearing && (quiet_s > self.cfg.silent_s() || hangs) {
+            if hears_most && (quiet_s > self.cfg.silent_s() || hangs) {
                 if hangs && !link.deleting {
                     tracing::info!(machine = %id, quiet_s, "it hangs: given back");
                 }
@@ -457,7 +461,8 @@
         }
         let mut rentals = Vec::new();
         // Nor is it of use to rent for work that can't be claimed meanwhile.
-        self.uptake.take(std::mem::take(&mut self.claimed_cpu), now);
+        self.claim_rate
+            .take(std::mem::take(&mut self.claimed_cpu), now);
         let bound = self.cluster_state.claims_bind();
         let free = self.cluster_state.capacity().cpu
             - self
@@ -466,7 +471,7 @@
                 .iter()
                 .map(|t| t.used.cpu)
                 .sum::<i64>();
-        let mut left = if bound && self.uptake.lasts(free, boot_s) {
+        let mut left = if bound && self.claim_rate.lasts(free, boot_s) {
             0
         } else {
             self.most_machines
--- a/src/control/load.rs
+++ b/src/control/load.rs
@@ -3,10 +3,10 @@
 
 use super::*;
 
-use sorrelhinge_overload::carry::Carry;
+use sorrelhinge_overload::fleet_limit::FleetLimit;
 use sorrelhinge_overload::pressure::{Level, Pressure, Resource, Sample};
 use sorrelhinge_overload::renewal::Relief;
-use sorrelhinge_overload::spread::{Crowd, Spread};
+use sorrelhinge_overload::report_offload::{ReportLoad, ReportOffload};
 
 /// How often it is measured.
 const LOOK: Duration = Duration::from_millis(500);
@@ -52,8 +52,8 @@
     /// How long requests wait to be read, in seconds, when last measured.
     pub wait_s: Cell<f64>,
     pressure: RefCell<Pressure>,
-    carry: RefCell<Carry>,
-    spread: RefCell<Spread>,
+    fleet_limit: RefCell<FleetLimit>,
+    report_offload: RefCell<ReportOffload>,
     relief: RefCell<Relief>,
 }
 
@@ -65,7 +65,7 @@
 
     /// How many machines there may be.
     pub fn most_machines(&self) -> Option<usize> {
-        self.carry.borrow().most()
+        self.fleet_limit.borrow().most()
     }
 }
 
@@ -115,7 +115,7 @@
     fn tell_standing(&self) {
         let leading = !self.cores.borrow().is_empty();
         let share = if leading {
-            (self.load.spread.borrow().share() * 1000.0).round() as u16
+            (self.load.report_offload.borrow().share() * 1000.0).round() as u16
         } else {
             0
         };
@@ -131,7 +131,8 @@
     pub(super) fn inherit_spread(&self) {
         let before = self.standings.borrow();
         let share = before.values().map(|(_, s, _)| s.share).max().unwrap_or(0);
-        *self.load.spread.borrow_mut() = Spread::from_share(f64::from(share) / 1000.0);
+        *self.load.report_offload.borrow_mut() =
+            ReportOffload::from_share(f64::from(share) / 1000.0);
     }
 
     /// Whether a report that came here is taken for its owner.
@@ -141,13 +142,13 @@
 
     /// The controller that a worker of ours is to report to instead.
     pub(super) fn home_of(&self, machine: &MachineId) -> Option<NodeId> {
-        if !self.owns(machine) || self.load.spread.borrow().share() == 0.0 {
+        if !self.owns(machine) || self.load.report_offload.borrow().share() == 0.0 {
             return None;
         }
         let helpers = self.helpers(true);
         let home = self
             .load
-            .spread
+            .report_offload
             .borrow()
             .home(machine, helpers.iter())?
             .clone();
@@ -210,25 +211,25 @@
             let mut cores = self.cores.borrow_mut();
             if !cores.is_empty() {
                 let machines: usize = cores.values().map(Core::machines).sum();
-                let mut spread = self.load.spread.borrow_mut();
-                let crowd = Crowd {
+                let mut report_offload = self.load.report_offload.borrow_mut();
+                let report_load = ReportLoad {
                     machines,
                     room: self.connections.limits().workers,
                     wait_s: sample.wait_s,
                     helpers: self.helpers(false).len(),
                 };
-                spread.take(crowd, now);
+                report_offload.take(report_load, now);
                 let mut relief = self.load.relief.borrow_mut();
-                relief.take(spread.share() >= 1.0, sample.wait_s, now);
+                relief.take(report_offload.share() >= 1.0, sample.wait_s, now);
                 // The others' help comes first.
-                let alone = crowd.helpers == 0 || spread.share() >= 1.0;
-                let mut carry = self.load.carry.borrow_mut();
-                carry.take(machines, sample.wait_s, binds && alone, now);
+                let helpers_exhausted = report_load.helpers == 0 || report_offload.share() >= 1.0;
+                let mut fleet_limit = self.load.fleet_limit.borrow_mut();
+                fleet_limit.take(machines, sample.wait_s, binds && helpers_exhausted, now);
                 // Nor more than all controllers together have sockets for.
                 let here = cores.len();
                 let blocks = cores.values().next().map_or(1, |c| c.shard.of as usize);
-                let sockets = crowd.room * (self.cfg.others.len() + 1) * here / blocks.max(1);
-                let most = carry.most().unwrap_or(usize::MAX).min(sockets);
+                let sockets = report_load.room * (self.cfg.others.len() + 1) * here / blocks.max(1);
+                let most = fleet_limit.most().unwrap_or(usize::MAX).min(sockets);
                 let claims = (self.state.writes.rate() * CLAIMS_S) as usize / here;
                 for c in cores.values_mut() {
                     c.set_most_machines(Some(most / here));
@@ -265,7 +266,7 @@
                     duties = (counts.spent.replace(0.0) / over * 100.0).round() / 100.0,
                     longest_s = (counts.longest.replace(0.0) * 100.0).round() / 100.0,
                     late = late - late_before,
-                    spread = self.load.spread.borrow().share(),
+                    spread = self.load.report_offload.borrow().share(),
                     relief = self.load.relief.borrow().asked(),
                     most_machines = self.load.most_machines(),
                     binding = binding.join(","),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -14,8 +14,8 @@
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use sorrelhinge_overload::admission::{AdmissionQueue, Class};
 use sorrelhinge_overload::sockets::{ConnId, Limits, Opened, Sockets};
-use sorrelhinge_overload::turnstile::{Class, Turnstile};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -38,7 +38,7 @@
 /// How many at a time are told that there is no room.
 const MOST_TURNED_AWAY: usize = 32;
 
-/// A place at the turnstile.
+/// A place in the admission queue.
 #[derive(Default)]
 struct Pass {
     state: Cell<PassState>,
@@ -56,7 +56,7 @@
 /// All connections of users and workers.
 pub struct Connections {
     sockets: RefCell<Sockets>,
-    turnstile: RefCell<Turnstile<Rc<Pass>>>,
+    admission: RefCell<AdmissionQueue<Rc<Pass>>>,
     somebody_waits: Notify,
     ends: RefCell<HashMap<ConnId, Rc<Notify>>>,
     next: Cell<u64>,
@@ -70,7 +70,7 @@
     pub fn new(limits: Limits) -> Rc<Self> {
         Rc::new(Self {
             sockets: RefCell::new(Sockets::new(limits)),
-            turnstile: RefCell::new(Turnstile::new(PER_TURN, PATIENCE_S)),
+            admission: RefCell::new(AdmissionQueue::new(PER_TURN, PATIENCE_S)),
             somebody_waits: Notify::new(),
             ends: RefCell::default(),
             next: Cell::new(0),
@@ -113,7 +113,7 @@
 
     /// How long the longest has waited to be read, in seconds.
     pub fn wait_s(&self) -> f64 {
-        self.turnstile.borrow().longest_s(self.now())
+        self.admission.borrow().longest_s(self.now())
     }
 
     /// Lets those who wait read, a few in each turn of the runtime.
@@ -121,11 +121,12 @@
         loop {
             self.somebody_waits.notified().await;
             loop {
-                let turn = self.turnstile.borrow_mut().turn(self.now());
-                self.late.set(self.late.get() + turn.late.len() as u64);
+                let admission = self.admission.borrow_mut().admit_next(self.now());
+                self.late
+                    .set(self.late.get() + admission.expired.len() as u64);
                 let told = [
-                    (turn.pass, PassState::Granted),
-                    (turn.late, PassState::Late),
+                    (admission.admitted, PassState::Granted),
+                    (admission.expired, PassState::Late),
                 ];
                 for (passes, state) in told {
                     for pass in passes {
@@ -135,7 +136,7 @@
                         }
                     }
                 }
-                if self.turnstile.borrow().waiting() == 0 {
+                if self.admission.borrow().waiting() == 0 {
                     break;
                 }
                 yield_now().await;
@@ -196,12 +197,12 @@
             None => {
                 ready!(self.stream.poll_read_ready(cx))?;
                 let all = &self.conn.all;
-                let mut turnstile = all.turnstile.borrow_mut();
-                if !turnstile.pass() {
+                let mut admission = all.admission.borrow_mut();
+                if !admission.try_admit() {
                     let pass = Rc::new(Pass::default());
                     pass.waker.replace(Some(cx.waker().clone()));
-                    turnstile.wait(self.conn.class.get(), pass.clone(), all.now());
-                    drop(turnstile);
+                    admission.enqueue(self.conn.class.get(), pass.clone(), all.now());
+                    drop(admission);
                     all.somebody_waits.notify_one();
                     self.pass = Some(pass);
                     return Poll::Pending;
