Names in blocks: delegation, isolation, limit transfers

yields, alone and gift had names of their own making. Types, methods and constants follow, the latter with units.

--- a/crates/blocks/src/yields.rs
+++ b/crates/blocks/src/delegation.rs
@@ -14,13 +14,13 @@
 
 /// A task is left to another for so long, in seconds; after that its own block
 /// places it again.
-pub const LEFT_S: f64 = 6.0;
+pub const DELEGATED_S: f64 = 6.0;
 /// The other drops what it could not claim a little earlier.
-pub const TAKEN_S: f64 = 4.0;
+pub const ACCEPTED_S: f64 = 4.0;
 /// A job's tasks are left to others once they have waited so long, in seconds.
-const WAITED_S: f64 = 0.6;
+const DELEGATE_AFTER_S: f64 = 0.6;
 /// What is known of another's room is of use for so long, in seconds.
-const KNOWN_S: f64 = 2.5;
+const FREE_ROOM_FRESH_S: f64 = 2.5;
 
 /// A job whose tasks wait.
 #[derive(Clone, Debug)]
@@ -37,7 +37,7 @@
 
 /// So many tasks of a job are left to a block.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Leave {
+pub struct Delegated {
     /// Of which job.
     pub job: JobId,
     /// To which block.
@@ -48,12 +48,12 @@
 
 /// What is known of the other blocks' room.
 #[derive(Debug, Default)]
-pub struct Yields {
+pub struct Delegation {
     /// Thousandths of a CPU that are free there, less what was left there since.
     room: BTreeMap<BlockId, (i64, Time)>,
 }
 
-impl Yields {
+impl Delegation {
     /// A block said how much room it has beyond its own work, in thousandths of
     /// a CPU.
     pub fn has_room(&mut self, block: BlockId, cpu: i64, now: Time) {
@@ -61,10 +61,14 @@
     }
 
     /// Which tasks to leave to others, the first of `waiting` first.
-    pub fn leave(&mut self, waiting: &[Waiting], now: Time) -> Vec<Leave> {
-        self.room.retain(|_, (_, at)| now.since(*at) <= KNOWN_S);
-        let mut left = Vec::new();
-        for w in waiting.iter().filter(|w| now.since(w.since) >= WAITED_S) {
+    pub fn delegate(&mut self, waiting: &[Waiting], now: Time) -> Vec<Delegated> {
+        self.room
+            .retain(|_, (_, at)| now.since(*at) <= FREE_ROOM_FRESH_S);
+        let mut delegated = Vec::new();
+        for w in waiting
+            .iter()
+            .filter(|w| now.since(w.since) >= DELEGATE_AFTER_S)
+        {
             let cpu = w.cpu.max(1);
             let mut tasks = w.tasks;
             while tasks > 0 {
@@ -78,13 +82,13 @@
                 let some = u32::try_from(*free / cpu).unwrap_or(u32::MAX).min(tasks);
                 *free -= cpu * i64::from(some);
                 tasks -= some;
-                left.push(Leave {
+                delegated.push(Delegated {
                     job: w.job.clone(),
                     to: *to,
                     tasks: some,
                 });
             }
         }
-        left
+        delegated
     }
 }
--- a/crates/blocks/src/fair.rs
+++ b/crates/blocks/src/fair.rs
@@ -34,12 +34,12 @@
 }
 
 /// Of each so many that are served, one is by turns.
-pub const ONE_IN: u64 = 4;
+pub const SERVED_PER_TURN: u64 = 4;
 /// And one is a job that is done: its users wait for nothing else.
-pub const DONE_ONE_IN: u64 = 3;
+pub const SERVED_PER_DONE_JOB: u64 = 3;
 /// Turns count only for what has waited for so long, in seconds: before, the most
 /// urgent goes first and everything else soon after.
-pub const WAITED_S: f64 = 3.0;
+pub const TURN_AFTER_S: f64 = 3.0;
 
 /// How many places each sort keeps, of `most` that all share.
 pub fn floor(most: usize) -> usize {
--- a/crates/blocks/src/alone.rs
+++ b/crates/blocks/src/isolation.rs
@@ -11,15 +11,15 @@
 
 /// Nothing was heard of other controllers, which speak twice a second, for so
 /// long, in seconds: the state service is asked whether it serves us.
-pub const ASKS_S: f64 = 1.0;
+pub const PROBE_AFTER_S: f64 = 1.0;
 /// Neither spoke for so long: healthy no more within 3 s.
-pub const ALONE_S: f64 = 2.0;
+pub const ISOLATED_AFTER_S: f64 = 2.0;
 /// Workers remembered as let go.
-const MOST: usize = 8192;
+const MAX_DISMISSED_WORKERS: usize = 8192;
 
 /// When others last spoke.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Company {
+pub struct PeerContact {
     /// Whether there are other controllers at all.
     pub others: bool,
     /// Seconds since any of them was heard.
@@ -28,15 +28,15 @@
     pub unserved_s: f64,
 }
 
-impl Company {
+impl PeerContact {
     /// Whether to ask the state service now: in quiet times it is asked seldom.
-    pub fn asks(&self) -> bool {
-        self.others && self.unheard_s >= ASKS_S
+    pub fn should_probe_state(&self) -> bool {
+        self.others && self.unheard_s >= PROBE_AFTER_S
     }
 
     /// Whether this controller is alone.
-    pub fn is_alone(&self) -> bool {
-        self.others && self.unheard_s >= ALONE_S && self.unserved_s >= ALONE_S
+    pub fn is_isolated(&self) -> bool {
+        self.others && self.unheard_s >= ISOLATED_AFTER_S && self.unserved_s >= ISOLATED_AFTER_S
     }
 }
 
@@ -47,22 +47,22 @@
 /// controllers reach each other all are alone, and all refusing it would have ended
 /// its tasks. It is answered then, as long as what is known allows.
 #[derive(Default)]
-pub struct LetGo {
+pub struct DismissedWorkers {
     told: HashMap<MachineId, Time>,
 }
 
-impl LetGo {
+impl DismissedWorkers {
     /// Whether a worker that reports is refused now; `lease_s` after that again.
     pub fn refuses(&mut self, machine: &MachineId, lease_s: f64, now: Time) -> bool {
         let back = |at: &Time| now.since(*at) < lease_s;
         if self.told.get(machine).is_some_and(back) {
             return false;
         }
-        if self.told.len() >= MOST {
+        if self.told.len() >= MAX_DISMISSED_WORKERS {
             self.told.retain(|_, at| back(at));
         }
         // Not known as told, it might be refused each time.
-        if self.told.len() >= MOST {
+        if self.told.len() >= MAX_DISMISSED_WORKERS {
             return false;
         }
         self.told.insert(machine.clone(), now);
--- a/crates/blocks/src/largest_jobs.rs
+++ b/crates/blocks/src/largest_jobs.rs
@@ -3,7 +3,7 @@
 //! reads it knows whether the largest too begin in time (`docs/operations.md`).
 //!
 //! What came lately stands for the class: its sizes are kept, no more than
-//! [`WINDOW`] of each class, so a job may be told of that later ones outdo. Of jobs
+//! [`WINDOW_JOBS`] of each class, so a job may be told of that later ones outdo. Of jobs
 //! of the same size every tenth is told of, so the log grows by no more than a
 //! tenth of the jobs unless sizes keep rising.
 
@@ -13,19 +13,19 @@
 use sorrelhinge_protocol::types::JobId;
 
 /// How many sizes of a class are kept.
-pub const WINDOW: usize = 200;
+pub const WINDOW_JOBS: usize = 200;
 /// Classes that are told of; jobs name them, so there may be any number.
-pub const MOST_CLASSES: usize = 256;
+pub const MAX_CLASSES: usize = 256;
 /// Jobs that are told of at a time.
-pub const MOST_JOBS: usize = 4096;
+pub const MAX_JOBS: usize = 4096;
 /// One in so many is among the largest.
-pub const ONE_IN: usize = 10;
+pub const LARGEST_ONE_IN: usize = 10;
 /// The largest have to begin within so many seconds too (four minutes).
-pub const BEGIN_S: f64 = 240.0;
+pub const BEGIN_WITHIN_S: f64 = 240.0;
 
 /// How many of `jobs` are the largest.
 pub fn tenth(jobs: usize) -> usize {
-    jobs.div_ceil(ONE_IN).max(1)
+    jobs.div_ceil(LARGEST_ONE_IN).max(1)
 }
 
 /// A job that came: its size in thousandths of CPUs, and whether it was told of.
@@ -44,12 +44,12 @@
     /// is among the largest of its class: fewer than a tenth of those that came
     /// of late are larger, or as large and told of.
     pub fn came(&mut self, job: &JobId, class: &Arc<str>, cpu: i64) -> bool {
-        let class_fits = self.classes.len() < MOST_CLASSES || self.classes.contains_key(class);
-        if !class_fits || self.told.len() >= MOST_JOBS {
+        let class_fits = self.classes.len() < MAX_CLASSES || self.classes.contains_key(class);
+        if !class_fits || self.told.len() >= MAX_JOBS {
             return false;
         }
         let came = self.classes.entry(class.clone()).or_default();
-        if came.len() >= WINDOW {
+        if came.len() >= WINDOW_JOBS {
             came.pop_front();
         }
         let before = |c: &&Came| c.0 > cpu || c.0 == cpu && c.1;
@@ -66,7 +66,7 @@
         self.told.contains_key(job)
     }
 
-    /// A job has waited for longer than [`BEGIN_S`]. True if it was told of, and
+    /// A job has waited for longer than [`BEGIN_WITHIN_S`]. True if it was told of, and
     /// this is new.
     pub fn late(&mut self, job: &JobId) -> bool {
         let told = self.told.get_mut(job);
--- a/crates/blocks/src/owners.rs
+++ b/crates/blocks/src/owners.rs
@@ -53,11 +53,11 @@
 
 /// How long an offer may stand, in seconds: the giver lets what is under way
 /// settle for less than that.
-const OFFER_S: f64 = 8.0;
+const OFFER_TIMEOUT_S: f64 = 8.0;
 /// A controller is offered blocks once it has lived for so long, in seconds.
-const SETTLED_S: f64 = 3.0;
+const MEMBERSHIP_SETTLED_S: f64 = 3.0;
 /// Between two moves that only balance, in seconds.
-const BALANCE_EVERY_S: f64 = 1.0;
+const BALANCE_INTERVAL_S: f64 = 1.0;
 
 /// What the leader remembers between its decisions. All of it can be lost: the
 /// next leader begins with what is recorded.
@@ -117,7 +117,7 @@
                 .filter(|(n, _)| Some(**n) != but)
                 .filter(|(n, _)| {
                     let since = self.seen.get(**n).map(|(_, t)| *t);
-                    !settled || since.is_some_and(|t| now.since(t) >= SETTLED_S)
+                    !settled || since.is_some_and(|t| now.since(t) >= MEMBERSHIP_SETTLED_S)
                 })
                 .min_by_key(|(n, c)| (**c, (**n).clone()))
                 .map(|(n, c)| ((*n).clone(), *c))
@@ -131,7 +131,7 @@
             }
         }
         for (block, (to, since)) in &self.offers {
-            if !alive.contains_key(to) || now.since(*since) > OFFER_S {
+            if !alive.contains_key(to) || now.since(*since) > OFFER_TIMEOUT_S {
                 return Some(Step::TakeBack(*block));
             }
         }
@@ -149,7 +149,7 @@
             }
         }
         let quiet_s = self.moved.map_or(f64::INFINITY, |t| now.since(t));
-        if quiet_s < BALANCE_EVERY_S {
+        if quiet_s < BALANCE_INTERVAL_S {
             return None;
         }
         let (least, has) = fewest(None, true)?;
@@ -185,5 +185,5 @@
 /// that all can be told apart in the records.
 pub fn how_many(least: u32, controllers: usize) -> u32 {
     let most = u32::try_from(controllers).unwrap_or(1);
-    least.clamp(1, most.clamp(1, crate::shard::MOST_BLOCKS))
+    least.clamp(1, most.clamp(1, crate::shard::MAX_BLOCKS))
 }
--- a/crates/blocks/src/reach.rs
+++ b/crates/blocks/src/reach.rs
@@ -14,16 +14,16 @@
 /// So long nothing is heard from any worker itself while others hear them, in
 /// seconds. Counted from what the others hear, so that a pause of this process
 /// proves nothing.
-pub const CUT_OFF_S: f64 = 3.0;
+pub const CUT_OFF_AFTER_S: f64 = 3.0;
 /// So many reports came by way of others meanwhile, and commands to so many
 /// machines failed: one machine that is away is no cut.
-pub const CUT_OFF_LEAST: usize = 5;
+pub const CUT_OFF_MIN_COUNT: usize = 5;
 /// Commands to so many machines failed, and for so long not one got through, in
 /// seconds: workers that lost an owner need up to ten seconds until others hear
 /// them for it.
-pub const FAILED_MANY: usize = 24;
-/// See [`FAILED_MANY`]. Counted from the first that failed, as above.
-pub const FAILED_S: f64 = 2.0;
+pub const FAILED_MIN_MACHINES: usize = 24;
+/// See [`FAILED_MIN_MACHINES`]. Counted from the first that failed, as above.
+pub const FAILED_AFTER_S: f64 = 2.0;
 
 /// The evidence since a worker was last heard directly.
 #[derive(Clone, Debug, Default)]
@@ -49,7 +49,7 @@
     /// No command got through to a machine.
     pub fn failed(&mut self, machine: &MachineId, now: Time) {
         self.failed_since.get_or_insert(now);
-        if self.failed.len() < FAILED_MANY {
+        if self.failed.len() < FAILED_MIN_MACHINES {
             self.failed.insert(machine.clone());
         }
     }
@@ -57,8 +57,9 @@
     /// Whether workers are reached by others and not from here.
     pub fn cut_off(&self, now: Time) -> bool {
         let lasts = |since: Option<Time>, s: f64| since.is_some_and(|t| now.since(t) >= s);
-        let others_reach = lasts(self.passed_since, CUT_OFF_S) && self.passed >= CUT_OFF_LEAST;
-        others_reach && self.failed.len() >= CUT_OFF_LEAST
-            || lasts(self.failed_since, FAILED_S) && self.failed.len() >= FAILED_MANY
+        let others_reach =
+            lasts(self.passed_since, CUT_OFF_AFTER_S) && self.passed >= CUT_OFF_MIN_COUNT;
+        others_reach && self.failed.len() >= CUT_OFF_MIN_COUNT
+            || lasts(self.failed_since, FAILED_AFTER_S) && self.failed.len() >= FAILED_MIN_MACHINES
     }
 }
--- a/crates/blocks/src/served.rs
+++ b/crates/blocks/src/served.rs
@@ -46,11 +46,11 @@
 }
 
 /// Nothing that waits for less is said to starve, in seconds.
-const LEAST_S: f64 = 30.0;
+const MIN_WAIT_S: f64 = 30.0;
 /// A wait of so many usual ones is one too many.
-const USUAL: f64 = 2.0;
+const USUAL_WAIT_FACTOR: f64 = 2.0;
 /// How fast the usual wait follows: by this part at each start.
-const FOLLOW: f64 = 0.1;
+const SMOOTHING_FACTOR: f64 = 0.1;
 
 /// The counts of all classes and teams.
 #[derive(Debug, Default)]
@@ -70,7 +70,11 @@
         let count = self.of(sort);
         count.started += 1;
         if let Some(wait_s) = wait_s {
-            let part = if count.waits == 0 { 1.0 } else { FOLLOW };
+            let part = if count.waits == 0 {
+                1.0
+            } else {
+                SMOOTHING_FACTOR
+            };
             count.waits += 1;
             count.usual_s += (wait_s - count.usual_s) * part;
         }
@@ -89,7 +93,7 @@
     /// passed over: twice the usual wait, and thirty seconds.
     pub fn patience_s(&self, sort: &Sort) -> f64 {
         let usual = self.counts.get(sort).map_or(0.0, |c| c.usual_s);
-        (USUAL * usual).max(LEAST_S)
+        (USUAL_WAIT_FACTOR * usual).max(MIN_WAIT_S)
     }
 
     /// A line for each class and team. One starves if its oldest job has waited
--- a/crates/blocks/src/shard.rs
+++ b/crates/blocks/src/shard.rs
@@ -24,7 +24,7 @@
 
 /// The most blocks that there may be: the change that divides the machines
 /// writes a record for each, and the least that a transaction takes is eight.
-pub const MOST_BLOCKS: u32 = 5;
+pub const MAX_BLOCKS: u32 = 5;
 
 /// One block of so many.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/blocks/src/slices.rs
+++ b/crates/blocks/src/slices.rs
@@ -81,11 +81,11 @@
 
 /// A part of a limit moves only if it is at least this part of the limit: each
 /// move costs two changes.
-const LEAST: i64 = 40;
+const MIN_TRANSFER_DIVISOR: i64 = 40;
 
 /// What a block gives to another: to which, and how much of each team's limit.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Gift {
+pub struct LimitTransfer {
     /// To whom.
     pub to: BlockId,
     /// Of each team's limit, in the order of the teams.
@@ -94,10 +94,10 @@
 
 /// What the block `me` should give away now. `needs`: of every block, by number
 /// and team. Only what it does not use can go.
-pub fn gift(me: BlockId, needs: &[Vec<Need>]) -> Option<Gift> {
+pub fn next_transfer(me: BlockId, needs: &[Vec<Need>]) -> Option<LimitTransfer> {
     let teams = needs.first()?.len();
     let mine = needs.get(me.0 as usize)?;
-    let mut best: Option<(f64, Gift)> = None;
+    let mut best: Option<(f64, LimitTransfer)> = None;
     for to in (0..needs.len()).filter(|b| *b != me.0 as usize) {
         let mut weight = 0.0;
         let mut amounts = Vec::with_capacity(teams);
@@ -111,7 +111,7 @@
                 let lacks = target(&column, to, i) - pair(column[to].slice)[i];
                 let free = slice - pair(mine[team].used)[i];
                 let most = excess.min(lacks).min(free);
-                if most > 0 && most >= all / LEAST {
+                if most > 0 && most >= all / MIN_TRANSFER_DIVISOR {
                     *give = most;
                     weight += most as f64 / all.max(1) as f64;
                 }
@@ -121,8 +121,8 @@
         let better = best.as_ref().is_none_or(|(w, _)| weight > *w);
         if weight > 0.0 && better {
             let to = BlockId(to as u32);
-            best = Some((weight, Gift { to, amounts }));
+            best = Some((weight, LimitTransfer { to, amounts }));
         }
     }
-    best.map(|(_, gift)| gift)
+    best.map(|(_, transfer)| transfer)
 }
--- a/crates/blocks/src/tally.rs
+++ b/crates/blocks/src/tally.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::largest_jobs::{tenth, BEGIN_S};
+use crate::largest_jobs::{tenth, BEGIN_WITHIN_S};
 
 /// A class and its team, by name.
 pub type Name = (String, String);
@@ -211,7 +211,7 @@
                 part.jobs += 1;
                 part.begun += u64::from(large.begun);
                 let began_s = large.began_s.unwrap_or(0.0);
-                part.late += u64::from(large.late || began_s > BEGIN_S);
+                part.late += u64::from(large.late || began_s > BEGIN_WITHIN_S);
                 part.longest_s = part.longest_s.max(began_s);
             }
         }
--- a/crates/blocks/tests/model.rs
+++ b/crates/blocks/tests/model.rs
@@ -6,16 +6,20 @@
 use std::sync::Arc;
 
 use proptest::prelude::*;
-use sorrelhinge_blocks::alone::{Company, LetGo, ALONE_S, ASKS_S};
+use sorrelhinge_blocks::delegation::{Delegation, Waiting};
 use sorrelhinge_blocks::fair::Turns;
-use sorrelhinge_blocks::largest_jobs::{tenth, Largest, WINDOW};
+use sorrelhinge_blocks::isolation::{
+    DismissedWorkers, PeerContact, ISOLATED_AFTER_S, PROBE_AFTER_S,
+};
+use sorrelhinge_blocks::largest_jobs::{tenth, Largest, WINDOW_JOBS};
 use sorrelhinge_blocks::owners::{how_many, Held, Member, Owners, Step, Wish};
-use sorrelhinge_blocks::reach::{Reach, CUT_OFF_LEAST, CUT_OFF_S, FAILED_MANY, FAILED_S};
+use sorrelhinge_blocks::reach::{
+    Reach, CUT_OFF_AFTER_S, CUT_OFF_MIN_COUNT, FAILED_AFTER_S, FAILED_MIN_MACHINES,
+};
 use sorrelhinge_blocks::served::{Served, Sort, Waits};
-use sorrelhinge_blocks::shard::{of_job, of_machine, BlockId, Shard, MOST_BLOCKS};
-use sorrelhinge_blocks::slices::{divide, gift, Gift, Need};
+use sorrelhinge_blocks::shard::{of_job, of_machine, BlockId, Shard, MAX_BLOCKS};
+use sorrelhinge_blocks::slices::{divide, next_transfer, LimitTransfer, Need};
 use sorrelhinge_blocks::tally::Tally;
-use sorrelhinge_blocks::yields::{Waiting, Yields};
 use sorrelhinge_protocol::types::{Amount, JobId, MachineId, NodeId, Time};
 
 fn cpu(cpu: i64) -> Amount {
@@ -36,7 +40,7 @@
     let machines: Vec<MachineId> = (0..6000)
         .map(|n| MachineId::from(&*format!("vm-{n:06}")))
         .collect();
-    for of in 1..=MOST_BLOCKS {
+    for of in 1..=MAX_BLOCKS {
         let mut count = vec![0; of as usize];
         for m in &machines {
             let block = of_machine(m, of);
@@ -194,7 +198,7 @@
     /// all are owned by those who live, as evenly as can be.
     #[test]
     fn blocks_have_one_owner_and_settle(
-        blocks in 1..=MOST_BLOCKS,
+        blocks in 1..=MAX_BLOCKS,
         events in prop::collection::vec((0..5_u8, 0..5_u8, any::<bool>()), 0..120),
         forced in any::<bool>(),
         gather in any::<bool>(),
@@ -298,12 +302,12 @@
         let none = vec![vec![Amount::default()]; blocks];
         let parts = divide(&limits, &none).expect("nothing is used");
         let mut slices: Vec<Amount> = parts.iter().map(|p| p[0]).collect();
-        // What each owner places up to: lowered before a gift is sent.
+        // What each owner places up to: lowered before a transfer is sent.
         let mut bound = slices.clone();
         let mut used = vec![0_i64; blocks];
         let mut wants = vec![0_i64; blocks];
-        // A gift under way, sent with these slices as its condition.
-        let mut under_way: Option<(usize, Gift, Vec<Amount>)> = None;
+        // A transfer under way, sent with these slices as its condition.
+        let mut under_way: Option<(usize, LimitTransfer, Vec<Amount>)> = None;
         for (what, block, n, fate) in events {
             let b = block % blocks;
             match what {
@@ -319,7 +323,7 @@
                         used: cpu(used[i]),
                         waits: cpu(wants[i]),
                     }]).collect();
-                    if let Some(given) = gift(BlockId(b as u32), &needs) {
+                    if let Some(given) = next_transfer(BlockId(b as u32), &needs) {
                         let left = slices[b] - given.amounts[0];
                         prop_assert!(cpu(used[b]).fits_team(left), "gave what is used");
                         prop_assert!(given.to.0 as usize != b);
@@ -368,7 +372,7 @@
                     used: Amount::default(),
                     waits: if i == hungry { limits[0] } else { Amount::default() },
                 }]).collect();
-                if let Some(given) = gift(BlockId(b as u32), &needs) {
+                if let Some(given) = next_transfer(BlockId(b as u32), &needs) {
                     slices[b] -= given.amounts[0];
                     slices[given.to.0 as usize] += given.amounts[0];
                 }
@@ -409,7 +413,7 @@
         }
     }
 
-    // ---- yields -----------------------------------------------------------
+    // ---- delegation -----------------------------------------------------------
 
     /// No more is left to a block than it has room for, nor more of a job than
     /// waits; old news of room is not used.
@@ -419,12 +423,12 @@
         jobs in prop::collection::vec((1..40_u32, 1..8_i64, 0.0..3.0_f64), 0..10),
     ) {
         let now = 5.0;
-        let mut yields = Yields::default();
+        let mut delegation = Delegation::default();
         let mut room: BTreeMap<u32, i64> = BTreeMap::new();
         let mut in_order = rooms.clone();
         in_order.sort_by(|a, b| a.2.total_cmp(&b.2));
         for (block, free, at) in in_order {
-            yields.has_room(BlockId(block), free, Time(at));
+            delegation.has_room(BlockId(block), free, Time(at));
             room.insert(block, if now - at <= 2.5 { free } else { 0 });
         }
         let waiting: Vec<Waiting> = jobs.iter().enumerate().map(|(i, (tasks, cpus, age))| Waiting {
@@ -434,11 +438,11 @@
             cpu: cpus * 1000,
         }).collect();
         let mut left: BTreeMap<JobId, u32> = BTreeMap::new();
-        for leave in yields.leave(&waiting, Time(now)) {
-            let job = waiting.iter().find(|w| w.job == leave.job).expect("it waits");
+        for delegated in delegation.delegate(&waiting, Time(now)) {
+            let job = waiting.iter().find(|w| w.job == delegated.job).expect("it waits");
             prop_assert!(now - job.since.0 >= 0.6);
-            *room.entry(leave.to.0).or_insert(0) -= job.cpu * i64::from(leave.tasks);
-            *left.entry(leave.job).or_insert(0) += leave.tasks;
+            *room.entry(delegated.to.0).or_insert(0) -= job.cpu * i64::from(delegated.tasks);
+            *left.entry(delegated.job).or_insert(0) += delegated.tasks;
         }
         prop_assert!(room.values().all(|r| *r >= 0), "{:?}", room);
         for w in &waiting {
@@ -452,7 +456,7 @@
 }
 
 /// The checkers find what they are for: a planner that grants a block while its
-/// owner still believes in it, and a gift of what is used.
+/// owner still believes in it, and a transfer of what is used.
 #[test]
 fn the_checkers_reject_what_is_handed_out_twice() {
     let mut world = World::default();
@@ -503,7 +507,7 @@
     assert_eq!(how_many(1, 5), 1);
     assert_eq!(how_many(3, 5), 3);
     assert_eq!(how_many(5, 3), 3);
-    assert_eq!(how_many(9, 9), MOST_BLOCKS);
+    assert_eq!(how_many(9, 9), MAX_BLOCKS);
     assert_eq!(how_many(0, 0), 1);
 }
 
@@ -550,10 +554,10 @@
             let failed = of(|w| matches!(w, Seen::Failed(_)));
             let machines: BTreeSet<String> = failed.clone().map(|(_, w)| format!("{w:?}")).collect();
             let lasts = |first: Option<&(f64, Seen)>, s| first.is_some_and(|(at, _)| now - at >= s);
-            let heard_by_others = passed.clone().count() >= CUT_OFF_LEAST
-                && lasts(passed.clone().next(), CUT_OFF_S);
-            let expected = heard_by_others && machines.len() >= CUT_OFF_LEAST
-                || machines.len() >= FAILED_MANY && lasts(failed.clone().next(), FAILED_S);
+            let heard_by_others = passed.clone().count() >= CUT_OFF_MIN_COUNT
+                && lasts(passed.clone().next(), CUT_OFF_AFTER_S);
+            let expected = heard_by_others && machines.len() >= CUT_OFF_MIN_COUNT
+                || machines.len() >= FAILED_MIN_MACHINES && lasts(failed.clone().next(), FAILED_AFTER_S);
             prop_assert_eq!(reach.cut_off(Time(now)), expected);
         }
     }
@@ -566,10 +570,10 @@
     let mut reach = Reach::default();
     reach.direct();
     // It stood still for a minute; all that was under way failed meanwhile.
-    for n in 0..FAILED_MANY {
+    for n in 0..FAILED_MIN_MACHINES {
         reach.failed(&MachineId::from(&*format!("vm-{n}")), Time(60.0));
     }
-    for _ in 0..CUT_OFF_LEAST {
+    for _ in 0..CUT_OFF_MIN_COUNT {
         reach.passed(Time(60.0));
     }
     assert!(!reach.cut_off(Time(60.0)));
@@ -583,22 +587,22 @@
 /// Alone is who hears neither, not who hears one of them, nor the only controller.
 /// It asks the state service before it says so.
 #[test]
-fn alone_is_who_hears_neither_the_others_nor_the_state_service() {
+fn isolated_is_who_hears_neither_the_others_nor_the_state_service() {
     // Whether there are others; since when both are not heard; alone, and asking.
     for (others, unheard_s, unserved_s, alone, asks) in [
-        (true, ALONE_S, ALONE_S, true, true),
-        (true, ASKS_S, 4.0, false, true),
+        (true, ISOLATED_AFTER_S, ISOLATED_AFTER_S, true, true),
+        (true, PROBE_AFTER_S, 4.0, false, true),
         (true, 0.3, 60.0, false, false),
         (true, 60.0, 0.3, false, true),
         (false, 60.0, 60.0, false, false),
     ] {
-        let company = Company {
+        let peer_contact = PeerContact {
             others,
             unheard_s,
             unserved_s,
         };
-        assert_eq!(company.is_alone(), alone, "{company:?}");
-        assert_eq!(company.asks(), asks, "{company:?}");
+        assert_eq!(peer_contact.is_isolated(), alone, "{peer_contact:?}");
+        assert_eq!(peer_contact.should_probe_state(), asks, "{peer_contact:?}");
     }
 }
 
@@ -608,12 +612,12 @@
     fn a_worker_is_sent_away_once_in_a_lease(
         comes in proptest::collection::vec((0_u8..3, 0_u8..40), 1..120)
     ) {
-        let mut let_go = LetGo::default();
+        let mut dismissed_workers = DismissedWorkers::default();
         let mut told: BTreeMap<u8, f64> = BTreeMap::new();
         let mut now = 0.0;
         for (worker, tenths) in comes {
             now += f64::from(tenths) / 10.0;
-            let refuses = let_go.refuses(&MachineId::from(&*format!("vm-{worker}")), 20.0, Time(now));
+            let refuses = dismissed_workers.refuses(&MachineId::from(&*format!("vm-{worker}")), 20.0, Time(now));
             let due = told.get(&worker).is_none_or(|at| now - at >= 20.0);
             prop_assert_eq!(refuses, due);
             if refuses {
@@ -703,7 +707,7 @@
             let job = JobId::from(&*format!("run-{n}"));
             let told = largest.came(&job, &class, cpu);
             prop_assert_eq!(told, largest.is(&job));
-            let lately = &all[all.len().saturating_sub(WINDOW - 1)..];
+            let lately = &all[all.len().saturating_sub(WINDOW_JOBS - 1)..];
             // Its place in order of size, those told of before others.
             let before = |o: &&(i64, bool)| o.0 > cpu || o.0 == cpu && o.1;
             let place = lately.iter().filter(before).count();
--- a/src/config.rs
+++ b/src/config.rs
@@ -300,7 +300,7 @@
                 "fleet.headroom" => t.headroom = number(key, value, 0.0, 10.0)?,
                 "fleet.floor" => t.floor = number(key, value, 0.0, 10.0)?,
                 "blocks.least" => {
-                    let most = f64::from(sorrelhinge_blocks::shard::MOST_BLOCKS);
+                    let most = f64::from(sorrelhinge_blocks::shard::MAX_BLOCKS);
                     let least = number(key, value, 1.0, most)?;
                     if least.fract() != 0.0 {
                         return Err(field(key, format!("{least} is not a whole number")));
--- a/src/control/core/calendar.rs
+++ b/src/control/core/calendar.rs
@@ -9,8 +9,8 @@
 use sorrelhinge_calendar::settings::Window;
 use sorrelhinge_calendar::shown::{rows, WindowShown};
 
+use sorrelhinge_blocks::delegation::{Delegated, Waiting};
 use sorrelhinge_blocks::shard::BlockId;
-use sorrelhinge_blocks::yields::{Leave, Waiting};
 
 use super::renting::is_drained;
 use super::*;
@@ -486,7 +486,7 @@
 
     /// Of several blocks each holds its part, and a job is homed in one: what waits
     /// of a window's work is left to the others, to each as much as it holds.
-    pub(super) fn leave_to_holds(&self, waiting: &[Waiting]) -> Vec<Leave> {
+    pub(super) fn leave_to_holds(&self, waiting: &[Waiting]) -> Vec<Delegated> {
         let mut leaves = Vec::new();
         for waits in waiting {
             let Some(job) = self.cluster_state.job(&waits.job) else {
@@ -504,7 +504,7 @@
                 let tasks = part.min(left);
                 if to != self.shard.block && tasks > 0 {
                     left -= tasks;
-                    leaves.push(Leave {
+                    leaves.push(Delegated {
                         job: waits.job.clone(),
                         to,
                         tasks,
--- a/src/control/core/largest_jobs.rs
+++ b/src/control/core/largest_jobs.rs
@@ -1,7 +1,7 @@
 //! What the log tells of the largest jobs of each class; which they are is
 //! decided in [`sorrelhinge_blocks::largest`].
 
-use sorrelhinge_blocks::largest_jobs::BEGIN_S;
+use sorrelhinge_blocks::largest_jobs::BEGIN_WITHIN_S;
 
 use super::*;
 
@@ -39,7 +39,8 @@
     /// they begin, nothing else would tell.
     pub(super) fn largest_late(&mut self, now: Time) {
         let waits = self.cluster_state.wanting().filter(|(_, j)| !j.started);
-        let late = waits.filter(|(id, j)| self.largest.is(id) && now.since(j.submitted) > BEGIN_S);
+        let late =
+            waits.filter(|(id, j)| self.largest.is(id) && now.since(j.submitted) > BEGIN_WITHIN_S);
         let late: Vec<JobId> = late.map(|(id, _)| id.clone()).collect();
         for id in late {
             if self.largest.late(&id) {
--- a/src/control/core/sharing.rs
+++ b/src/control/core/sharing.rs
@@ -1,8 +1,8 @@
 //! Several blocks: what of a job others hold, what is left to them or to this
 //! block, its part of the limits, and handing it on.
 
+use sorrelhinge_blocks::delegation::{Delegated, Delegation, Waiting, ACCEPTED_S, DELEGATED_S};
 use sorrelhinge_blocks::slices::Need;
-use sorrelhinge_blocks::yields::{Leave, Waiting, Yields, LEFT_S, TAKEN_S};
 
 use super::*;
 
@@ -25,7 +25,7 @@
     /// Given away of each team's part of the limit, in a transaction whose
     /// outcome is not known yet.
     given: Vec<Amount>,
-    yields: Yields,
+    delegation: Delegation,
 }
 
 /// Tasks that are left to another block.
@@ -278,7 +278,7 @@
 
     /// Another block has so much room beyond its own work.
     pub fn has_room(&mut self, block: sorrelhinge_blocks::shard::BlockId, cpu: i64, now: Time) {
-        self.sharing.yields.has_room(block, cpu, now);
+        self.sharing.delegation.has_room(block, cpu, now);
     }
 
     /// Leaves tasks that found no place to blocks that have room. Not of jobs
@@ -311,9 +311,9 @@
         waiting.truncate(MOST_JOBS);
         // A window's work finds the room that other blocks hold for it.
         let mut all = self.leave_to_holds(&waiting);
-        all.extend(self.sharing.yields.leave(&waiting, now));
+        all.extend(self.sharing.delegation.delegate(&waiting, now));
         let mut told = Vec::new();
-        for Leave { job, to, tasks } in all {
+        for Delegated { job, to, tasks } in all {
             let Some(held) = self.cluster_state.job(&job) else {
                 continue;
             };
@@ -323,7 +323,7 @@
             }
             let until = Until {
                 tasks: tasks.clone(),
-                end: now.after(LEFT_S),
+                end: now.after(DELEGATED_S),
             };
             self.sharing
                 .left
@@ -354,7 +354,7 @@
         }
         let until = Until {
             tasks: left.tasks.iter().copied().collect(),
-            end: now.after(TAKEN_S),
+            end: now.after(ACCEPTED_S),
         };
         let taken = self.sharing.taken.entry(left.job.clone()).or_default();
         taken.push(until);
--- a/src/control/following.rs
+++ b/src/control/following.rs
@@ -10,7 +10,7 @@
     /// service nor any other controller is heard: no hint tells then that others
     /// are served, and it stayed healthy.
     pub fn healthy(&self) -> bool {
-        if self.company().is_alone() {
+        if self.peer_contact().is_isolated() {
             return false;
         }
         let view = self.view.borrow();
--- a/src/control/load.rs
+++ b/src/control/load.rs
@@ -182,13 +182,13 @@
             let passed = last.elapsed().as_secs_f64().max(1e-3);
             last = Instant::now();
             let now = self.now();
-            let company = self.company();
-            if company.asks() {
+            let peer_contact = self.peer_contact();
+            if peer_contact.should_probe_state() {
                 // A quiet watch says nothing for seconds.
                 self.sync_wanted.notify_one();
             }
-            if !company.is_alone() {
-                self.let_go.borrow_mut().clear();
+            if !peer_contact.is_isolated() {
+                self.dismissed_workers.borrow_mut().clear();
             }
             let sample = Sample {
                 // A timer that fires late waited like a request.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use sorrelhinge_blocks::alone::LetGo;
+use sorrelhinge_blocks::isolation::DismissedWorkers;
 use sorrelhinge_blocks::owners::Owners;
 use sorrelhinge_blocks::reach::Reach;
 use sorrelhinge_blocks::shard::{of_machine, BlockId, Shard};
@@ -126,7 +126,7 @@
     /// The newest report of each machine, so that copies are known.
     order: RefCell<Order>,
     /// Workers that were sent away as this controller is alone.
-    let_go: RefCell<LetGo>,
+    dismissed_workers: RefCell<DismissedWorkers>,
     /// What was answered for owners, and the machines to tell them of.
     renewals: RefCell<Renewals>,
     heard_for: RefCell<Vec<(NodeId, peer::HeardOf)>>,
@@ -249,7 +249,7 @@
             lane_turns: RefCell::default(),
             sent_on: RefCell::default(),
             order: RefCell::default(),
-            let_go: RefCell::default(),
+            dismissed_workers: RefCell::default(),
             renewals: RefCell::default(),
             heard_for: RefCell::default(),
             standings: RefCell::default(),
--- a/src/control/pending.rs
+++ b/src/control/pending.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use sorrelhinge_blocks::fair::{Turns, DONE_ONE_IN, ONE_IN, WAITED_S};
+use sorrelhinge_blocks::fair::{Turns, SERVED_PER_DONE_JOB, SERVED_PER_TURN, TURN_AFTER_S};
 use sorrelhinge_blocks::served::Sort;
 
 use crate::sched::Job;
@@ -142,7 +142,7 @@
         let claims = &self.claims;
         let first = |places: &BTreeSet<Place>| {
             let (chunk, since) = claims.get(places.first()?)?;
-            (now.since(*since) >= WAITED_S).then(|| chunk.clone())
+            (now.since(*since) >= TURN_AFTER_S).then(|| chunk.clone())
         };
         let waiting = self.sorts.iter().filter(|(_, p)| first(p).is_some());
         let sort = self.turns.next(waiting.map(|(sort, _)| sort))?;
@@ -154,7 +154,7 @@
             .finished
             .iter()
             .min_by(|a, b| a.1 .0.total_cmp(&b.1 .0))?;
-        let key = (now.since(*since) >= WAITED_S).then(|| job.clone())?;
+        let key = (now.since(*since) >= TURN_AFTER_S).then(|| job.clone())?;
         self.finished.remove(&key);
         Some(key.1)
     }
@@ -172,12 +172,12 @@
     pub fn take(&mut self, spare: bool, now: Time) -> Option<Due> {
         // Urgency goes first, but not alone.
         self.taken += 1;
-        if self.taken % DONE_ONE_IN == 0 {
+        if self.taken % SERVED_PER_DONE_JOB == 0 {
             if let Some(job) = self.long_done(now) {
                 return Some(Due::Finished(job));
             }
         }
-        if self.taken % ONE_IN == 1 {
+        if self.taken % SERVED_PER_TURN == 1 {
             if let Some(chunk) = self.by_turns(now) {
                 self.drop_claim(&chunk);
                 return Some(Due::Chunk(chunk));
--- a/src/control/sharing.rs
+++ b/src/control/sharing.rs
@@ -4,7 +4,7 @@
 use super::*;
 
 use sorrelhinge_blocks::owners::{how_many, Held, Member, Step, Wish};
-use sorrelhinge_blocks::slices::{divide, gift, Need};
+use sorrelhinge_blocks::slices::{divide, next_transfer, Need};
 
 use crate::peer::Kind;
 use crate::shares::{encode_left, parse_left, Needs, Rented};
@@ -817,7 +817,7 @@
         };
         let blocks: Vec<BlockId> = self.cores.borrow().keys().copied().collect();
         for block in blocks {
-            let Some(gift) = gift(block, &needs) else {
+            let Some(transfer) = next_transfer(block, &needs) else {
                 continue;
             };
             let txn = {
@@ -829,7 +829,7 @@
                 let held = (
                     view.blocks.get(&block),
                     view.slices.get(&block),
-                    view.slices.get(&gift.to),
+                    view.slices.get(&transfer.to),
                 );
                 let (Some(grant), Some(mine), Some(theirs)) = held else {
                     continue;
@@ -839,7 +839,7 @@
                 }
                 // What was claimed since the needs were told stays covered.
                 let used = core.needs();
-                let fits = gift.amounts.iter().zip(&self.cfg.teams).enumerate();
+                let fits = transfer.amounts.iter().zip(&self.cfg.teams).enumerate();
                 let fits = fits
                     .map(|(i, (give, t))| (mine.value.of(&t.name) - *give, used[i].used))
                     .all(|(left, used)| used.fits_team(left));
@@ -848,9 +848,9 @@
                 }
                 // Lowered before the change is sent: while its outcome is not
                 // known, it counts as used on both sides.
-                core.giving(gift.amounts.clone(), &view);
+                core.giving(transfer.amounts.clone(), &view);
                 let part = |record: &SliceRecord, sign: i64| {
-                    let teams = self.cfg.teams.iter().zip(&gift.amounts);
+                    let teams = self.cfg.teams.iter().zip(&transfer.amounts);
                     SliceRecord::new(teams.map(|(t, give)| {
                         (t.name.to_string(), record.of(&t.name) + give.times(sign))
                     }))
@@ -866,13 +866,13 @@
                             stamp: mine.stamp,
                         },
                         When {
-                            key: slice_key(gift.to),
+                            key: slice_key(transfer.to),
                             stamp: theirs.stamp,
                         },
                     ],
                     apply: vec![
                         Change::write(slice_key(block), &part(&mine.value, -1), None),
-                        Change::write(slice_key(gift.to), &part(&theirs.value, 1), None),
+                        Change::write(slice_key(transfer.to), &part(&theirs.value, 1), None),
                     ],
                 }
             };
--- a/src/control/workers.rs
+++ b/src/control/workers.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-use sorrelhinge_blocks::alone::Company;
+use sorrelhinge_blocks::isolation::PeerContact;
 
 impl Node {
     /// Takes a worker's report, `body` as it came.
@@ -39,21 +39,21 @@
     /// nothing any more: it finds the next owner before its lease ends.
     fn lets_go(&self, machine: &MachineId) -> bool {
         let owns = Instant::now() < self.leads_until.get();
-        if owns || !self.company().is_alone() {
+        if owns || !self.peer_contact().is_isolated() {
             return false;
         }
         let lease_s = self.cfg.lease_s;
-        self.let_go
+        self.dismissed_workers
             .borrow_mut()
             .refuses(machine, lease_s, self.now())
     }
 
     /// Who is still there besides the workers.
-    pub(super) fn company(&self) -> Company {
+    pub(super) fn peer_contact(&self) -> PeerContact {
         let standings = self.standings.borrow();
         let last = standings.values().map(|(at, ..)| *at).max();
         let unheard = last.map_or_else(|| self.epoch.elapsed(), |at| at.elapsed());
-        Company {
+        PeerContact {
             others: !self.cfg.others.is_empty(),
             unheard_s: unheard.as_secs_f64(),
             unserved_s: self.fresh_at.get().elapsed().as_secs_f64(),
--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -17,7 +17,7 @@
 //! | `h/task/ID/N` | [`ChunkRecord`], tasks N·chunk and on, of a job that does not keep them in its own record | the block's owner |
 
 use serde::{Deserialize, Serialize};
-use sorrelhinge_blocks::shard::{BlockId, MOST_BLOCKS};
+use sorrelhinge_blocks::shard::{BlockId, MAX_BLOCKS};
 use sorrelhinge_calendar::record::{parse_key, CALENDAR_KEY};
 use sorrelhinge_topology::devices::Unit;
 
@@ -135,7 +135,7 @@
             return Some(Self::Member(NodeId::from(node)));
         }
         let block = |text: &str| {
-            let block = text.parse().ok().filter(|b| *b < MOST_BLOCKS);
+            let block = text.parse().ok().filter(|b| *b < MAX_BLOCKS);
             block.map(BlockId)
         };
         if let Some(text) = rest.strip_prefix("block/") {
