Names in protocol: placement rules

What a job asks of the topology was called wishes. Its module, type and the field of JobSpec have the field's usual name now. Records, the body's field `topology`, the operators' `wishes` and the published schemas are as they were. The same number of tests and assertions.

--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -7,8 +7,8 @@
 use ipnet::IpNet;
 use schemars::JsonSchema;
 use serde::Deserialize;
+use sorrelhinge_protocol::placement::first_error;
 use sorrelhinge_protocol::types::{Amount, MachineId, TypeName, Zone};
-use sorrelhinge_protocol::wishes::first_error;
 
 use crate::core::Machine;
 use crate::describe::Source;
--- a/crates/calendar/src/settings.rs
+++ b/crates/calendar/src/settings.rs
@@ -6,8 +6,8 @@
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use sorrelhinge_protocol::placement::first_error;
 use sorrelhinge_protocol::types::{Amount, MachineType};
-use sorrelhinge_protocol::wishes::first_error;
 
 use crate::when::{current_or_next, next, Span, When};
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,8 +5,8 @@
 
 pub mod cloud;
 pub mod operators;
+pub mod placement;
 pub mod state;
 pub mod types;
 pub mod users;
-pub mod wishes;
 pub mod worker;
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -7,8 +7,8 @@
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
+use crate::placement::first_error;
 use crate::types::MachineId;
-use crate::wishes::first_error;
 
 fn one() -> u32 {
     1
--- a/crates/protocol/src/wishes.rs
+++ b/crates/protocol/src/placement.rs
@@ -95,7 +95,9 @@
 /// Everything that a job asks.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(deny_unknown_fields)]
-pub struct Wishes {
+// The published schemas call it so.
+#[schemars(rename = "Wishes")]
+pub struct PlacementRules {
     /// To be apart.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     #[garde(length(max = 16), dive)]
@@ -118,7 +120,7 @@
     pub lost: bool,
 }
 
-impl Wishes {
+impl PlacementRules {
     /// Whether nothing is asked.
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
@@ -129,9 +131,9 @@
         let Some(field) = value.get("topology").filter(|v| !v.is_null()) else {
             return Ok(None);
         };
-        let wishes = Self::deserialize(field).map_err(|error| format!("topology: {error}"))?;
-        wishes.check("topology")?;
-        Ok(Some(wishes).filter(|w| !w.is_empty()))
+        let rules = Self::deserialize(field).map_err(|error| format!("topology: {error}"))?;
+        rules.check("topology")?;
+        Ok(Some(rules).filter(|w| !w.is_empty()))
     }
 
     /// Whether all values are within their ranges; `at` is where they stand.
--- a/crates/protocol/src/types.rs
+++ b/crates/protocol/src/types.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::wishes::Wishes;
+use crate::placement::PlacementRules;
 
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident) => {
@@ -313,9 +313,9 @@
     pub save_s: f64,
     /// When it should be complete, from submission.
     pub deadline_s: Option<f64>,
-    /// What it asks of the topology; see [`crate::wishes`].
+    /// What it asks of the topology; see [`crate::placement`].
     #[serde(skip)]
-    pub wishes: Option<Box<Wishes>>,
+    pub placement: Option<Box<PlacementRules>>,
     /// In a record: what earlier versions can't place, see [`JobSpec::sealed`].
     #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
     pub seal: Option<Box<Seal>>,
@@ -323,7 +323,7 @@
 
 /// A machine type that no cloud has: what is recorded as the only allowed one
 /// of a sealed job, so that a controller of an earlier version, which would
-/// read the job as an array without wishes, finds no place for it.
+/// read the job as an array without placement rules, finds no place for it.
 const SEALED_TYPE: &str = "+";
 
 /// The part of a sealed job that earlier versions don't know.
@@ -335,21 +335,21 @@
     /// The machine types that are really allowed.
     #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub types: Option<Vec<TypeName>>,
-    /// Its wishes.
+    /// Its placement rules.
     #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
-    pub wishes: Option<Box<Wishes>>,
+    pub placement: Option<Box<PlacementRules>>,
 }
 
 impl JobSpec {
-    /// The form for the record: a gang, or a job with wishes, is written so
+    /// The form for the record: a gang, or a job with placement rules, is written so
     /// that controllers of the version before these existed answer for it, and
     /// cancel it, yet never place it.
     pub fn sealed(mut self) -> Self {
-        if self.kind == Kind::Gang || self.wishes.is_some() {
+        if self.kind == Kind::Gang || self.placement.is_some() {
             self.seal = Some(Box::new(Seal {
                 gang: self.kind == Kind::Gang,
                 types: self.types.take(),
-                wishes: self.wishes.take(),
+                placement: self.placement.take(),
             }));
             self.types = Some(vec![TypeName::from(SEALED_TYPE)]);
             if self.kind == Kind::Gang {
@@ -365,14 +365,14 @@
         let sealed = |t: &Vec<TypeName>| matches!(&t[..], [only] if only.as_str() == SEALED_TYPE);
         if let Some(seal) = self.seal.take() {
             self.types = seal.types;
-            self.wishes = seal.wishes;
+            self.placement = seal.placement;
             if seal.gang {
                 self.kind = Kind::Gang;
             }
         } else if self.types.as_ref().is_some_and(sealed) {
-            self.wishes = Some(Box::new(Wishes {
+            self.placement = Some(Box::new(PlacementRules {
                 lost: true,
-                ..Wishes::default()
+                ..PlacementRules::default()
             }));
         }
         self
--- a/crates/protocol/src/users.rs
+++ b/crates/protocol/src/users.rs
@@ -158,7 +158,7 @@
         checkpoint_s: wire.mark_s,
         save_s: wire.stash_s,
         deadline_s: wire.due_s,
-        wishes: None,
+        placement: None,
         seal: None,
     })
 }
--- a/crates/topology/src/devices.rs
+++ b/crates/topology/src/devices.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use sorrelhinge_protocol::wishes::Device;
+use sorrelhinge_protocol::placement::Device;
 
 /// One unit of a kind on a machine. In records: `["encoder","enc0"]`.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/topology/src/lib.rs
+++ b/crates/topology/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`tree`]: failure domains, numbered so that a domain is a range;
 //! - [`finder`]: a machine's place, by name, pattern or network;
 //! - [`devices`]: units, who holds them, and which to give out;
-//! - [`policy`]: what a job's wishes allow, given where its tasks are;
+//! - [`policy`]: what a job's placement rules allow, given where its tasks are;
 //! - [`drain`]: which task to move off next, and when there is no waiting;
 //! - [`repair`]: what piled up, and which domains can be trusted again;
 //! - [`gang`]: placing whole, and what to hold for a gang that has no room;
@@ -104,10 +104,10 @@
     }
 
     /// What an operator asks for all jobs of a class.
-    pub fn class_wishes(
+    pub fn class_placement_rules(
         &self,
         class: &str,
-    ) -> impl Iterator<Item = &sorrelhinge_protocol::wishes::Wishes> {
+    ) -> impl Iterator<Item = &sorrelhinge_protocol::placement::PlacementRules> {
         let class = class.to_owned();
         self.settings
             .policy
--- a/crates/topology/src/policy.rs
+++ b/crates/topology/src/policy.rs
@@ -1,12 +1,12 @@
-//! What a job's wishes allow, given where its tasks are.
+//! What a job's placement rules allow, given where its tasks are.
 //!
 //! A placement asks twice: first with everything wished ([`Reach::All`]), and
 //! if that finds no place, with what is required only ([`Reach::Musts`]).
 
 use std::collections::BTreeMap;
 
+use sorrelhinge_protocol::placement::{Device, PlacementRules};
 use sorrelhinge_protocol::types::{JobSpec, Kind};
-use sorrelhinge_protocol::wishes::{Device, Wishes};
 
 use crate::tree::{Domain, Level, Tree, ROOT};
 use crate::Topology;
@@ -34,7 +34,7 @@
     must: bool,
 }
 
-/// A job's wishes and its class's, with levels instead of names. All of them
+/// A job's placement rules and its class's, with levels instead of names. All of them
 /// hold together.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Policy {
@@ -104,10 +104,14 @@
 }
 
 impl Policy {
-    /// The wishes of a job of `tasks` tasks: its own and its class's.
-    pub fn new<'a>(wishes: impl IntoIterator<Item = &'a Wishes>, tree: &Tree, tasks: u32) -> Self {
+    /// The placement rules of a job of `tasks` tasks: its own and its class's.
+    pub fn new<'a>(
+        rules: impl IntoIterator<Item = &'a PlacementRules>,
+        tree: &Tree,
+        tasks: u32,
+    ) -> Self {
         let mut policy = Self::default();
-        for w in wishes {
+        for w in rules {
             policy.add(w, tree, tasks);
         }
         policy
@@ -121,7 +125,7 @@
         }
     }
 
-    fn add(&mut self, w: &Wishes, tree: &Tree, tasks: u32) {
+    fn add(&mut self, w: &PlacementRules, tree: &Tree, tasks: u32) {
         self.lost |= w.lost;
         let mut unknown = |name: &str, must: bool| {
             if must {
--- a/crates/topology/src/settings.rs
+++ b/crates/topology/src/settings.rs
@@ -7,7 +7,7 @@
 use ipnet::IpNet;
 use schemars::JsonSchema;
 use serde::Deserialize;
-use sorrelhinge_protocol::wishes::{first_error, Wishes};
+use sorrelhinge_protocol::placement::{first_error, PlacementRules};
 use wildmatch::WildMatch;
 
 use crate::devices::{Stock, Unit};
@@ -117,7 +117,7 @@
     pub class: String,
     /// The wishes.
     #[garde(dive)]
-    pub wishes: Wishes,
+    pub wishes: PlacementRules,
 }
 
 /// Spreading again what piled up.
--- a/crates/topology/tests/model.rs
+++ b/crates/topology/tests/model.rs
@@ -6,9 +6,9 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use sorrelhinge_protocol::placement::{Device, Fewest, PlacementRules, Spread, Together};
 use sorrelhinge_protocol::types::{JobSpec, MachineId};
 use sorrelhinge_protocol::users::read_job;
-use sorrelhinge_protocol::wishes::{Device, Fewest, Spread, Together, Wishes};
 use sorrelhinge_topology::devices::{choose, Held, Stock, Unit};
 use sorrelhinge_topology::gang::{self, Rules, Slot};
 use sorrelhinge_topology::policy::{Policy, Reach, Tally};
@@ -27,7 +27,7 @@
 #[derive(Clone, Debug)]
 struct Case {
     machines: Vec<Box_>,
-    wishes: Wishes,
+    rules: PlacementRules,
     tasks: u32,
     /// Steps: place on the n-th allowed machine, lose the n-th machine, or
     /// label it anew as the m-th is.
@@ -38,7 +38,7 @@
     prop::sample::select(LEVELS.to_vec()).prop_map(String::from)
 }
 
-fn wishes() -> impl Strategy<Value = Wishes> {
+fn rules() -> impl Strategy<Value = PlacementRules> {
     let spread = (
         level(),
         prop::option::of(1..4_u32),
@@ -68,7 +68,7 @@
         prop::option::weighted(0.3, fewest),
         prop::option::weighted(0.4, device),
     )
-        .prop_map(|(spread, together, fewest, device)| Wishes {
+        .prop_map(|(spread, together, fewest, device)| PlacementRules {
             spread,
             together,
             fewest,
@@ -107,9 +107,9 @@
 fn case() -> impl Strategy<Value = Case> {
     let machines = (2..24_usize).prop_flat_map(|n| (0..n).map(machine).collect::<Vec<_>>());
     let steps = prop::collection::vec((0..10_u8, 0..1000_usize, 0..1000_usize), 1..40);
-    (machines, wishes(), 1..12_u32, steps).prop_map(|(machines, wishes, tasks, steps)| Case {
+    (machines, rules(), 1..12_u32, steps).prop_map(|(machines, rules, tasks, steps)| Case {
         machines,
-        wishes,
+        rules,
         tasks,
         steps,
     })
@@ -117,7 +117,7 @@
 
 /// The plain model: where tasks are, as machines' places.
 struct Plain<'a> {
-    wishes: &'a Wishes,
+    rules: &'a PlacementRules,
     tasks: u32,
     /// How many domains of each level there are at all.
     domains: [usize; 4],
@@ -162,7 +162,7 @@
             }
             (by, unknown)
         };
-        for rule in self.wishes.spread.iter().filter(|r| r.must || all) {
+        for rule in self.rules.spread.iter().filter(|r| r.must || all) {
             let most = self.most(rule);
             if most >= self.tasks {
                 continue;
@@ -176,7 +176,7 @@
             }
         }
         if self.tasks > 1 {
-            let together = self.wishes.together.iter().filter(|r| r.must || all);
+            let together = self.rules.together.iter().filter(|r| r.must || all);
             for rule in together {
                 let (by, unknown) = counts(&rule.level);
                 let Some(label) = Self::label(at, &rule.level) else {
@@ -186,7 +186,7 @@
                     return false;
                 }
             }
-            if let Some(rule) = &self.wishes.fewest {
+            if let Some(rule) = &self.rules.fewest {
                 let (by, unknown) = counts(&rule.level);
                 let used = by.len() as u32 + unknown;
                 let label = Self::label(at, &rule.level);
@@ -278,7 +278,7 @@
                 break;
             }
             let tree = tree(&machines);
-            let policy = Policy::new([&case.wishes], &tree, case.tasks);
+            let policy = Policy::new([&case.rules], &tree, case.tasks);
             let at = |name: &str| machines.iter().find(|m| m.name == name).cloned();
             let others: Vec<Box_> = there.iter().filter_map(|(name, _)| at(name)).collect();
             let mut domains = [0; 4];
@@ -291,7 +291,7 @@
                 labels.dedup();
                 *count = labels.len();
             }
-            let plain = Plain { wishes: &case.wishes, tasks: case.tasks, domains };
+            let plain = Plain { rules: &case.rules, tasks: case.tasks, domains };
             let places: Vec<(Domain, &str)> = others
                 .iter()
                 .map(|m| (place(&tree, m), m.name.as_str()))
@@ -445,11 +445,11 @@
 #[test]
 fn what_can_never_be_placed_is_told_from_what_waits() {
     let topology = sorrelhinge_topology::Topology::parse(FILE).expect("valid");
-    let never = |kind: &str, tasks: u32, zone: Option<&str>, wishes: &str| {
+    let never = |kind: &str, tasks: u32, zone: Option<&str>, rules: &str| {
         let mut spec = spec(kind, tasks);
         spec.zone = zone.map(Into::into);
-        let wishes: Wishes = serde_json::from_str(wishes).expect("wishes");
-        Policy::new([&wishes], &topology.tree, tasks).never(&topology, &spec)
+        let rules: PlacementRules = serde_json::from_str(rules).expect("rules");
+        Policy::new([&rules], &topology.tree, tasks).never(&topology, &spec)
     };
     let one_each = r#"{"spread": [{"level": "switch", "most": 1}]}"#;
     assert_eq!(never("standing", 3, None, one_each), None);
@@ -574,7 +574,7 @@
         "version = 1\n[[device]]\nkind = \"e\"\ncount = 0\nmachines = [\"m\"]",
         "device[0].count",
     );
-    let policy = |wishes: &str| format!("version = 1\n[[policy]]\nclass = \"c\"\n{wishes}");
+    let policy = |rules: &str| format!("version = 1\n[[policy]]\nclass = \"c\"\n{rules}");
     has(
         &policy("wishes.spread = [{level = \"row\", most = 1}]"),
         "policy[0].wishes.spread[0].level",
--- a/examples/placing.rs
+++ b/examples/placing.rs
@@ -77,7 +77,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
-        wishes: None,
+        placement: None,
         seal: None,
     }
 }
--- a/src/api.rs
+++ b/src/api.rs
@@ -24,9 +24,9 @@
 use sorrelhinge_overload::admission::Class;
 use sorrelhinge_overload::pressure::Level;
 use sorrelhinge_protocol::operators::UndrainAsked;
+use sorrelhinge_protocol::placement::PlacementRules;
 use sorrelhinge_protocol::users::job_id;
 pub use sorrelhinge_protocol::users::read_job;
-use sorrelhinge_protocol::wishes::Wishes;
 
 const MOST_BODY: usize = 64 << 10;
 /// A user waits so long for an answer (PROTOCOL).
@@ -170,14 +170,14 @@
     let Some(id) = value.get("uid").and_then(Value::as_str).and_then(job_id) else {
         return refuse(400, "uid is missing or invalid");
     };
-    let wishes = match node.topology() {
-        Some(_) => Wishes::read(&value),
+    let placement = match node.topology() {
+        Some(_) => PlacementRules::read(&value),
         // An unknown field, and ignored like any other.
         None => Ok(None),
     };
     let spec = read_job(value).map_err(String::from).and_then(|spec| {
         Ok(JobSpec {
-            wishes: wishes?.map(Box::new),
+            placement: placement?.map(Box::new),
             ..spec
         })
     });
--- a/src/control/core/calendar.rs
+++ b/src/control/core/calendar.rs
@@ -644,7 +644,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
-        wishes: None,
+        placement: None,
         seal: None,
     })
 }
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -509,7 +509,7 @@
             ..Job::new(spec, team, submitted, tasks)
         };
         // An earlier version's record names no units.
-        let devices = job.spec.wishes.as_ref();
+        let devices = job.spec.placement.as_ref();
         let holds = devices.is_some_and(|w| w.lost || !w.devices.is_empty());
         let all_done = job.tasks.all_done();
         if homed && !over {
--- a/src/control/core/record.rs
+++ b/src/control/core/record.rs
@@ -40,7 +40,7 @@
         // written by an earlier version, and may hold anything.
         let devices = job
             .spec
-            .wishes
+            .placement
             .as_ref()
             .is_some_and(|w| !w.devices.is_empty());
         let mut units: Vec<_> = job
--- a/src/control/users.rs
+++ b/src/control/users.rs
@@ -40,9 +40,9 @@
         let Some(topology) = self.topology.borrow().clone() else {
             return spec;
         };
-        for class in topology.class_wishes(&spec.class) {
+        for class in topology.class_placement_rules(&spec.class) {
             for device in &class.devices {
-                let own = &mut spec.wishes.get_or_insert_default().devices;
+                let own = &mut spec.placement.get_or_insert_default().devices;
                 match own.iter_mut().find(|d| d.kind == device.kind) {
                     Some(known) => {
                         known.count = known.count.max(device.count);
--- a/src/sched/machine.rs
+++ b/src/sched/machine.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use sorrelhinge_protocol::wishes::Device;
+use sorrelhinge_protocol::placement::Device;
 use sorrelhinge_staging::patience;
 use sorrelhinge_topology::devices::{Held, Stock};
 use sorrelhinge_topology::tree::{Domain, ROOT};
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -127,7 +127,7 @@
     pub late_s: f64,
     /// Since when it has had pending tasks that found no place.
     pub blocked_since: Option<Time>,
-    /// What its wishes and its class's come to.
+    /// What its placement rules and its class's come to.
     pub policy: Rc<Policy>,
     /// A gang that found no room is not tried again before.
     pub try_at: Time,
@@ -140,7 +140,7 @@
 }
 
 impl Job {
-    /// A job that has just come: no aims, no wishes, nothing placed.
+    /// A job that has just come: no aims, no placement rules, nothing placed.
     pub fn new(spec: Rc<JobSpec>, team: usize, submitted: Time, tasks: Tasks) -> Self {
         Self {
             spec,
--- a/src/sched/rebalance.rs
+++ b/src/sched/rebalance.rs
@@ -122,7 +122,7 @@
         moves
     }
 
-    /// Reserves a place for a task that is to move: one that meets all wishes,
+    /// Reserves a place for a task that is to move: one that meets all placement rules,
     /// else one that meets what is required.
     fn ready_elsewhere(&mut self, task: &TaskId, moving: &Moving, now: Time) -> Option<MachineId> {
         let settle_s = self.topology.as_ref()?.settings.repair.settle_s;
--- a/src/sched/topology_rules.rs
+++ b/src/sched/topology_rules.rs
@@ -2,7 +2,7 @@
 //! machine. Without the operator's file no job has a policy, and nothing here
 //! is asked.
 
-use sorrelhinge_protocol::wishes::Device;
+use sorrelhinge_protocol::placement::Device;
 use sorrelhinge_topology::devices::{choose, Unit};
 use sorrelhinge_topology::policy::Whereabouts;
 use sorrelhinge_topology::repair::Stability;
@@ -60,12 +60,12 @@
     /// A job's policy. Devices are what the record says: a class's were
     /// written into it when the job was accepted.
     pub fn policy_of(topology: Option<&Topology>, spec: &JobSpec) -> Rc<Policy> {
-        let own = spec.wishes.as_deref();
+        let own = spec.placement.as_deref();
         match topology {
             Some(t) => {
                 let class: Vec<_> = t
-                    .class_wishes(&spec.class)
-                    .map(|w| sorrelhinge_protocol::wishes::Wishes {
+                    .class_placement_rules(&spec.class)
+                    .map(|w| sorrelhinge_protocol::placement::PlacementRules {
                         devices: Vec::new(),
                         ..w.clone()
                     })
@@ -174,7 +174,7 @@
     }
 
     /// Whether a machine whose turn it is suits a job's policy: it meets all
-    /// wishes, or what is required where no machine meets all.
+    /// placement rules, or what is required where no machine meets all.
     pub(super) fn site_suits(
         &self,
         id: &JobId,
--- a/src/sched/walk.rs
+++ b/src/sched/walk.rs
@@ -326,7 +326,7 @@
     }
 
     /// The best machine for one more task of a job, if any has room: one that
-    /// meets all its wishes, else one that meets what is required.
+    /// meets all its placement rules, else one that meets what is required.
     pub(super) fn best(
         &self,
         id: &JobId,
--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -351,7 +351,7 @@
     /// A job that was just accepted. Values have at most `value_bytes`.
     pub fn accepted(spec: JobSpec, accepted_ms: u64, value_bytes: usize) -> Self {
         // Units that a claim names take room beside it.
-        let devices = spec.wishes.iter().flat_map(|w| &w.devices);
+        let devices = spec.placement.iter().flat_map(|w| &w.devices);
         let units: usize = devices
             .map(|d| d.count as usize * (d.kind.len() + UNIT_BYTES))
             .sum();
--- a/tests/aging.rs
+++ b/tests/aging.rs
@@ -50,7 +50,7 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: None,
-            wishes: None,
+            placement: None,
             seal: None,
         };
         let aim = Time(self.now + aim_s);
--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -452,7 +452,7 @@
     gang.kind = types::Kind::Gang;
     gang.types = Some(vec!["t".into()]);
     let wishes = r#"{"devices":[{"kind":"enc","count":1,"must":true}]}"#;
-    gang.wishes = Some(serde_json::from_str(wishes).expect("wishes"));
+    gang.placement = Some(serde_json::from_str(wishes).expect("wishes"));
     let sealed = serde_json::to_value(gang.clone().sealed()).expect("JSON");
     assert_eq!(sealed["kind"], "array");
     assert_eq!(sealed["types"], json!(["+"]), "no cloud has such a type");
@@ -462,7 +462,7 @@
     let mut kept = sealed;
     kept.as_object_mut().expect("an object").remove("x");
     let lost: JobSpec = serde_json::from_value(kept).expect("readable");
-    assert!(lost.opened().wishes.is_some_and(|w| w.lost));
+    assert!(lost.opened().placement.is_some_and(|w| w.lost));
 }
 
 /// A job's place, over all versions of its record that come by: those of the
--- a/tests/place_model.rs
+++ b/tests/place_model.rs
@@ -14,7 +14,7 @@
     Amount, Image, JobId, JobSpec, Kind, MachineId, MachineType, Priority, TaskId, Time, TypeName,
     Zone,
 };
-use sorrelhinge_protocol::wishes::{Device, Spread, Wishes};
+use sorrelhinge_protocol::placement::{Device, PlacementRules, Spread};
 use sorrelhinge_topology::Topology;
 
 const RULE: DelayRule = DelayRule {
@@ -85,7 +85,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: rng.random_bool(0.5).then(|| f64::from(10 * n + 20)),
-        wishes: None,
+        placement: None,
         seal: None,
     };
     let mut avoid = BTreeMap::new();
@@ -189,7 +189,7 @@
             }
         }
         for (id, job) in jobs {
-            let mut wishes = Wishes::default();
+            let mut wishes = PlacementRules::default();
             if rng.random_bool(0.4) {
                 let (most, must) = (rng.random_range(1..3), rng.random_bool(0.5));
                 wishes.spread.push(Spread {
@@ -212,7 +212,7 @@
                 sites.need.insert(id.clone(), must);
             }
             let mut spec = (*job.spec).clone();
-            spec.wishes = (!wishes.is_empty()).then(|| Box::new(wishes));
+            spec.placement = (!wishes.is_empty()).then(|| Box::new(wishes));
             job.spec = Rc::new(spec);
         }
         (sites, Topology::parse(&file).expect("a valid file"))
--- a/tests/rules/world.rs
+++ b/tests/rules/world.rs
@@ -16,7 +16,7 @@
 use sorrelhinge::types::{JobId, MachineId, Revision, Term, Time};
 use sorrelhinge::worker::{Report, Sending};
 use sorrelhinge_blocks::shard::{BlockId, Shard};
-use sorrelhinge_protocol::wishes::Wishes;
+use sorrelhinge_protocol::placement::PlacementRules;
 use sorrelhinge_topology::Topology;
 
 use crate::*;
@@ -234,7 +234,9 @@
 
     pub(crate) fn accept(&mut self, value: Value) {
         let mut spec = read_job(value.clone()).expect("a valid job");
-        spec.wishes = Wishes::read(&value).expect("valid wishes").map(Box::new);
+        spec.placement = PlacementRules::read(&value)
+            .expect("valid wishes")
+            .map(Box::new);
         // Some jobs keep their claims in their own record, others in chunks.
         let mut record = JobRecord::accepted(spec, 0, 1024);
         record.chunk = record.chunk.min(8);
--- a/tests/sched_model.rs
+++ b/tests/sched_model.rs
@@ -80,7 +80,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
-        wishes: None,
+        placement: None,
         seal: None,
     };
     let tasks = Tasks::new(spec.tasks, 64);
--- a/tests/topology_cases.rs
+++ b/tests/topology_cases.rs
@@ -18,8 +18,8 @@
 use sorrelhinge::types::{
     Amount, JobId, JobSpec, MachineId, MachineType, Revision, TaskId, Time, TypeName, Zone,
 };
+use sorrelhinge_protocol::placement::PlacementRules;
 use sorrelhinge_protocol::users::read_job;
-use sorrelhinge_protocol::wishes::Wishes;
 use sorrelhinge_topology::drain::{Drain, Target};
 use sorrelhinge_topology::renting::Memory;
 use sorrelhinge_topology::repair::Stability;
@@ -63,9 +63,9 @@
     for (key, value) in more.as_object().expect("an object") {
         body[key] = value.clone();
     }
-    let wishes = Wishes::read(&body).expect("valid wishes");
+    let wishes = PlacementRules::read(&body).expect("valid wishes");
     let mut spec = read_job(body).expect("a valid job");
-    spec.wishes = wishes.map(Box::new);
+    spec.placement = wishes.map(Box::new);
     spec
 }
 
