--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -29,7 +29,7 @@
 
 use crate::attempt::{Folder, Found, Task};
 use crate::clock;
-use crate::core::{Action, Answer, Core, Key, Note, Told, ANSWER_S};
+use crate::core::{Action, Answer, Core, Key, Note, Told, ANSWER_TIMEOUT_S};
 use crate::describe::{self, Description, Source};
 use crate::fetch::Fetch;
 use crate::hand_on::{self, Hands};
@@ -40,14 +40,14 @@
 use crate::sources::Sources;
 use crate::supervise::{read_lease, write_lease};
 
-const MOST_BODY: usize = 4 << 20;
+const MAX_BODY_BYTES: usize = 4 << 20;
 /// How often time passes for the core, and processes are looked at.
-const LOOK: Duration = Duration::from_millis(50);
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// A supervisor that has not ended its task by then is killed with it.
-const HARD: f64 = 3.0;
+const KILL_TIMEOUT_S: f64 = 3.0;
 
 /// The folder of archives that are handed on, whole or in part.
-const PARTS: &str = "hand_on";
+const PARTS_FOLDER: &str = "hand_on";
 
 /// A supervisor that is to be looked at.
 struct Watched {
@@ -218,7 +218,7 @@
             let actions = self.core.borrow_mut().tick(jitter, clock::now());
             self.do_all(actions);
             self.look();
-            sleep(LOOK).await;
+            sleep(TICK_INTERVAL).await;
         }
     }
 
@@ -228,8 +228,12 @@
         let mut gone = Vec::new();
         for (key, watched) in self.watched.borrow().iter() {
             match watched.folder.look() {
-                Found::DeletedMachines(exit) => gone.push((key.clone(), exit)),
-                Found::Runs if watched.killing.is_some_and(|t| now.since(t) > HARD) => {
+                Found::Exited(exit) => gone.push((key.clone(), exit)),
+                Found::Runs
+                    if watched
+                        .killing
+                        .is_some_and(|t| now.since(t) > KILL_TIMEOUT_S) =>
+                {
                     watched.folder.kill_hard();
                 }
                 Found::Runs => {}
@@ -387,7 +391,7 @@
     fn remove_part(&self, sum: &str) {
         let Some(hands) = &self.hands else { return };
         hands.drop_part(sum);
-        if let Err(error) = part::remove(&self.settings.folder.join(PARTS), sum) {
+        if let Err(error) = part::remove(&self.settings.folder.join(PARTS_FOLDER), sum) {
             tracing::error!(image = sum, %error, "its part stays");
         }
     }
@@ -419,7 +423,7 @@
                     sources,
                     hands,
                     images: self.settings.folder.join("images"),
-                    parts: self.settings.folder.join(PARTS),
+                    parts: self.settings.folder.join(PARTS_FOLDER),
                     most: self.settings.cache_bytes(),
                     unpacking: self.unpacking.clone(),
                     room: Box::new(move |bytes| {
@@ -588,7 +592,7 @@
     async fn send(self: Rc<Self>, target: usize, report: Report) {
         let sent = self.core.borrow().sent();
         let answered = self.exchange(target, &report);
-        let answer = timeout(Duration::from_secs_f64(ANSWER_S), answered).await;
+        let answer = timeout(Duration::from_secs_f64(ANSWER_TIMEOUT_S), answered).await;
         let answer = answer.unwrap_or_else(|_| {
             self.lines.borrow_mut().remove(&target);
             Answer::None
@@ -628,7 +632,7 @@
             return Answer::None;
         };
         let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), MOST_BODY)
+        let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
             .collect()
             .await;
         let Ok(body) = body.map(|b| b.to_bytes()) else {
@@ -695,7 +699,7 @@
                 self.told(told)
             }
             (Method::POST, "/orders") => {
-                let body = Limited::new(request.into_body(), MOST_BODY).collect();
+                let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect();
                 let body = match timeout(Duration::from_secs(10), body).await {
                     Ok(Ok(body)) => body.to_bytes(),
                     _ => return error(400, "incomplete body"),
@@ -725,7 +729,7 @@
             .await
             .map_err(|e| e.to_string())?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), MOST_BODY)
+        let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
             .collect()
             .await;
         let body = body.map_err(|e| e.to_string())?.to_bytes();
@@ -768,7 +772,7 @@
     hands: Option<&Hands>,
     there: &[(String, u64)],
 ) -> std::io::Result<Vec<(String, u64)>> {
-    let folder = root.join(PARTS);
+    let folder = root.join(PARTS_FOLDER);
     let Some(hands) = hands else {
         return match std::fs::remove_dir_all(folder) {
             Err(e) if e.kind() != std::io::ErrorKind::NotFound => Err(e),
--- a/crates/agent/src/attempt.rs
+++ b/crates/agent/src/attempt.rs
@@ -90,7 +90,7 @@
     /// Its supervisor lives.
     Runs,
     /// All its processes are gone.
-    DeletedMachines(Exit),
+    Exited(Exit),
 }
 
 /// An attempt's folder.
@@ -202,10 +202,10 @@
     /// whatever is left of the task is killed.
     pub fn look(&self) -> Found {
         if let Some(exit) = self.exit() {
-            return Found::DeletedMachines(exit);
+            return Found::Exited(exit);
         }
         if !self.0.is_dir() {
-            return Found::DeletedMachines(Exit::Never);
+            return Found::Exited(Exit::Never);
         }
         let lock = match self.lock() {
             Ok(Some(lock)) => lock,
@@ -217,7 +217,7 @@
         };
         // It may have ended while we came for the lock.
         if let Some(exit) = self.exit() {
-            return Found::DeletedMachines(exit);
+            return Found::Exited(exit);
         }
         if let Err(error) = write_whole(&self.file("void"), b"") {
             tracing::error!(folder = %self.0.display(), %error, "void");
@@ -229,7 +229,7 @@
             return Found::Runs;
         }
         drop(lock);
-        Found::DeletedMachines(match began {
+        Found::Exited(match began {
             Some(_) => Exit::Failed,
             None => Exit::Never,
         })
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -157,30 +157,30 @@
 }
 
 /// Ticks reserved on disk at a time.
-const TICKS: u64 = 1000;
+const TICKS_RESERVED: u64 = 1000;
 /// The least time between two reports.
-const LEAST_S: f64 = 0.5;
+const MIN_REPORT_INTERVAL_S: f64 = 0.5;
 /// A controller that gave no answer is left for the next after this.
-const RETRY_S: f64 = 1.0;
+const RETRY_DELAY_S: f64 = 1.0;
 /// The wait before a report goes to the controller that another named.
-const HOP_S: f64 = 0.2;
+const REDIRECT_DELAY_S: f64 = 0.2;
 /// An answer that takes longer does not come.
-pub const ANSWER_S: f64 = 4.0;
+pub const ANSWER_TIMEOUT_S: f64 = 4.0;
 /// Bytes of a report from which on nothing more is taken on, and from which on
 /// a start is not even refused: PROTOCOL allows a body of 64 KiB.
-const FULL_BYTES: usize = 48 << 10;
-const MOST_BYTES: usize = 58 << 10;
+const FULL_REPORT_BYTES: usize = 48 << 10;
+const MAX_TASKS_BYTES: usize = 58 << 10;
 /// Bytes of a task in a report, beside its name.
 const TASK_BYTES: usize = 64;
-/// Bytes of a report that tell of images: beside [`MOST_BYTES`] of tasks they
+/// Bytes of a report that tell of images: beside [`MAX_TASKS_BYTES`] of tasks they
 /// keep it below 64 KiB.
-const IMAGES_BYTES: usize = 3 << 10;
+const MAX_IMAGES_BYTES: usize = 3 << 10;
 /// Bytes of an image in a report, beside its name.
 const IMAGE_BYTES: usize = 64;
 /// Sources of a start that are looked at.
-const MOST_SOURCES: usize = 64;
+const MAX_SOURCES: usize = 64;
 /// Results remembered at the most.
-const MOST_RESULTS: usize = 10_000;
+const MAX_RESULTS: usize = 10_000;
 
 /// The outcome of a report.
 #[derive(Clone, Debug, PartialEq)]
@@ -306,7 +306,7 @@
     /// Images that are handed on now, the most wanted first. No change that is
     /// worth a report of its own: it is a hint, and goes along with the next.
     pub fn hands_on(&mut self, images: impl Iterator<Item = ReportedImage>) {
-        let mut left = IMAGES_BYTES;
+        let mut left = MAX_IMAGES_BYTES;
         let fits = |image: &ReportedImage| {
             let room = left.checked_sub(image.image.len() + IMAGE_BYTES);
             left = room.unwrap_or(0);
@@ -367,12 +367,14 @@
             actions.push(Action::Kill(key));
         }
         if let Some((sent, _)) = self.flying {
-            if now.since(sent) > ANSWER_S {
+            if now.since(sent) > ANSWER_TIMEOUT_S {
                 self.no_answer(now);
             }
         }
         let due = now >= self.next && (now.since(self.reported) >= self.machine.report_s)
-            || self.changed && now >= self.next && now.since(self.reported) >= LEAST_S;
+            || self.changed
+                && now >= self.next
+                && now.since(self.reported) >= MIN_REPORT_INTERVAL_S;
         if due && self.flying.is_none() && self.dying.is_empty() {
             self.reported = now;
             self.next = now;
@@ -390,7 +392,7 @@
     fn report(&mut self, actions: &mut Vec<Action>) -> Report {
         self.tick += 1;
         if self.tick >= self.ticks_noted {
-            self.ticks_noted = self.tick + TICKS;
+            self.ticks_noted = self.tick + TICKS_RESERVED;
             actions.push(Action::Note(Note::Tick(self.ticks_noted)));
         }
         Report {
@@ -420,7 +422,7 @@
     fn no_answer(&mut self, now: Time) {
         self.flying = None;
         self.target = (self.target + 1) % self.machine.controllers.len().max(1);
-        self.next = now.after(RETRY_S);
+        self.next = now.after(RETRY_DELAY_S);
         self.changed = true;
     }
 
@@ -457,7 +459,7 @@
                         // A report that was sent on is not another one.
                         self.reported = Time(f64::NEG_INFINITY);
                         // Two that name each other are not asked all the time.
-                        self.next = now.after(HOP_S);
+                        self.next = now.after(REDIRECT_DELAY_S);
                     }
                     None => self.no_answer(now),
                 }
@@ -519,7 +521,7 @@
                         piece: piece.clone(),
                         attempt: *attempt,
                     };
-                    let sources = from.iter().take(MOST_SOURCES).copied().collect();
+                    let sources = from.iter().take(MAX_SOURCES).copied().collect();
                     self.start(key, units.clone(), sources, actions);
                 }
                 Command::Kill {
@@ -562,7 +564,7 @@
             return;
         }
         let said: usize = self.tasks.keys().map(|k| k.piece.len() + TASK_BYTES).sum();
-        if said >= MOST_BYTES {
+        if said >= MAX_TASKS_BYTES {
             // It is repeated once others are forgotten.
             return;
         }
@@ -573,7 +575,7 @@
         };
         let refused = if in_use {
             Some(Why::InUse)
-        } else if self.closed || said >= FULL_BYTES || self.tasks.values().any(taken) {
+        } else if self.closed || said >= FULL_REPORT_BYTES || self.tasks.values().any(taken) {
             Some(Why::Full)
         } else if self.results.contains(&key.piece) {
             // Its result is here.
@@ -610,7 +612,7 @@
         actions.push(Action::Note(Note::Ended(key.clone(), why, kept)));
         actions.push(Action::Release(key.clone()));
         if why == Why::Done {
-            if self.results.len() >= MOST_RESULTS {
+            if self.results.len() >= MAX_RESULTS {
                 self.results.pop_first();
             }
             self.results.insert(key.piece.clone());
--- a/crates/agent/src/describe.rs
+++ b/crates/agent/src/describe.rs
@@ -25,8 +25,8 @@
 use crate::core::Needs;
 use crate::images::Image;
 
-const MOST_BYTES: usize = 256 << 10;
-const PATIENCE: Duration = Duration::from_secs(10);
+const MAX_DESCRIPTION_BYTES: usize = 256 << 10;
+const FETCH_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How a task saves when it is told to stop.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
@@ -114,8 +114,8 @@
 impl Description {
     /// Reads a description; the error names what is wrong.
     pub fn read(bytes: &[u8]) -> Result<Self, String> {
-        if bytes.len() > MOST_BYTES {
-            return Err(format!("longer than {MOST_BYTES} bytes"));
+        if bytes.len() > MAX_DESCRIPTION_BYTES {
+            return Err(format!("longer than {MAX_DESCRIPTION_BYTES} bytes"));
         }
         let mut json = serde_json::Deserializer::from_slice(bytes);
         let description: Self = serde_path_to_error::deserialize(&mut json)
@@ -180,7 +180,7 @@
             Self::Folder(folder) => read_file(&folder.join(format!("{job}.json"))),
             Self::Http(server, prefix) => {
                 let path = format!("{prefix}/{job}");
-                let got = timeout(PATIENCE, get(*server, &path)).await;
+                let got = timeout(FETCH_TIMEOUT, get(*server, &path)).await;
                 got.unwrap_or_else(|_| Err("no answer in time".into()))
             }
         };
@@ -201,8 +201,8 @@
 
 fn read_file(path: &Path) -> Result<Option<Vec<u8>>, String> {
     match std::fs::metadata(path) {
-        Ok(meta) if meta.len() > MOST_BYTES as u64 => Err(format!(
-            "{}: longer than {MOST_BYTES} bytes",
+        Ok(meta) if meta.len() > MAX_DESCRIPTION_BYTES as u64 => Err(format!(
+            "{}: longer than {MAX_DESCRIPTION_BYTES} bytes",
             path.display()
         )),
         Ok(_) => std::fs::read(path)
@@ -262,7 +262,7 @@
     let mut left = most;
     // A server that stops in the middle must not keep tasks waiting for ever.
     loop {
-        let frame = timeout(PATIENCE, body.frame())
+        let frame = timeout(FETCH_TIMEOUT, body.frame())
             .await
             .map_err(|e| line(&e))?;
         let Some(frame) = frame else { return Ok(()) };
@@ -300,7 +300,7 @@
         404 => return Ok(None),
         status => return Err(format!("{server}: status {status}")),
     }
-    let body = Limited::new(response.into_body(), MOST_BYTES).collect();
+    let body = Limited::new(response.into_body(), MAX_DESCRIPTION_BYTES).collect();
     let body = body.await.map_err(|e| text(&e))?;
     Ok(Some(body.to_bytes().to_vec()))
 }
--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -31,11 +31,11 @@
 use lanes::Lanes;
 
 /// How often all is begun anew after sums that an agent gave proved wrong.
-const ANEW: usize = 4;
+const MAX_RESTARTS: usize = 4;
 /// How often the origin is asked for an image in one piece.
-const WHOLE_TRIES: u32 = 5;
+const MAX_WHOLE_TRIES: u32 = 5;
 /// How often the origin is asked to confirm sums at the least, in seconds.
-const MOST_CONFIRM_S: f64 = 30.0;
+const MAX_CONFIRM_S: f64 = 30.0;
 
 /// Why a fetch failed, and whether what has come of it may be of use.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -91,7 +91,7 @@
     pub async fn run(self) -> Result<u64, Failed> {
         let fetch = Rc::new(self);
         let mut liars = Vec::new();
-        for _ in 0..ANEW {
+        for _ in 0..MAX_RESTARTS {
             let Some((part, giver)) = fetch.part().await? else {
                 return fetch.in_one_piece().await;
             };
@@ -236,7 +236,7 @@
                 Err(Outcome::Nothing | Outcome::Wrong) => break,
                 Err(_) => {
                     sleep(Duration::from_secs_f64(wait * (0.5 + jitter()))).await;
-                    wait = (wait * 2.0).min(MOST_CONFIRM_S);
+                    wait = (wait * 2.0).min(MAX_CONFIRM_S);
                 }
             }
         }
@@ -260,7 +260,7 @@
             match fetched {
                 Ok(()) => break,
                 // A busy origin is not asked again by all at the same moment.
-                Err(failed) if tries < WHOLE_TRIES && failed.again => {
+                Err(failed) if tries < MAX_WHOLE_TRIES && failed.again => {
                     let why = failed.why;
                     tracing::info!(image = self.image.name, why, "again");
                     sleep(Duration::from_secs_f64(f64::from(tries) * (0.5 + jitter()))).await;
@@ -270,7 +270,8 @@
         }
         let bytes = self.unpack(archive.clone()).await;
         let bytes = bytes.map_err(|e| lost(e.to_string()))?;
-        let summed = spawn_blocking(move || Sums::of(File::open(archive)?, sums::CHUNK)).await;
+        let summed =
+            spawn_blocking(move || Sums::of(File::open(archive)?, sums::DEFAULT_CHUNK_BYTES)).await;
         let sums = summed.map_err(|e| lost(e.to_string()))?;
         let part = sums.and_then(|sums| Part::of_whole(&self.parts, &self.image, sums));
         match part {
--- a/crates/agent/src/fetch/find.rs
+++ b/crates/agent/src/fetch/find.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::http::{ask, whole_body};
-use super::{jitter, keep, lost, Failed, Fetch, WHOLE_TRIES};
+use super::{jitter, keep, lost, Failed, Fetch, MAX_WHOLE_TRIES};
 use crate::clock;
 use crate::describe::{self, Source};
 use crate::sources::{Outcome, Whom};
@@ -151,7 +151,7 @@
                 Err(_) => ("no answer", 0.5),
             };
             // Agents may have them, and the whole proves what they say.
-            if tries >= WHOLE_TRIES || tries >= 2 && !self.agents().is_empty() {
+            if tries >= MAX_WHOLE_TRIES || tries >= 2 && !self.agents().is_empty() {
                 return Err(why.into());
             }
             sleep(Duration::from_secs_f64(after * (0.5 + jitter()))).await;
@@ -164,7 +164,7 @@
             Source::Folder(folder) => {
                 let path = folder.join(name);
                 let read = spawn_blocking(move || match std::fs::metadata(&path) {
-                    Ok(meta) if meta.len() > sums::MOST_BYTES as u64 => Err(Outcome::Wrong),
+                    Ok(meta) if meta.len() > sums::MAX_FILE_BYTES as u64 => Err(Outcome::Wrong),
                     Err(e) if e.kind() == ErrorKind::NotFound => Err(Outcome::Nothing),
                     _ => std::fs::read(path).map_err(|_| Outcome::Failed),
                 });
--- a/crates/agent/src/fetch/lanes.rs
+++ b/crates/agent/src/fetch/lanes.rs
@@ -20,12 +20,12 @@
 use super::{jitter, keep, lost, Failed, Fetch};
 use crate::clock;
 use crate::describe::{self, Source};
-use crate::hand_on::LEAST_RATE;
+use crate::hand_on::MIN_RATE_BYTES_PER_S;
 use crate::part::{self, Part};
 use crate::sources::{Outcome, Whom};
 
 /// How often a lane looks whether there is something to do.
-const LOOK: Duration = Duration::from_millis(5);
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// What came of a request.
 enum Taken {
@@ -62,7 +62,7 @@
             let chunk = self.part.missing(flying);
             let next = chunk.and_then(|c| Some((c, sources.borrow_mut().pick(clock::now())?)));
             let Some((chunk, whom)) = next else {
-                sleep(LOOK).await;
+                sleep(POLL_INTERVAL).await;
                 continue;
             };
             self.flying.borrow_mut().insert(chunk);
@@ -134,7 +134,7 @@
         let length = to - from;
         let stall = Duration::from_secs_f64(self.fetch.hands.settings().stall_s);
         // One that drips must not hold a chunk for ever either.
-        let patience = stall + Duration::from_secs_f64(length as f64 / LEAST_RATE);
+        let patience = stall + Duration::from_secs_f64(length as f64 / MIN_RATE_BYTES_PER_S);
         let got = timeout(patience, async {
             let line = self.lines.borrow_mut().remove(&at);
             let mut line = match line.filter(|line| line.is_ready()) {
--- a/crates/agent/src/hand_on.rs
+++ b/crates/agent/src/hand_on.rs
@@ -32,23 +32,23 @@
 
 /// Bytes that go out at a time: between two of them anything else of the agent
 /// has its turn.
-const PIECE: u64 = 128 << 10;
+const SEND_BYTES: u64 = 128 << 10;
 /// A wait that is shorter is left to the next piece: timers go by milliseconds,
 /// and one for each piece would bound an upload far below any rate.
-const LEAST_WAIT_S: f64 = 0.002;
+const MIN_WAIT_S: f64 = 0.002;
 /// Who takes less than this, bytes a second, doesn't keep a slot.
-pub const LEAST_RATE: f64 = 1e6;
+pub const MIN_RATE_BYTES_PER_S: f64 = 1e6;
 /// How long a request waits for a chunk that is on its way here: it saves the
 /// asker a pause in each step of a chain.
-const WAIT: Duration = Duration::from_secs(2);
+const MAX_CHUNK_WAIT: Duration = Duration::from_secs(2);
 /// How often it looks.
-const LOOK: Duration = Duration::from_millis(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Requests that wait, for each slot.
-const WAITING: usize = 8;
+const MAX_WAITING_PER_SLOT: usize = 8;
 /// `Retry-After`, in seconds: where no slot or chunk is there yet, and where an
 /// image comes in one piece.
-const SOON_S: u32 = 1;
-const LATER_S: u32 = 5;
+const RETRY_SOON_S: u32 = 1;
+const RETRY_LATER_S: u32 = 5;
 
 /// What the agent answers with: a text, or a stream of pieces.
 pub type Answer = Response<Either<Full<Bytes>, Pieces>>;
@@ -166,7 +166,7 @@
             parts: RefCell::default(),
             coming: RefCell::default(),
             slots: Rc::new(Cell::new(uploads)),
-            waits: Rc::new(Cell::new(uploads * WAITING)),
+            waits: Rc::new(Cell::new(uploads * MAX_WAITING_PER_SLOT)),
             rate: Rc::new(RefCell::new(rate)),
         }
     }
@@ -263,10 +263,10 @@
             },
         };
         if !of_sums && !self.there(&part, from, to).await {
-            return refuse(503, "not there yet", Some(SOON_S));
+            return refuse(503, "not there yet", Some(RETRY_SOON_S));
         }
         let Some(slot) = Slot::take(&self.slots) else {
-            return refuse(503, "all uploads are taken", Some(SOON_S));
+            return refuse(503, "all uploads are taken", Some(RETRY_SOON_S));
         };
         let bytes = match of_sums {
             true => Bytewise::Memory(part.text()),
@@ -309,7 +309,7 @@
             Some(part) if part.hands_on() => Ok(part),
             // Whoever waits for sums waits for those that are on their way only:
             // two that had a part each would wait for each other for ever.
-            _ if comes => Err(no(503, "not checked yet", Some(LATER_S))),
+            _ if comes => Err(no(503, "not checked yet", Some(RETRY_LATER_S))),
             _ => Err(no(404, "no such image", None)),
         }
     }
@@ -325,8 +325,8 @@
             return false;
         };
         let begun = Instant::now();
-        while begun.elapsed() < WAIT {
-            sleep(LOOK).await;
+        while begun.elapsed() < MAX_CHUNK_WAIT {
+            sleep(POLL_INTERVAL).await;
             if all() {
                 return true;
             }
@@ -337,15 +337,15 @@
     fn send(&self, bytes: Bytewise, length: u64, slot: Slot) -> Pieces {
         let (to, from) = mpsc::channel(1);
         let rate = self.rate.clone();
-        let patience = self.settings.stall_s + length as f64 / LEAST_RATE;
+        let patience = self.settings.stall_s + length as f64 / MIN_RATE_BYTES_PER_S;
         spawn_local(async move {
             let _slot = slot;
             let mut blocked = Duration::ZERO;
             let mut sent = 0;
             while sent < length {
-                let size = PIECE.min(length - sent);
+                let size = SEND_BYTES.min(length - sent);
                 let wait = rate.borrow_mut().wait(size, clock::now());
-                if wait > LEAST_WAIT_S {
+                if wait > MIN_WAIT_S {
                     sleep(Duration::from_secs_f64(wait)).await;
                 }
                 let piece = match &bytes {
--- a/crates/agent/src/images.rs
+++ b/crates/agent/src/images.rs
@@ -250,7 +250,10 @@
         if sum != image.sha256 {
             return Err(std::io::Error::other(format!("its sum is {sum}")));
         }
-        std::fs::write(beside.join(SIZE), (most_bytes - reader.left).to_string())?;
+        std::fs::write(
+            beside.join(SIZE_FILE),
+            (most_bytes - reader.left).to_string(),
+        )?;
         sync(&beside)?;
         std::fs::rename(&beside, &place)?;
         File::open(root)?.sync_all()?;
@@ -263,11 +266,11 @@
 }
 
 /// The file in an image's folder that tells its size.
-const SIZE: &str = ".sorrelhinge-bytes";
+const SIZE_FILE: &str = ".sorrelhinge-bytes";
 
 /// How many bytes an image's archive has, if it is there whole.
 pub fn size(root: &Path, sha256: &str) -> Option<u64> {
-    let size = std::fs::read_to_string(root.join(sha256).join(SIZE));
+    let size = std::fs::read_to_string(root.join(sha256).join(SIZE_FILE));
     size.ok()?.parse().ok()
 }
 
--- a/crates/agent/src/journal.rs
+++ b/crates/agent/src/journal.rs
@@ -26,9 +26,9 @@
 
 const MAGIC: &[u8; 4] = b"SHJ1";
 const VERSION: u32 = 1;
-const MOST_BYTES: u32 = 65_536;
+const MAX_ENTRY_BYTES: u32 = 65_536;
 /// Entries after which the file is written anew, if most are of no use.
-const MANY: usize = 4096;
+const REWRITE_AFTER_ENTRIES: usize = 4096;
 
 /// Why a journal can't be used.
 #[derive(Debug, thiserror::Error)]
@@ -131,7 +131,7 @@
     while let Some((frame, after)) = rest.split_at_checked(8) {
         let length = u32::from_le_bytes([frame[0], frame[1], frame[2], frame[3]]);
         let sum = u32::from_le_bytes([frame[4], frame[5], frame[6], frame[7]]);
-        if length > MOST_BYTES {
+        if length > MAX_ENTRY_BYTES {
             break;
         }
         let Some((payload, after)) = after.split_at_checked(length as usize) else {
@@ -221,7 +221,7 @@
             self.state.apply(note);
         }
         self.entries += notes.len();
-        if self.entries >= MANY && self.entries > 4 * self.state.notes().len() {
+        if self.entries >= REWRITE_AFTER_ENTRIES && self.entries > 4 * self.state.notes().len() {
             self.compact()?;
         }
         Ok(())
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -51,7 +51,7 @@
         /// The archive.
         file: PathBuf,
         /// Bytes of a chunk.
-        #[arg(long, default_value_t = sorrelhinge_agent::sums::CHUNK)]
+        #[arg(long, default_value_t = sorrelhinge_agent::sums::DEFAULT_CHUNK_BYTES)]
         chunk: u64,
     },
     /// Run one attempt to its end. The agent starts this.
--- a/crates/agent/src/sources.rs
+++ b/crates/agent/src/sources.rs
@@ -6,14 +6,14 @@
 use sorrelhinge_protocol::types::Time;
 
 /// The first wait after a failure, in seconds; each further one doubles it.
-const RETRY_S: f64 = 0.5;
+const FIRST_RETRY_S: f64 = 0.5;
 /// The longest wait after a failure, in seconds.
-const MOST_RETRY_S: f64 = 15.0;
+const MAX_RETRY_S: f64 = 15.0;
 /// The wait where a source said that it has none of it, in seconds: its own
 /// fetch has not begun, since its start is still on its way.
-const NOTHING_S: f64 = 1.0;
+const NOT_YET_THERE_RETRY_S: f64 = 1.0;
 /// Failures in a row after which the origin counts as gone if nobody else is.
-const ORIGIN_TRIES: u32 = 8;
+const MAX_ORIGIN_FAILURES: u32 = 8;
 
 /// Who is asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -161,16 +161,16 @@
                 source.dropped = true;
                 return;
             }
-            Outcome::NotYet(after_s) => after_s.clamp(0.05, MOST_RETRY_S) * spread,
-            Outcome::Nothing if whom != Whom::Origin => NOTHING_S * spread,
+            Outcome::NotYet(after_s) => after_s.clamp(0.05, MAX_RETRY_S) * spread,
+            Outcome::Nothing if whom != Whom::Origin => NOT_YET_THERE_RETRY_S * spread,
             Outcome::Nothing => {
                 source.dropped = true;
                 return;
             }
             Outcome::Failed => {
                 source.failures += 1;
-                let doubled = RETRY_S * f64::from(1 << (source.failures - 1).min(10));
-                doubled.min(MOST_RETRY_S) * spread
+                let doubled = FIRST_RETRY_S * f64::from(1 << (source.failures - 1).min(10));
+                doubled.min(MAX_RETRY_S) * spread
             }
         };
         source.rests_until = now.after(rest);
@@ -183,9 +183,11 @@
             return Some("nobody has it: not the origin, and no agent that was named".into());
         }
         let origin = self.all.last();
-        let tried = origin.is_some_and(|o| o.failures >= ORIGIN_TRIES);
+        let tried = origin.is_some_and(|o| o.failures >= MAX_ORIGIN_FAILURES);
         if tried && self.agents().is_empty() {
-            return Some(format!("the origin failed {ORIGIN_TRIES} times in a row"));
+            return Some(format!(
+                "the origin failed {MAX_ORIGIN_FAILURES} times in a row"
+            ));
         }
         (now.since(self.gave) > patience_s)
             .then(|| format!("nobody has given a chunk for {patience_s} s"))
@@ -271,7 +273,7 @@
         assert_eq!(s.hopeless(60.0, Time(3.0)), None);
         assert_eq!(s.pick(Time(3.0)), Some(Whom::Agent(at(2))));
         let mut s = Sources::new([], 10.0, 0.0, Time(0.0));
-        for n in 0..ORIGIN_TRIES {
+        for n in 0..MAX_ORIGIN_FAILURES {
             assert_eq!(s.hopeless(60.0, Time(0.0)), None, "{n} failures");
             s.came_at_once(Whom::Origin, Outcome::Failed, Time(0.0));
         }
--- a/crates/agent/src/sums.rs
+++ b/crates/agent/src/sums.rs
@@ -15,12 +15,12 @@
 use sha2::{Digest, Sha256};
 
 /// Bytes of a chunk where nothing else is said.
-pub const CHUNK: u64 = 8 << 20;
+pub const DEFAULT_CHUNK_BYTES: u64 = 8 << 20;
 /// Bytes that a chunk has at the least and at the most: one is in memory while
 /// it is checked.
-const CHUNKS: std::ops::RangeInclusive<u64> = 4 << 10..=64 << 20;
+const ALLOWED_CHUNK_BYTES: std::ops::RangeInclusive<u64> = 4 << 10..=64 << 20;
 /// Bytes of a file of sums, at the most: a terabyte in chunks of 8 MiB.
-pub const MOST_BYTES: usize = 9 << 20;
+pub const MAX_FILE_BYTES: usize = 9 << 20;
 /// The version that this one reads and writes.
 const VERSION: u32 = 1;
 
@@ -56,7 +56,7 @@
         if sums.version != VERSION {
             return Err(format!("sums: version {}, not {VERSION}", sums.version));
         }
-        if !CHUNKS.contains(&sums.chunk) {
+        if !ALLOWED_CHUNK_BYTES.contains(&sums.chunk) {
             return Err(format!("sums: chunks of {} bytes", sums.chunk));
         }
         if sums.bytes == 0 || sums.bytes.div_ceil(sums.chunk) != sums.sums.len() as u64 {
@@ -76,7 +76,7 @@
     /// The archive can't be read, is empty, or `chunk` (bytes) is out of bounds.
     pub fn of(mut archive: impl Read, chunk: u64) -> std::io::Result<Self> {
         let other = |why: String| Err(std::io::Error::other(why));
-        if !CHUNKS.contains(&chunk) {
+        if !ALLOWED_CHUNK_BYTES.contains(&chunk) {
             return other(format!("chunks of {chunk} bytes"));
         }
         let mut whole = Sha256::new();
--- a/crates/agent/src/supervise.rs
+++ b/crates/agent/src/supervise.rs
@@ -20,9 +20,9 @@
 use crate::core::Exit;
 
 /// How often it looks at what it is told, and at the lease.
-const LOOK: Duration = Duration::from_millis(50);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long killed processes are waited for before they are killed again.
-const AGAIN: Duration = Duration::from_millis(200);
+const KILL_RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Since when the lease runs, as the agent writes it: the start of the machine,
 /// and seconds since then. Written in place of the old, not synced: after a
@@ -155,7 +155,7 @@
             saving = true;
             save(task, group);
         }
-        std::thread::sleep(LOOK);
+        std::thread::sleep(POLL_INTERVAL);
     };
     end_all(group);
     let code = status.and_then(|s: ExitStatus| s.code());
@@ -201,7 +201,7 @@
         for child in children() {
             let _ = kill_process(child, Signal::KILL);
         }
-        let end = Instant::now() + AGAIN;
+        let end = Instant::now() + KILL_RETRY_INTERVAL;
         while Instant::now() < end {
             match wait(WaitOptions::NOHANG) {
                 Ok(Some(_)) => {}
--- a/crates/agent/tests/supervisor.rs
+++ b/crates/agent/tests/supervisor.rs
@@ -101,7 +101,7 @@
         let _ = self.supervisor.wait();
         assert_eq!(
             self.folder.look(),
-            Found::DeletedMachines(self.folder.exit().expect("ended"))
+            Found::Exited(self.folder.exit().expect("ended"))
         );
         self.folder.exit().expect("ended")
     }
@@ -204,7 +204,7 @@
     run.supervisor.kill().expect("killed");
     run.supervisor.wait().expect("gone");
     run.until("nothing is left", |f| {
-        f.look() == Found::DeletedMachines(Exit::Failed)
+        f.look() == Found::Exited(Exit::Failed)
     });
     run.until("they are gone", |_| processes.iter().all(|p| !p.lives()));
     let mut pid = run.folder.pid().expect("written");
@@ -219,7 +219,7 @@
 #[test]
 fn a_supervisor_that_comes_late_runs_nothing() {
     let folder = prepare("late", "echo ran > ran", json!({}), 60.0);
-    assert_eq!(folder.look(), Found::DeletedMachines(Exit::Never));
+    assert_eq!(folder.look(), Found::Exited(Exit::Never));
     let status = supervise(&folder).wait().expect("it ends");
     assert!(!status.success());
     assert!(!folder.work().join("ran").exists());
@@ -232,7 +232,7 @@
     assert_eq!(ends.filter(|ok| *ok).count(), 1);
     let ran = std::fs::read_to_string(folder.work().join("ran")).expect("it ran");
     assert_eq!(ran, "ran\n");
-    assert_eq!(folder.look(), Found::DeletedMachines(Exit::Done));
+    assert_eq!(folder.look(), Found::Exited(Exit::Done));
 }
 
 /// What users upload is read strictly, and never breaks anything.
--- a/crates/agent/tests/worker_model.rs
+++ b/crates/agent/tests/worker_model.rs
@@ -46,7 +46,7 @@
     /// A task's image is there, or can't be had.
     Imaged(u8, bool),
     /// A task's processes are gone.
-    DeletedMachines(u8, u8),
+    Exited(u8, u8),
     /// The agent is killed and starts again from its journal.
     Crash,
 }
@@ -64,7 +64,7 @@
         1 => any::<bool>().prop_map(Step::Elsewhere),
         6 => (0..8_u8, prop::bool::weighted(0.9)).prop_map(|(n, ok)| Step::Describe(n, ok)),
         3 => (0..8_u8, prop::bool::weighted(0.8)).prop_map(|(n, ok)| Step::Imaged(n, ok)),
-        4 => (0..8_u8, 0..4_u8).prop_map(|(n, e)| Step::DeletedMachines(n, e)),
+        4 => (0..8_u8, 0..4_u8).prop_map(|(n, e)| Step::Exited(n, e)),
         1 => Just(Step::Crash),
     ]
 }
@@ -402,7 +402,7 @@
                 let actions = self.core.imaged(&key, there, now);
                 self.act(actions)?;
             }
-            Step::DeletedMachines(n, how) => {
+            Step::Exited(n, how) => {
                 let processes: Vec<_> = self.model.processes.keys().cloned().collect();
                 let Some(id) = processes.get(usize::from(n) % processes.len().max(1)) else {
                     return Ok(());
--- a/crates/calendar/src/lend.rs
+++ b/crates/calendar/src/lend.rs
@@ -4,7 +4,7 @@
 
 /// Estimates are often wrong by half, sometimes by more: work must end before
 /// the window begins even if it takes this many times its estimate.
-pub const TWICE: f64 = 2.0;
+pub const ESTIMATE_FACTOR: f64 = 2.0;
 
 /// Work that would use held room.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -39,7 +39,7 @@
     // An estimate of 0 is a service's, which never ends.
     if work
         .ends_in_s
-        .is_some_and(|s| s > 0.0 && s * TWICE <= left_s)
+        .is_some_and(|s| s > 0.0 && s * ESTIMATE_FACTOR <= left_s)
     {
         return Lend::Ends;
     }
--- a/crates/calendar/src/plan.rs
+++ b/crates/calendar/src/plan.rs
@@ -134,28 +134,28 @@
 }
 
 /// Room is asked for in so many steps.
-const STEPS: u32 = 8;
+const RAMP_STEPS: u32 = 8;
 
 /// For how long at least, in seconds: the cloud's other customers and our own
 /// other work aren't pushed aside at one moment.
-const RAMP_S: f64 = 20.0;
+const MIN_RAMP_S: f64 = 20.0;
 
 /// How long before warming an occurrence is planned, in seconds: long enough
 /// for an operator to act on a shortage.
-const PLAN_S: f64 = 300.0;
+const PLAN_AHEAD_S: f64 = 300.0;
 
 /// A hold without work shrinks in so many parts.
-const PARTS: u32 = 4;
+const SHRINK_PARTS: u32 = 4;
 
 /// The least time from one part to the next, in seconds.
-const PART_S: f64 = 5.0;
+const MIN_SHRINK_INTERVAL_S: f64 = 5.0;
 
 /// For how long after its end room may be on its way back, in seconds.
-const RELEASE_S: i64 = 60;
+const MAX_RELEASE_S: i64 = 60;
 
 /// How long an occurrence that is over stays known beyond all that clocks
 /// within their bound can differ, in seconds: for one that jumps further.
-const KEEP_S: i64 = 600;
+const RECORD_RETENTION_S: i64 = 600;
 
 fn ms(seconds: f64) -> i64 {
     // Saturates; what is not a number is 0.
@@ -164,7 +164,7 @@
 
 /// Seconds over which room for `tasks` is asked for, if there is time.
 fn ramp_s(tasks: u32, seen: &Seen) -> f64 {
-    pace_s(tasks, seen).max(RAMP_S)
+    pace_s(tasks, seen).max(MIN_RAMP_S)
 }
 
 /// Seconds that the cloud's and our own limits make of it anyway.
@@ -194,10 +194,12 @@
     let gone_ms = clock.latest_ms() + clock.off_ms - record.since_ms;
     let gone_s = gone_ms as f64 / 1000.0;
     let steps = match over_s > 0.0 {
-        true => (gone_s.max(0.0) / over_s * f64::from(STEPS)).min(f64::from(STEPS)) as u32 + 1,
-        false => STEPS,
+        true => {
+            (gone_s.max(0.0) / over_s * f64::from(RAMP_STEPS)).min(f64::from(RAMP_STEPS)) as u32 + 1
+        }
+        false => RAMP_STEPS,
     };
-    part(record.tasks, steps.min(STEPS), STEPS)
+    part(record.tasks, steps.min(RAMP_STEPS), RAMP_STEPS)
 }
 
 fn part(tasks: u32, of: u32, parts: u32) -> u32 {
@@ -217,9 +219,9 @@
     if beyond_s < 0.0 {
         return tasks;
     }
-    let each_s = (no_show_s / f64::from(PARTS)).max(PART_S);
-    let gone = (beyond_s / each_s).min(f64::from(PARTS)) as u32 + 1;
-    part(tasks, PARTS.saturating_sub(gone), PARTS)
+    let each_s = (no_show_s / f64::from(SHRINK_PARTS)).max(MIN_SHRINK_INTERVAL_S);
+    let gone = (beyond_s / each_s).min(f64::from(SHRINK_PARTS)) as u32 + 1;
+    part(tasks, SHRINK_PARTS.saturating_sub(gone), SHRINK_PARTS)
 }
 
 /// How many tasks' room to hold by a record as it is. For other blocks' owners
@@ -258,7 +260,7 @@
     if clock.earliest_ms() >= span.end_ms {
         return Some(Step::Releasing);
     }
-    if clock.latest_ms() < before_ms(lead_s + PLAN_S) {
+    if clock.latest_ms() < before_ms(lead_s + PLAN_AHEAD_S) {
         return None;
     }
     if clock.latest_ms() < before_ms(lead_s) {
@@ -356,7 +358,7 @@
             }
         }
         (Step::Releasing, _) => {
-            let late_ms = record.end_ms.saturating_add(RELEASE_S * 1000);
+            let late_ms = record.end_ms.saturating_add(MAX_RELEASE_S * 1000);
             match seen.asked <= seen.used || clock.earliest_ms() >= late_ms {
                 true => Change::Write(WindowRecord {
                     step: Step::Over,
@@ -369,7 +371,8 @@
         (Step::Over, _) => {
             // Deleted only when every clock within the bound is past its end:
             // one that is behind would begin it a second time.
-            let known_ms = record.end_ms.max(at.end_ms) + 2 * clock.off_ms + KEEP_S * 1000;
+            let known_ms =
+                record.end_ms.max(at.end_ms) + 2 * clock.off_ms + RECORD_RETENTION_S * 1000;
             match clock.earliest_ms() >= known_ms {
                 true => Change::Delete,
                 false => Change::Keep,
--- a/crates/calendar/src/settings.rs
+++ b/crates/calendar/src/settings.rs
@@ -128,7 +128,7 @@
         }
         match &self.when {
             When::Once(_) => Ok(()),
-            When::Weekly(_) if self.next(LONG_AGO_MS).is_none() => {
+            When::Weekly(_) if self.next(EPOCH_MS).is_none() => {
                 Err(format!("{at}.when: it never happens"))
             }
             When::Every(every) if every.period.as_secs() < 1 => {
@@ -140,7 +140,7 @@
 }
 
 /// 1970: no rule is meant to have ended before.
-const LONG_AGO_MS: i64 = 0;
+const EPOCH_MS: i64 = 0;
 
 /// The file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
@@ -226,18 +226,18 @@
 
 /// How far ahead overlaps are looked for, in milliseconds: five weeks, in which
 /// all weekdays meet, also over a month's end.
-const AHEAD_MS: i64 = 35 * 86_400_000;
+const OVERLAP_HORIZON_MS: i64 = 35 * 86_400_000;
 
 /// The most occurrences of a window that overlaps are looked for among, so that
 /// `every = "1s"` is checked as fast as any.
-const OCCURRENCES: usize = 400;
+const MAX_OCCURRENCES: usize = 400;
 
 fn occurrences(window: &Window, now_ms: i64) -> impl Iterator<Item = Span> + '_ {
     std::iter::successors(window.current_or_next(now_ms), |span| {
         window.next(span.start_ms)
     })
-    .take_while(move |span| span.start_ms < now_ms + AHEAD_MS)
-    .take(OCCURRENCES)
+    .take_while(move |span| span.start_ms < now_ms + OVERLAP_HORIZON_MS)
+    .take(MAX_OCCURRENCES)
 }
 
 /// What can't be, by the controllers' settings; one line that names the window.
--- a/crates/calendar/src/when.rs
+++ b/crates/calendar/src/when.rs
@@ -112,7 +112,7 @@
 /// Days that are looked at for a rule's next time: a week, one more as the day
 /// here need not be the day there, and one that a zone may have left out
 /// altogether (a change of the date line).
-const DAYS: i32 = 10;
+const SEARCH_DAYS: i32 = 10;
 
 /// When a day's time is. One that a clock skips is the first moment after the
 /// gap, so that a window is never left out; one that a clock shows twice is
@@ -141,7 +141,7 @@
         // The day before: its time may have been skipped into the next.
         let here = tz.to_datetime(after).date().yesterday().ok()?;
         let first = self.from.map_or(here, |from| from.max(here));
-        (0..DAYS)
+        (0..SEARCH_DAYS)
             .filter_map(|n| first.checked_add(n.days()).ok())
             .take_while(|date| self.until.is_none_or(|until| *date <= until))
             .filter(|date| self.days.is_empty() || self.days.iter().any(|d| d.is(date.weekday())))
--- a/crates/lanes/src/lanes.rs
+++ b/crates/lanes/src/lanes.rs
@@ -12,7 +12,7 @@
 /// The part of a lane that names none.
 const DEFAULT_PART: f64 = 0.25;
 /// Most lanes: each is looked at for each job that comes.
-const MOST: usize = 16;
+const MAX_LANES: usize = 16;
 
 /// A lane's number: the lower goes first. It follows from the properties alone
 /// (`order`, then the name), so controllers with the same properties agree. It is
@@ -112,8 +112,8 @@
                 _ => return Err(format!("{key}: no such property")),
             }
         }
-        if raws.len() > MOST {
-            return Err(format!("{PREFIX}*: more than {MOST} lanes"));
+        if raws.len() > MAX_LANES {
+            return Err(format!("{PREFIX}*: more than {MAX_LANES} lanes"));
         }
         let mut lanes = Vec::new();
         for (name, raw) in raws {
--- a/crates/lanes/src/part.rs
+++ b/crates/lanes/src/part.rs
@@ -8,12 +8,12 @@
 
 /// Whatever its part, a lane has one turn in twenty: a part of 0 would else turn
 /// a lane into a trap, where jobs wait that would run without lanes.
-const LEAST_TURNS: f64 = 0.05;
+const MIN_TURN_SHARE: f64 = 0.05;
 /// And others have one in ten, also of a lane whose part is 1: a lane that never
 /// ends would else keep every claim of other work from being recorded.
-const MOST_TURNS: f64 = 0.9;
+const MAX_TURN_SHARE: f64 = 0.9;
 /// Turns that a lane may save up: after a quiet time it can't take all for long.
-const MOST_SAVED: f64 = 4.0;
+const MAX_SAVED_TURNS: f64 = 4.0;
 
 /// A lane's part.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -84,9 +84,9 @@
 
     /// A piece was taken, by a job of the lane or by another.
     pub fn taken(&mut self, bound: Bound, by_lane: bool) {
-        let saved = self.saved + bound.part.clamp(LEAST_TURNS, MOST_TURNS);
+        let saved = self.saved + bound.part.clamp(MIN_TURN_SHARE, MAX_TURN_SHARE);
         // What a lane took while nobody waited is not held against it.
         let took = if by_lane { 1.0 } else { 0.0 };
-        self.saved = (saved - took).clamp(0.0, MOST_SAVED);
+        self.saved = (saved - took).clamp(0.0, MAX_SAVED_TURNS);
     }
 }
--- a/crates/protocol/src/users.rs
+++ b/crates/protocol/src/users.rs
@@ -7,9 +7,9 @@
 
 use crate::types::{Amount, Image, JobId, JobSpec, Kind, Priority, TypeName, Zone};
 
-const MOST_TASKS: u64 = 100_000;
+const MAX_TASKS: u64 = 100_000;
 /// A gang is placed whole, so its size is what one decision can weigh.
-const MOST_GANG: u64 = 2_000;
+const MAX_GANG_TASKS: u64 = 2_000;
 
 /// What users are told of a job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -100,10 +100,10 @@
         "idle" => Priority::Idle,
         _ => return Err("unknown rank"),
     };
-    if !(1..=MOST_TASKS).contains(&wire.pieces) {
+    if !(1..=MAX_TASKS).contains(&wire.pieces) {
         return Err("pieces is not within 1 to 100000");
     }
-    if kind == Kind::Gang && wire.pieces > MOST_GANG {
+    if kind == Kind::Gang && wire.pieces > MAX_GANG_TASKS {
         return Err("pieces of an ensemble is not within 1 to 2000");
     }
     let amount = |x: f64| (0.0..=1e6).contains(&x);
--- a/crates/staging/src/patience.rs
+++ b/crates/staging/src/patience.rs
@@ -5,22 +5,22 @@
 
 /// Fetches of at least so long go by a wave; shorter ones are over before a stage
 /// would be, and go to the origin as before.
-pub const STAGED_S: f64 = 20.0;
+pub const MIN_STAGED_FETCH_S: f64 = 20.0;
 /// T1+T2 as a part of the fetch's time, as measured for images of seconds.
-const WAIT_PART: f64 = 0.05;
-/// At most so long for fetches up to `SHORT_S`, as measured: start aims are 2 to 5 s.
-const WAIT_SHORT_S: f64 = 5.0;
+const WAIT_SHARE: f64 = 0.05;
+/// At most so long for fetches up to `SHORT_FETCH_S`, as measured: start aims are 2 to 5 s.
+const MAX_SHORT_WAIT_S: f64 = 5.0;
 /// Images of longer fetches can't meet an aim of seconds in any case.
-const SHORT_S: f64 = 100.0;
+const SHORT_FETCH_S: f64 = 100.0;
 /// At most so long for any: a job has to begin within minutes.
-const WAIT_MOST_S: f64 = 30.0;
+const MAX_WAIT_S: f64 = 30.0;
 /// A fetch may take so many times its time at full rate: 1.4 times in a wave,
 /// twice with a source that two share, and a source that is replaced on the way.
-const ALLOWED: f64 = 3.0;
+const ALLOWED_FACTOR: f64 = 3.0;
 /// And so many seconds more, for the stages and for sources that don't answer.
 const ALLOWED_MORE_S: f64 = 30.0;
 /// What is left of a fetch counts as at least this part: its cost stays finite.
-const LEFT_LEAST: f64 = 0.1;
+const MIN_LEFT_SHARE: f64 = 0.1;
 
 /// Time of a fetch at full rate. A rate that is no rate counts as 1 MB/s.
 pub fn fetch_s(gb: f64, gb_per_s: f64) -> f64 {
@@ -29,7 +29,7 @@
 
 /// Whether an image of this fetch time goes by a wave.
 pub fn staged(fetch_s: f64) -> bool {
-    fetch_s >= STAGED_S
+    fetch_s >= MIN_STAGED_FETCH_S
 }
 
 /// T1+T2 (paper 4.3.1): for how long a job waits for a place with its image
@@ -37,17 +37,17 @@
 /// 0.05 of it up to 30 s: who waits in vain loses 0.05 of a fetch that has to be
 /// made anyway.
 pub fn threshold_s(fetch_s: f64) -> f64 {
-    let wait = WAIT_PART * fetch_s.max(0.0);
-    if fetch_s <= SHORT_S {
-        wait.min(WAIT_SHORT_S)
+    let wait = WAIT_SHARE * fetch_s.max(0.0);
+    if fetch_s <= SHORT_FETCH_S {
+        wait.min(MAX_SHORT_WAIT_S)
     } else {
-        wait.min(WAIT_MOST_S)
+        wait.min(MAX_WAIT_S)
     }
 }
 
 /// For how long a machine that fetches is not held to be hanging.
 pub fn fetch_allowance_s(gb: f64, gb_per_s: f64) -> f64 {
-    ALLOWED * fetch_s(gb, gb_per_s) + ALLOWED_MORE_S
+    ALLOWED_FACTOR * fetch_s(gb, gb_per_s) + ALLOWED_MORE_S
 }
 
 /// What it costs to give up a fetch, in seconds: those spent on it, for each
@@ -59,7 +59,7 @@
     } else {
         progress.clamp(0.0, 1.0)
     };
-    fetch_s.max(0.0) * done / (1.0 - done).max(LEFT_LEAST)
+    fetch_s.max(0.0) * done / (1.0 - done).max(MIN_LEFT_SHARE)
 }
 
 /// An image in a machine's cache.
--- a/crates/staging/src/plan.rs
+++ b/crates/staging/src/plan.rs
@@ -17,21 +17,21 @@
 use crate::record::{WaveRecord, VERSION};
 
 /// Machines of the first stage.
-const FIRST: u32 = 12;
+const FIRST_STAGE_MACHINES: u32 = 12;
 /// Each stage has so many times the machines of the one before.
-const GROWTH: u32 = 4;
+const STAGE_GROWTH_FACTOR: u32 = 4;
 /// A stage is open for at least so long, and seeds are written no more often: a
 /// wave of 10,000 machines is six changes.
-pub const STAGE_S: f64 = 1.0;
+pub const MIN_STAGE_S: f64 = 1.0;
 /// No stage beyond: more machines than there can be.
 const LAST_STAGE: u32 = 9;
 /// So many sources of a domain are looked at before a wider one is.
-const LOOKS: usize = 16;
+const MAX_SOURCES_LOOKED_AT: usize = 16;
 /// A nearer source may be so many machines further from the image than the best
 /// of the zone: otherwise one rack's chain would grow without end.
-const NEARER: u32 = 64;
+const MAX_EXTRA_DEPTH: u32 = 64;
 /// Other whole machines that are named as alternatives.
-const OTHERS: usize = 2;
+const MAX_OTHER_SOURCES: usize = 2;
 
 /// What bounds a wave.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -361,7 +361,7 @@
         let Some(written) = &self.written else {
             return Some(record(0));
         };
-        if now - self.since < STAGE_S {
+        if now - self.since < MIN_STAGE_S {
             return None;
         }
         // A wave widens only while somebody has the image to hand on: if all
@@ -520,7 +520,7 @@
     }
     /// Machines that may fetch at once.
     fn allowed(&self) -> u32 {
-        let stage = FIRST * GROWTH.pow(self.stage.min(LAST_STAGE));
+        let stage = FIRST_STAGE_MACHINES * STAGE_GROWTH_FACTOR.pow(self.stage.min(LAST_STAGE));
         stage.max(self.whole)
     }
     fn heads_of(&self, zone: Domain) -> u32 {
@@ -547,7 +547,7 @@
             let inner = self.near.around(node.domain).filter(|d| *d != zone);
             let near = inner
                 .filter_map(|d| self.free(d, 0, uploads))
-                .find(|r| r.depth <= best.depth + NEARER);
+                .find(|r| r.depth <= best.depth + MAX_EXTRA_DEPTH);
             return Some(Up::From(near.unwrap_or(best).seat));
         }
         if head {
@@ -570,7 +570,7 @@
     /// The best source of a domain with at most `most` uploads, those of other
     /// images counted.
     fn free(&self, domain: Domain, most: u32, uploads: &Uploads) -> Option<Rank> {
-        let few = self.near.of(domain).take(LOOKS);
+        let few = self.near.of(domain).take(MAX_SOURCES_LOOKED_AT);
         few.take_while(|r| r.load <= most).find(|r| {
             let all = self.nodes.get(&r.seat).map(|n| uploads.of(&n.id));
             all.is_some_and(|all| all <= most)
@@ -588,10 +588,17 @@
         from.extend(node.from.iter().filter(alive));
         from.truncate(self.limits.sources);
         if node.up != Up::Origin && from.len() < self.limits.sources {
-            let whole = self.near.of(zone).take(LOOKS).map(|r| r.seat);
+            let whole = self
+                .near
+                .of(zone)
+                .take(MAX_SOURCES_LOOKED_AT)
+                .map(|r| r.seat);
             let whole =
                 whole.filter(|s| self.nodes.get(s).is_some_and(|n| n.state == State::Whole));
-            let more: Vec<Seat> = whole.filter(|s| !from.contains(s)).take(OTHERS).collect();
+            let more: Vec<Seat> = whole
+                .filter(|s| !from.contains(s))
+                .take(MAX_OTHER_SOURCES)
+                .collect();
             from.extend(more);
             from.truncate(self.limits.sources);
         }
--- a/crates/topology/src/renting.rs
+++ b/crates/topology/src/renting.rs
@@ -11,7 +11,7 @@
 /// What is asked of the cloud: type, zone, spot.
 pub type Sort = (TypeName, Zone, bool);
 
-const MOST_SEEN: usize = 64;
+const MAX_SEEN: usize = 64;
 
 /// Where machines came up of late.
 #[derive(Clone, Debug, Default)]
@@ -24,7 +24,7 @@
     pub fn came(&mut self, sort: Sort, place: Domain, now: Time) {
         let seen = self.seen.entry(sort).or_default();
         seen.push_back((now, place));
-        if seen.len() > MOST_SEEN {
+        if seen.len() > MAX_SEEN {
             seen.pop_front();
         }
     }
