--- /dev/null
+++ b/crates/staging/src/plan/node.rs
@@ -0,0 +1,62 @@
+//! A machine of a wave: what it has of the image, and its place in a chain.
+
+use std::collections::BTreeSet;
+
+use sorrelhinge_protocol::types::MachineId;
+
+use crate::near::{Domain, Rank, Seat};
+
+/// What a machine has of the image.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum State {
+    Wants,
+    Fetches,
+    Whole,
+}
+
+/// Where a machine takes the image from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Up {
+    /// Whole, or not started, or started by a predecessor.
+    None,
+    Origin,
+    From(Seat),
+}
+
+/// A machine that wants the image, fetches it or has it.
+#[derive(Clone, Debug)]
+pub(super) struct Node {
+    pub(super) id: MachineId,
+    /// Its innermost failure domain, and its zone.
+    pub(super) domain: Domain,
+    pub(super) zone: Domain,
+    pub(super) state: State,
+    pub(super) up: Up,
+    pub(super) children: BTreeSet<Seat>,
+    /// Uploads that a predecessor may have planned for it.
+    pub(super) assumed: u32,
+    pub(super) depth: u32,
+    /// Its sources by the start it was sent, the best first.
+    pub(super) from: Vec<Seat>,
+    pub(super) slow: bool,
+}
+
+impl Node {
+    pub(super) fn load(&self) -> u32 {
+        self.children.len() as u32 + self.assumed
+    }
+    pub(super) fn rank(&self, seat: Seat) -> Rank {
+        Rank {
+            load: self.load(),
+            depth: self.depth,
+            seat,
+        }
+    }
+    /// It hands on, to others by now or as soon as it is asked.
+    pub(super) fn hands_on(&self) -> bool {
+        self.state != State::Wants && !self.slow
+    }
+    pub(super) fn gives(&self, slots: u32) -> bool {
+        self.hands_on() && self.load() < slots
+    }
+}
