--- /dev/null
+++ b/crates/agent/src/agent/images.rs
@@ -0,0 +1,218 @@
+//! Images: wanted, fetched, handed on, and removed from the cache.
+
+use std::cell::RefCell;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use sorrelhinge_protocol::types::Time;
+use tokio::task::{spawn_local, AbortHandle};
+
+use super::{Agent, PARTS_FOLDER};
+use crate::clock;
+use crate::core::Key;
+use crate::describe::{self, Source};
+use crate::fetch::Fetch;
+use crate::hand_on::Hands;
+use crate::images::{self, Image, Step};
+use crate::part;
+use crate::sources::Sources;
+
+/// An image's fetch: what ends it, and whom it may take from.
+pub(super) struct Fetching {
+    pub(super) abort: AbortHandle,
+    pub(super) sources: Rc<RefCell<Sources>>,
+}
+
+impl Agent {
+    pub(super) fn want_image(self: &Rc<Self>, key: &Key, from: Vec<SocketAddr>) {
+        let image = self
+            .descriptions
+            .borrow()
+            .get(key)
+            .and_then(|d| d.image.clone());
+        let (Some(image), Some(source)) = (image, self.settings.image_source()) else {
+            tracing::error!(task = %key.piece, "agent.images: not set, and the job needs one");
+            self.imaged(vec![key.clone()], false);
+            return;
+        };
+        let from = self.near_agents(from);
+        let now = clock::now();
+        let step = self.images.borrow_mut().want(&image.sha256, key);
+        match step {
+            Step::Wait => {
+                if let Some(fetch) = self.fetches.borrow().get(&image.sha256) {
+                    fetch.sources.borrow_mut().add(from, now);
+                }
+                return;
+            }
+            Step::Ready => {}
+            Step::Fetch => {
+                self.start_fetch(source, image, from, now);
+                return;
+            }
+        }
+        self.imaged(vec![key.clone()], true);
+    }
+
+    /// Which of the agents that a start named may be asked for chunks.
+    fn near_agents(&self, from: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        // Where nothing is handed on, nothing is taken; and of any other network
+        // nothing is, whoever names it. Itself is no source either.
+        match &self.hands {
+            Some(hands) => {
+                let own = self.settings.machine().addr;
+                let near = |a: &SocketAddr| *a != own && hands.is_near(a.ip());
+                from.into_iter().filter(near).collect()
+            }
+            None => Vec::new(),
+        }
+    }
+
+    fn start_fetch(
+        self: &Rc<Self>,
+        source: Source,
+        image: Image,
+        from: Vec<SocketAddr>,
+        now: Time,
+    ) {
+        let (agent, sum) = (self.clone(), image.sha256.clone());
+        let sources = Rc::new(RefCell::new(Sources::new(from, 0.0, 0.0, now)));
+        let shared = sources.clone();
+        let fetch = spawn_local(async move { agent.fetch(source, image, shared).await });
+        let abort = fetch.abort_handle();
+        let fetching = Fetching { abort, sources };
+        self.fetches.borrow_mut().insert(sum, fetching);
+    }
+
+    /// Nobody waits for an image any more: its fetch ends. The chunks that have
+    /// come stay for the next one that wants it, as long as there is room.
+    pub(super) fn give_up(&self, sum: &str) {
+        if let Some(fetch) = self.fetches.borrow_mut().remove(sum) {
+            fetch.abort.abort();
+        }
+        let Some(hands) = &self.hands else { return };
+        match hands.part(sum) {
+            Some(part) => self.images.borrow_mut().leave(sum, part.sums().bytes),
+            None => self.remove_part(sum),
+        }
+    }
+
+    fn remove_part(&self, sum: &str) {
+        let Some(hands) = &self.hands else { return };
+        hands.drop_part(sum);
+        if let Err(error) = part::remove(&self.settings.folder.join(PARTS_FOLDER), sum) {
+            tracing::error!(image = sum, %error, "its part stays");
+        }
+    }
+
+    /// Keeps the cache's bound.
+    fn make_room(&self) {
+        let out = self.images.borrow_mut().evict();
+        for sum in out {
+            tracing::info!(image = sum, "removed from the cache");
+            self.remove_part(&sum);
+            let place = self.settings.folder.join("images").join(&sum);
+            match std::fs::remove_dir_all(place) {
+                Err(error) if error.kind() != std::io::ErrorKind::NotFound => {
+                    tracing::error!(image = sum, %error, "it stays");
+                }
+                _ => {}
+            }
+        }
+    }
+
+    async fn fetch(self: Rc<Self>, source: Source, image: Image, sources: Rc<RefCell<Sources>>) {
+        let fetched = match self.hands.clone() {
+            Some(hands) => self.fetch_from_all(source, &image, sources, hands).await,
+            None => self
+                .fetch_alone(&source, &image)
+                .await
+                .map_err(|e| (e, false)),
+        };
+        self.fetches.borrow_mut().remove(&image.sha256);
+        let bytes = fetched.as_ref().ok().copied();
+        let waiting = self.images.borrow_mut().fetched(&image.sha256, bytes);
+        if let Err((error, keep)) = fetched {
+            self.fetch_failed(&image, &error, keep);
+        }
+        self.make_room();
+        self.imaged(waiting, bytes.is_some());
+    }
+
+    /// An image from other agents and its origin, chunk by chunk. The error says
+    /// whether what has come may be gone on with.
+    async fn fetch_from_all(
+        self: &Rc<Self>,
+        source: Source,
+        image: &Image,
+        sources: Rc<RefCell<Sources>>,
+        hands: Rc<Hands>,
+    ) -> Result<u64, (String, bool)> {
+        let agent = Rc::downgrade(self);
+        let sum = image.sha256.clone();
+        let fetch = Fetch {
+            image: image.clone(),
+            origin: source,
+            sources,
+            hands,
+            images: self.settings.folder.join("images"),
+            parts: self.settings.folder.join(PARTS_FOLDER),
+            most: self.settings.cache_bytes(),
+            unpacking: self.unpacking.clone(),
+            room: Box::new(move |bytes| {
+                if let Some(agent) = agent.upgrade() {
+                    agent.images.borrow_mut().comes(&sum, bytes);
+                    agent.make_room();
+                }
+            }),
+        };
+        let fetched = fetch.run().await;
+        fetched.map_err(|failed| (failed.why, failed.keep))
+    }
+
+    /// A fetch failed; `keep`: what has come may be gone on with.
+    fn fetch_failed(&self, image: &Image, error: &str, keep: bool) {
+        tracing::error!(image = image.name, error, "image");
+        let part = self.hands.as_ref().and_then(|h| h.part(&image.sha256));
+        match part.filter(|_| keep) {
+            Some(part) => {
+                let bytes = part.sums().bytes;
+                self.images.borrow_mut().leave(&image.sha256, bytes);
+            }
+            None => self.remove_part(&image.sha256),
+        }
+    }
+
+    /// An image from its origin, where nothing is handed on.
+    async fn fetch_alone(&self, source: &Source, image: &Image) -> Result<u64, String> {
+        let root = self.settings.folder.join("images");
+        let archive = root.join(format!(".{}.tar", image.sha256));
+        let most = self.settings.cache_bytes();
+        let unpacked = match describe::fetch(source, image, &archive, most).await {
+            Ok(()) => {
+                let (wanted, from) = (image.clone(), archive.clone());
+                let unpacked = tokio::task::spawn_blocking(move || {
+                    images::unpack(File::open(from)?, &wanted, &root, most)
+                });
+                match unpacked.await {
+                    Ok(result) => result.map_err(|e| e.to_string()),
+                    Err(error) => Err(error.to_string()),
+                }
+            }
+            Err(failed) => Err(failed.why),
+        };
+        let _ = std::fs::remove_file(&archive);
+        unpacked
+    }
+
+    fn imaged(self: &Rc<Self>, keys: Vec<Key>, there: bool) {
+        for key in keys {
+            let actions = self.core.borrow_mut().imaged(&key, there, clock::now());
+            self.queue.borrow_mut().extend(actions);
+        }
+        // Not at once: this may be in the middle of carrying others out.
+        let agent = self.clone();
+        spawn_local(async move { agent.do_all(Vec::new()) });
+    }
+}
--- /dev/null
+++ b/crates/agent/src/agent/recovery.rs
@@ -0,0 +1,108 @@
+//! What an earlier agent left in the folder: attempts that may still run, images,
+//! and archives that are handed on.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::rc::Rc;
+
+use sorrelhinge_protocol::types::Time;
+use sorrelhinge_protocol::worker::Why;
+
+use super::tasks::Watched;
+use super::PARTS_FOLDER;
+use crate::attempt::Folder;
+use crate::core::{Key, Recovered};
+use crate::hand_on::Hands;
+use crate::images::{self, Cache};
+use crate::journal::Journal;
+use crate::part::{self, Part};
+use crate::supervise::read_lease;
+
+/// What the journal and the attempts' folders tell, and the supervisors that are
+/// to be looked at.
+pub(super) fn recover(root: &Path, journal: &Journal) -> (Recovered, BTreeMap<Key, Watched>) {
+    let mut found = journal.state().recovered();
+    found.answered = read_lease(&root.join("lease")).map(Time);
+    let mut watched = BTreeMap::new();
+    let mut running: Vec<Key> = found.dying.iter().cloned().collect();
+    for (key, (_, ended)) in &found.tasks {
+        match ended {
+            Some((Why::Done, _)) => {
+                found.results.insert(key.piece.clone());
+            }
+            Some(_) => {}
+            None => running.push(key.clone()),
+        }
+    }
+    for key in &running {
+        let folder = Folder::of(root, key);
+        if let Some(task) = folder.task() {
+            found.needs.insert(key.clone(), task.description.needs());
+        }
+        watched.insert(
+            key.clone(),
+            Watched {
+                folder,
+                killing: None,
+            },
+        );
+    }
+    (found, watched)
+}
+
+/// The images that are there, with the room that archives take, wanted by the
+/// attempts that run.
+pub(super) fn cache_found(
+    root: &Path,
+    most_bytes: u64,
+    hands: Option<&Hands>,
+    watched: &BTreeMap<Key, Watched>,
+) -> std::io::Result<Cache> {
+    let there = images::there(&root.join("images"))?;
+    let parts = parts(root, hands, &there)?;
+    let mut cache = Cache::new(most_bytes, there);
+    for (sum, bytes) in parts {
+        cache.leave(&sum, bytes);
+    }
+    for (key, watched) in watched {
+        let image = watched.folder.task().and_then(|t| t.description.image);
+        if let Some(image) = image {
+            cache.want(&image.sha256, key);
+        }
+    }
+    Ok(cache)
+}
+
+/// What earlier runs left to hand on: archives of images that are there are
+/// handed on again; the others, and their bytes, may be gone on with. Whatever
+/// is of no use is removed.
+fn parts(
+    root: &Path,
+    hands: Option<&Hands>,
+    there: &[(String, u64)],
+) -> std::io::Result<Vec<(String, u64)>> {
+    let folder = root.join(PARTS_FOLDER);
+    let Some(hands) = hands else {
+        return match std::fs::remove_dir_all(folder) {
+            Err(e) if e.kind() != std::io::ErrorKind::NotFound => Err(e),
+            _ => Ok(Vec::new()),
+        };
+    };
+    std::fs::create_dir_all(&folder)?;
+    let mut left = Vec::new();
+    for entry in std::fs::read_dir(&folder)? {
+        let sum = entry?.file_name().to_string_lossy().into_owned();
+        let is_there = there.iter().any(|(s, _)| *s == sum);
+        match Part::found(&folder, &sum) {
+            // Without the image beside it, its room is not counted otherwise.
+            Ok(part) if part.is_whole() || !is_there => {
+                if !is_there {
+                    left.push((sum, part.sums().bytes));
+                }
+                hands.keep(Rc::new(part));
+            }
+            _ => part::remove(&folder, &sum)?,
+        }
+    }
+    Ok(left)
+}
