--- a/src/control/core/calendar.rs
+++ b/src/control/core/calendar.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use sorrelhinge_blocks::delegation::{Delegated, Waiting};
 use sorrelhinge_blocks::shard::BlockId;
-use sorrelhinge_blocks::yields::{Leave, Waiting};
 use sorrelhinge_calendar::plan::{
     arbitrate, divide, steps, Change as Due, Clock, Refused, Seen, TeamRoom, Want, Whole,
 };
@@ -496,7 +496,7 @@
 
     /// Of several blocks each holds its part, and a job is homed in one: what waits
     /// of a window's work is left to the others, to each as much as it holds.
-    pub(super) fn leave_to_holds(&self, waiting: &[Waiting]) -> Vec<Leave> {
+    pub(super) fn leave_to_holds(&self, waiting: &[Waiting]) -> Vec<Delegated> {
         let mut leaves = Vec::new();
         for waits in waiting {
             let Some(job) = self.cluster_state.job(&waits.job) else {
@@ -514,7 +514,7 @@
                 let tasks = part.min(left);
                 if to != self.shard.block && tasks > 0 {
                     left -= tasks;
-                    leaves.push(Leave {
+                    leaves.push(Delegated {
                         job: waits.job.clone(),
                         to,
                         tasks,
@@ -654,7 +654,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
-        wishes: None,
+        placement: None,
         seal: None,
     })
 }
--- a/src/control/core/link.rs
+++ b/src/control/core/link.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use sorrelhinge_overload::hearing::Hearing;
+use sorrelhinge_overload::reachability::Reachability;
 
 use crate::types::{Attempt, JobId, Seq, Session, TaskId, Time, Token};
 use crate::worker::{ReportedImage, TaskPhase, Why};
@@ -22,7 +22,7 @@
     /// The newest report that another controller spoke of.
     pub(super) told_of: Seq,
     /// Whether anything that is sent there has an effect.
-    pub(super) hearing: Hearing,
+    pub(super) reachability: Reachability,
     pub(super) tasks: BTreeMap<(TaskId, Attempt), (TaskPhase, Option<Why>)>,
     /// A direct command is under way.
     pub(super) flying: bool,
