The circle of api, control and serve is broken

control needed serve for the books on connections, serve needs api to answer, and api needs control. The books (who may hold a connection, who is read next) are a module of their own now, connections, which needs none of the three; serve keeps accepting and ending. What serve did with the books' fields are methods: Connections::accepted, Conn::answered, Gated::new. LeftTo, a message between owners, stands in shares with the other such messages, so that shares no longer needs control; two tests import it from there.

Nothing that is done or sent changes.

--- a/src/api.rs
+++ b/src/api.rs
@@ -12,11 +12,11 @@
 use serde_json::{json, Value};
 use tokio::time::timeout;
 
+use crate::connections::Conn;
 use crate::control::core::Source;
 use crate::control::load::count;
 use crate::control::{Beat, Node, Polled, Refused, Submitted};
 use crate::peer::{self, Answered, Heard};
-use crate::serve::Conn;
 use crate::state::record::Phase;
 use crate::state::view::Summary;
 use crate::types::{JobId, JobSpec, NodeId, Revision};
--- a/src/control/block_needs.rs
+++ b/src/control/block_needs.rs
@@ -7,9 +7,9 @@
 use tokio::time::{sleep, Instant};
 
 use super::limit_transfers::GIVE_EVERY;
-use super::{core, wall_ms, Node};
+use super::{wall_ms, Node};
 use crate::peer::{self, Kind};
-use crate::shares::{encode_left, parse_left, Needs, Rented};
+use crate::shares::{encode_left, parse_left, LeftTo, Needs, Rented};
 use crate::types::{MachineId, NodeId};
 
 /// How often owners tell what they use and want.
@@ -91,7 +91,7 @@
         self.needs.borrow_mut().insert(needs.block, known);
     }
 
-    fn take_left(&self, left: &core::LeftTo) {
+    fn take_left(&self, left: &LeftTo) {
         let now = self.now();
         if let Some(c) = self.cores.borrow_mut().get_mut(&left.block) {
             c.left_here(&self.view.borrow(), left, now, wall_ms());
--- a/src/control/core/sharing.rs
+++ b/src/control/core/sharing.rs
@@ -9,6 +9,7 @@
 
 use super::Core;
 use crate::sched::{Machine, Sent};
+use crate::shares::LeftTo;
 use crate::state::record::{block_key, ChunkRecord, Phase};
 use crate::state::view::{JobEntry, View};
 use crate::types::{Amount, Attempt, JobId, Kind, MachineId, TaskId, Time, Zone};
@@ -35,17 +36,6 @@
     yields: Yields,
 }
 
-/// Tasks that are left to another block.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LeftTo {
-    /// To which.
-    pub block: sorrelhinge_blocks::shard::BlockId,
-    /// Of which job.
-    pub job: JobId,
-    /// Which tasks.
-    pub tasks: Vec<u32>,
-}
-
 /// At the most so many tasks are left in one message.
 const MOST_LEFT: u32 = 64;
 /// At the most so many jobs are looked at for that.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cli;
 pub mod cloud;
 pub mod config;
+pub mod connections;
 pub mod control;
 pub mod fleet;
 pub mod http;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,36 +1,25 @@
-//! Connections that users and workers hold here: who may hold one, who is read
-//! next, and how each ends. What is decided is in `sorrelhinge-overload`.
+//! Serving users and workers: accepting connections, and how each ends. Who may hold
+//! one and who is read next is in [`crate::connections`].
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
-use std::io;
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use sorrelhinge_overload::sockets::{ConnId, Limits, Opened, Sockets};
-use sorrelhinge_overload::turnstile::{Class, Turnstile};
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::task::{spawn_local, yield_now};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
 
 use crate::api;
+use crate::connections::{Connections, Gated, Open};
 use crate::control::Node;
-use crate::types::Time;
 
-/// How many may read in one turn of the runtime.
-const PER_TURN: usize = 24;
-/// Nobody waits for an answer for longer, in seconds (PROTOCOL: workers wait 4,
-/// users 2 for a poll and 5 for a submission).
-const PATIENCE_S: f64 = 4.5;
 /// A connection that is to end is given so long for what it is at.
 const END: Duration = Duration::from_secs(1);
 /// An idle connection ends after this time.
@@ -38,206 +27,6 @@
 /// How many at a time are told that there is no room.
 const MOST_TURNED_AWAY: usize = 32;
 
-/// A place at the turnstile.
-#[derive(Default)]
-struct Pass {
-    state: Cell<PassState>,
-    waker: RefCell<Option<Waker>>,
-}
-
-#[derive(Clone, Copy, Default)]
-enum PassState {
-    #[default]
-    Waits,
-    Granted,
-    Late,
-}
-
-/// All connections of users and workers.
-pub struct Connections {
-    sockets: RefCell<Sockets>,
-    turnstile: RefCell<Turnstile<Rc<Pass>>>,
-    somebody_waits: Notify,
-    ends: RefCell<HashMap<ConnId, Rc<Notify>>>,
-    next: Cell<u64>,
-    turned_away: Cell<usize>,
-    late: Cell<u64>,
-    epoch: Instant,
-}
-
-impl Connections {
-    /// None yet.
-    pub fn new(limits: Limits) -> Rc<Self> {
-        Rc::new(Self {
-            sockets: RefCell::new(Sockets::new(limits)),
-            turnstile: RefCell::new(Turnstile::new(PER_TURN, PATIENCE_S)),
-            somebody_waits: Notify::new(),
-            ends: RefCell::default(),
-            next: Cell::new(0),
-            turned_away: Cell::new(0),
-            late: Cell::new(0),
-            epoch: Instant::now(),
-        })
-    }
-
-    fn now(&self) -> Time {
-        Time(self.epoch.elapsed().as_secs_f64())
-    }
-
-    /// The part of the sockets that is in use.
-    pub fn used(&self) -> f64 {
-        self.sockets.borrow().used()
-    }
-
-    /// How many may be open.
-    pub fn limits(&self) -> Limits {
-        self.sockets.borrow().limits()
-    }
-
-    /// Whether there is no room for more workers.
-    pub fn crowded(&self) -> bool {
-        let sockets = self.sockets.borrow();
-        sockets.open() > sockets.limits().workers
-    }
-
-    /// How many are open: in all, and by workers.
-    pub fn open(&self) -> (usize, usize) {
-        let sockets = self.sockets.borrow();
-        (sockets.open(), sockets.workers())
-    }
-
-    /// How many waited in vain so far.
-    pub fn late(&self) -> u64 {
-        self.late.get()
-    }
-
-    /// How long the longest has waited to be read, in seconds.
-    pub fn wait_s(&self) -> f64 {
-        self.turnstile.borrow().longest_s(self.now())
-    }
-
-    /// Lets those who wait read, a few in each turn of the runtime.
-    async fn take_turns(self: Rc<Self>) {
-        loop {
-            self.somebody_waits.notified().await;
-            loop {
-                let turn = self.turnstile.borrow_mut().turn(self.now());
-                self.late.set(self.late.get() + turn.late.len() as u64);
-                let told = [
-                    (turn.pass, PassState::Granted),
-                    (turn.late, PassState::Late),
-                ];
-                for (passes, state) in told {
-                    for pass in passes {
-                        pass.state.set(state);
-                        if let Some(waker) = pass.waker.take() {
-                            waker.wake();
-                        }
-                    }
-                }
-                if self.turnstile.borrow().waiting() == 0 {
-                    break;
-                }
-                yield_now().await;
-            }
-        }
-    }
-}
-
-/// One connection, for those who answer on it.
-#[derive(Clone)]
-pub struct Conn {
-    id: ConnId,
-    all: Rc<Connections>,
-    class: Rc<Cell<Class>>,
-}
-
-impl Conn {
-    /// A whole request came.
-    pub fn asked(&self, class: Class) {
-        self.class.set(class);
-        self.all.sockets.borrow_mut().asked(self.id, class);
-    }
-}
-
-/// Closes the books on a connection, however it ends.
-struct Open(Conn);
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        let Conn { id, all, .. } = &self.0;
-        all.sockets.borrow_mut().closed(*id);
-        all.ends.borrow_mut().remove(id);
-    }
-}
-
-/// A stream that is read only with a pass.
-struct Gated {
-    stream: TcpStream,
-    conn: Conn,
-    pass: Option<Rc<Pass>>,
-}
-
-impl AsyncRead for Gated {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        match self.pass.as_ref().map(|p| p.state.get()) {
-            Some(PassState::Waits) => {
-                if let Some(pass) = &self.pass {
-                    pass.waker.replace(Some(cx.waker().clone()));
-                }
-                return Poll::Pending;
-            }
-            Some(PassState::Late) => return Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
-            Some(PassState::Granted) => self.pass = None,
-            None => {
-                ready!(self.stream.poll_read_ready(cx))?;
-                let all = &self.conn.all;
-                let mut turnstile = all.turnstile.borrow_mut();
-                if !turnstile.pass() {
-                    let pass = Rc::new(Pass::default());
-                    pass.waker.replace(Some(cx.waker().clone()));
-                    turnstile.wait(self.conn.class.get(), pass.clone(), all.now());
-                    drop(turnstile);
-                    all.somebody_waits.notify_one();
-                    self.pass = Some(pass);
-                    return Poll::Pending;
-                }
-            }
-        }
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for Gated {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-}
-
 /// Serves connections until cancelled.
 pub async fn serve(node: Rc<Node>, listener: TcpListener) {
     let all = node.connections().clone();
@@ -251,32 +40,14 @@
                 continue;
             }
         };
-        let id = ConnId(all.next.get());
-        all.next.set(id.0 + 1);
-        let opened = all.sockets.borrow_mut().opened(id, all.now());
-        match opened {
-            Opened::Taken => {}
-            Opened::InPlaceOf(other) => {
-                if let Some(end) = all.ends.borrow().get(&other) {
-                    end.notify_one();
-                }
-            }
-            Opened::Full => {
-                // The others wait to be accepted, which a load balancer sees.
-                while all.turned_away.get() >= MOST_TURNED_AWAY {
-                    sleep(Duration::from_millis(20)).await;
-                }
-                spawn_local(turn_away(all.clone(), stream));
-                continue;
+        let Some((open, end)) = all.accepted() else {
+            // The others wait to be accepted, which a load balancer sees.
+            while all.turned_away() >= MOST_TURNED_AWAY {
+                sleep(Duration::from_millis(20)).await;
             }
-        }
-        let end = Rc::new(Notify::new());
-        all.ends.borrow_mut().insert(id, end.clone());
-        let open = Open(Conn {
-            id,
-            all: all.clone(),
-            class: Rc::new(Cell::new(Class::New)),
-        });
+            spawn_local(turn_away(all.clone(), stream));
+            continue;
+        };
         spawn_local(attend(node.clone(), open, stream, end));
     }
 }
@@ -284,22 +55,13 @@
 /// Answers one connection until either side ends it, or it is to end.
 async fn attend(node: Rc<Node>, open: Open, stream: TcpStream, end: Rc<Notify>) {
     let _ = stream.set_nodelay(true);
-    let conn = open.0.clone();
-    let gated = Gated {
-        stream,
-        conn: conn.clone(),
-        pass: None,
-    };
+    let conn = open.conn().clone();
+    let gated = Gated::new(stream, conn.clone());
     let service = service_fn(move |request| {
         let (node, conn) = (node.clone(), conn.clone());
         async move {
             let mut response = api::answer(&node, &conn, request).await;
-            let stays = conn
-                .all
-                .sockets
-                .borrow_mut()
-                .answered(conn.id, conn.all.now());
-            if !stays {
+            if !conn.answered() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
@@ -335,7 +97,7 @@
          content-type: application/json\r\ncontent-length: {}\r\n\r\n{WHY}",
         WHY.len()
     );
-    all.turned_away.set(all.turned_away.get() + 1);
+    all.begin_turning_away();
     async move {
         // What was sent is read, or the answer would be lost with it.
         let mut asked = [0; 2048];
@@ -346,6 +108,6 @@
         )
         .await;
         let _ = stream.shutdown().await;
-        all.turned_away.set(all.turned_away.get() - 1);
+        all.end_turning_away();
     }
 }
--- a/src/shares.rs
+++ b/src/shares.rs
@@ -8,7 +8,6 @@
 use zerocopy::little_endian::{I64, U32};
 use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
 
-use crate::control::core::LeftTo;
 use crate::types::{Amount, JobId, MachineId, TypeName, Zone};
 
 /// The format that this version writes; it reads no other.
@@ -174,6 +173,17 @@
     job: Name,
 }
 
+/// Tasks that are left to another block.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeftTo {
+    /// To which.
+    pub block: BlockId,
+    /// Of which job.
+    pub job: JobId,
+    /// Which tasks.
+    pub tasks: Vec<u32>,
+}
+
 /// Tasks left to a block, as they go over the wire; none if the job's name is
 /// too long.
 pub fn encode_left(left: &LeftTo) -> Option<Vec<u8>> {
--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -9,9 +9,8 @@
 use serde_json::{json, Value};
 use sorrelhinge::api::read_job;
 use sorrelhinge::config::{lanes, Config, Tuning};
-use sorrelhinge::control::core::LeftTo;
 use sorrelhinge::peer::{listen, Answered, Heard, HeardOf, Kind, Message, Peers, Standing};
-use sorrelhinge::shares::{encode_left, parse_left, Needs, Rented};
+use sorrelhinge::shares::{encode_left, parse_left, LeftTo, Needs, Rented};
 use sorrelhinge::state::record::{
     block_key, chunk_key, chunk_size, job_key, member_key, slice_key, wave_key, ChunkRecord, Fence,
     GrantRecord, JobRecord, Key, Phase,
--- a/tests/rules/recording.rs
+++ b/tests/rules/recording.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 
 use serde_json::json;
-use sorrelhinge::control::core::{Core, LeftTo};
+use sorrelhinge::control::core::Core;
 use sorrelhinge::control::pending::{Due, Haste, Pending};
+use sorrelhinge::shares::LeftTo;
 use sorrelhinge::state::record::chunk_key;
 use sorrelhinge::state::{Outcome, Txn};
 use sorrelhinge::types::{JobId, MachineId, Time};
