--- a/src/control/renewing.rs
+++ b/src/control/renewing.rs
@@ -9,37 +9,25 @@
 use crate::types::TaskId;
 use crate::worker::TaskPhase;
 
-/// A task is started only by a view that was read at most so long ago, in seconds:
-/// in quiet times a watch renews it about every 4 s.
-const START_VIEW_S: f64 = 6.0;
-
 /// How often an owner is told which machines were heard.
 const TELL: Duration = Duration::from_millis(500);
 
 impl Node {
     /// Whether this controller's view of the records is new enough to answer
     /// workers without the state service: beyond this, a job may have been
-    /// cancelled elsewhere, and leases must be able to end its tasks in time.
+    /// cancelled elsewhere, and leases must be able to end its tasks in time
+    /// (`sorrelhinge_overload::freshness`). Asked before each answer, for a report
+    /// that has come.
     pub(super) fn knows_the_cancelled(&self) -> bool {
-        self.view.borrow().loaded
-            && self.fresh_at.get().elapsed().as_secs_f64() <= self.answers_for_s()
-    }
-
-    /// For how long workers are answered by a view that is not renewed, in seconds.
-    fn answers_for_s(&self) -> f64 {
-        (self.cfg.cancel_s - self.cfg.lease_s - 3.0).max(1.0)
+        let (lease_s, cancel_s) = (self.cfg.lease_s, self.cfg.cancel_s);
+        let freshness = self.freshness.get();
+        self.view.borrow().loaded && freshness.may_answer_workers(self.now(), lease_s, cancel_s)
     }
 
     /// Until when tasks may be started by this controller's view of the records.
-    ///
-    /// A session begins with a full lease, whether or not reports are answered, so
-    /// what is started in it ends only then. While the state service refused the
-    /// owner alone and was then out for all, it went on to start what was claimed
-    /// before on machines that were back, also tasks of jobs that had been cancelled
-    /// elsewhere longer ago than `cancel_s`.
     pub(super) fn starts_until(&self) -> Time {
-        let read_sent_s = self.fresh_at.get().duration_since(self.epoch).as_secs_f64();
-        Time(read_sent_s + START_VIEW_S.min(self.answers_for_s()))
+        let (lease_s, cancel_s) = (self.cfg.lease_s, self.cfg.cancel_s);
+        self.freshness.get().may_start_until(lease_s, cancel_s)
     }
 
     /// Whether a worker's lease may be renewed without its machine's owner:
