Block owner: renting, staging and calendar split by job

renting.rs (587 lines) leaves what machines there are by the cloud's list to machine_list; staging.rs (620) keeps what is known and recorded of waves, and the owner's part is in waves; calendar.rs (660) leaves what windows lack, and what is rented or left to them for it, to calendar_needs.

Whole functions moved, nothing else: every line of code is there as before, but for visibility and imports.

--- a/src/control/core/calendar.rs
+++ b/src/control/core/calendar.rs
@@ -6,19 +6,13 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use sorrelhinge_blocks::shard::BlockId;
-use sorrelhinge_blocks::yields::{Leave, Waiting};
-use sorrelhinge_calendar::plan::{
-    arbitrate, divide, steps, Change as Due, Clock, Refused, Seen, TeamRoom, Want, Whole,
-};
+use sorrelhinge_calendar::plan::{divide, steps, Change as Due, Clock, Seen, Whole};
 use sorrelhinge_calendar::record::{key, Entry, Step, WindowRecord};
 use sorrelhinge_calendar::settings::Window;
-use sorrelhinge_calendar::shown::{rows, WindowShown};
 
-use super::renting::is_drained;
+use super::calendar_needs::RENTED_AT_ONCE;
 use super::Core;
-use crate::fleet;
-use crate::sched::{Hold, HoldSeen, Lending};
+use crate::sched::{Hold, Lending};
 use crate::state::record::Phase;
 use crate::state::view::{Versioned, View};
 use crate::state::{Change, Txn, When};
@@ -31,33 +25,29 @@
 const SLOW_BOOTS: f64 = 2.5;
 /// A task that is to stop is told within two reports at the worst.
 const STOP_REPORTS: f64 = 2.0;
-/// The same shortage is said again in the log after so many seconds.
-const SHORT_AGAIN_S: f64 = 30.0;
-/// How many machines of a type and zone are asked for at a time.
-const RENTED_AT_ONCE: f64 = 50.0;
 
 /// A window, or what is left of one.
 #[derive(Debug)]
-struct Watch {
-    entry: Option<Entry>,
+pub(super) struct Watch {
+    pub(super) entry: Option<Entry>,
     /// Its occurrences' records and their stamps.
-    records: BTreeMap<i64, Versioned<WindowRecord>>,
+    pub(super) records: BTreeMap<i64, Versioned<WindowRecord>>,
     /// When its work last ran or waited, as far as this owner saw.
     busy_at: Time,
     /// How many tasks' room is on its way for it.
-    coming: u32,
-    seen: Option<Seen>,
-    whole: Whole,
+    pub(super) coming: u32,
+    pub(super) seen: Option<Seen>,
+    pub(super) whole: Whole,
     /// What was last said of a shortage, and when.
-    said: Option<(String, Time)>,
+    pub(super) said: Option<(String, Time)>,
 }
 
 /// All windows that this owner knows.
 #[derive(Debug, Default)]
 pub(super) struct Windows {
-    watched: BTreeMap<String, Watch>,
+    pub(super) watched: BTreeMap<String, Watch>,
     /// Requests of the cloud fail until then, for another reason than capacity.
-    failing_until: Option<Time>,
+    pub(super) failing_until: Option<Time>,
 }
 
 impl Windows {
@@ -322,79 +312,13 @@
     }
 
     /// The size of an image, as jobs of late say.
-    fn image_gb(&self, image: &str) -> f64 {
+    pub(super) fn image_gb(&self, image: &str) -> f64 {
         let jobs = self.cluster_state.jobs().values().map(|j| &j.spec);
         let late = self.arrivals.values().map(|a| &a.spec);
         let found = jobs.chain(late).find(|s| s.image.as_str() == image);
         found.map_or(0.0, |s| s.image_gb)
     }
 
-    /// Why a window's room is not rented, if it isn't.
-    fn refused_for(
-        &self,
-        window: &Window,
-        here: &HoldSeen,
-        coming: u32,
-        now: Time,
-    ) -> Option<Refused> {
-        if here.set_aside.saturating_add(coming) >= here.open {
-            return None;
-        }
-        if self.windows.failing_until.is_some_and(|until| now < until) {
-            return Some(Refused::Changes);
-        }
-        let mut sorts = self
-            .types
-            .values()
-            .flat_map(|t| t.zones.iter().map(move |z| (t, z)));
-        let mut any = false;
-        let closed = sorts.all(|(t, z)| {
-            if !window.allows(t.name.as_str(), z.as_str()) || !window.each().fits(t.total) {
-                return true;
-            }
-            any = true;
-            !self.is_open(&t.name, z, now)
-        });
-        (any && closed).then_some(Refused::Capacity)
-    }
-
-    fn is_open(&self, kind: &TypeName, zone: &Zone, now: Time) -> bool {
-        let refused = self.refused.get(&(kind.clone(), zone.clone(), false));
-        refused.is_none_or(|until| now >= *until) && !is_drained(&self.drains, zone)
-    }
-
-    /// How many tasks' room of a window fits into its team's limit, beside the
-    /// team's other work and windows that come first.
-    fn fits(
-        &self,
-        window: &Rc<Window>,
-        active: &[(Rc<Window>, bool)],
-        outside: &BTreeMap<String, Amount>,
-    ) -> (u32, Option<String>) {
-        let among = active
-            .iter()
-            .filter(|(w, holds)| *holds || w.name == window.name);
-        let wants: Vec<Want> = among
-            .map(|(w, _)| Want {
-                name: w.name.clone(),
-                team: w.team.clone(),
-                each: w.each(),
-                tasks: w.tasks,
-            })
-            .collect();
-        let teams = self.cfg.teams.iter().map(|t| {
-            let used = outside.get(&*t.name).copied().unwrap_or_default();
-            let room = TeamRoom {
-                guarantee: t.guarantee - used,
-                limit: t.limit - used,
-            };
-            (t.name.to_string(), room)
-        });
-        let got = arbitrate(&wants, &teams.collect(), None);
-        let got = got.into_iter().find(|g| g.name == window.name);
-        got.map_or((0, None), |g| (g.tasks, g.gives_way_to))
-    }
-
     /// What of a window is to be held by this block.
     fn hold_here(
         &self,
@@ -493,148 +417,10 @@
         }
         due
     }
-
-    /// Of several blocks each holds its part, and a job is homed in one: what waits
-    /// of a window's work is left to the others, to each as much as it holds.
-    pub(super) fn leave_to_holds(&self, waiting: &[Waiting]) -> Vec<Leave> {
-        let mut leaves = Vec::new();
-        for waits in waiting {
-            let Some(job) = self.cluster_state.job(&waits.job) else {
-                continue;
-            };
-            let held = self.windows.watched.values().find(|w| {
-                let window = w.entry.as_ref().map(|e| &e.window);
-                w.whole.hold > 0
-                    && window.is_some_and(|w| w.is_for(&job.spec.team, &job.spec.class))
-            });
-            let parts = held.map_or(Vec::new(), |w| divide(w.whole.hold, self.shard.of));
-            let mut left = waits.tasks;
-            for (block, part) in parts.into_iter().enumerate() {
-                let to = BlockId(block as u32);
-                let tasks = part.min(left);
-                if to != self.shard.block && tasks > 0 {
-                    left -= tasks;
-                    leaves.push(Leave {
-                        job: waits.job.clone(),
-                        to,
-                        tasks,
-                    });
-                }
-            }
-        }
-        leaves
-    }
-
-    /// Says in the log what windows lack, when that changes and now and then.
-    fn say_what_lacks(&mut self, now: Time) {
-        if self.shard.block.0 != 0 {
-            return;
-        }
-        for (name, watch) in &mut self.windows.watched {
-            let short = watch.whole.each.iter().find(|(_, n)| n.short.is_some());
-            let Some((start_ms, next)) = short else {
-                watch.said = None;
-                continue;
-            };
-            let again = watch.said.as_ref().is_none_or(|(why, at)| {
-                // A number that changes is not said each second.
-                now.since(*at) >= SHORT_AGAIN_S || *why != next.why && now.since(*at) >= 5.0
-            });
-            if !again {
-                continue;
-            }
-            watch.said = Some((next.why.clone(), now));
-            let asked = watch.seen.as_ref().map_or(0, |s| s.asked);
-            let ready = watch.seen.as_ref().map_or(0, |s| s.ready);
-            tracing::info!(window = %name, start_ms, hold = next.hold, asked, ready, why = %next.why, "calendar");
-        }
-    }
-
-    /// What operators are shown.
-    pub fn windows_shown(&self, now_ms: i64) -> Vec<WindowShown> {
-        let mut shown = Vec::new();
-        for (name, watch) in &self.windows.watched {
-            let Some(seen) = &watch.seen else { continue };
-            let records = watch
-                .records
-                .iter()
-                .map(|(start, r)| (*start, r.value.clone()))
-                .collect();
-            shown.extend(rows(
-                name,
-                watch.entry.as_ref(),
-                &records,
-                &watch.whole,
-                seen,
-                now_ms,
-            ));
-        }
-        shown
-    }
-
-    /// What windows lack that is to be rented. Not before it is known which
-    /// machines there are: what a former owner rented would be rented again.
-    pub(super) fn lacks(&self, now: Time) -> Vec<fleet::Lack> {
-        // A list is late by twice its usual lag at most (PROTOCOL).
-        let listed = now.since(self.started) > 2.0 * self.cfg.list_lag_s + 2.0;
-        let quiet = now.since(self.started) <= self.cfg.silent_s();
-        let unheard = quiet && self.links.values().any(|l| !l.fenced() && !l.deleting);
-        if self.windows.watched.is_empty() || !listed || unheard {
-            return Vec::new();
-        }
-        let mut lacks = Vec::new();
-        for watch in self.windows.watched.values() {
-            let Some(window) = watch.entry.as_ref().map(|e| &e.window) else {
-                continue;
-            };
-            let by_zone = self.cluster_state.lacking(&window.name);
-            let mut spare = 0;
-            let mut open = Vec::new();
-            for (zone, tasks) in by_zone {
-                match self.type_for(window, zone.as_ref(), now) {
-                    Some(kind) => open.push((zone, tasks, kind)),
-                    // Nothing is to be had there: other zones have it meanwhile.
-                    None => spare += tasks,
-                }
-            }
-            let more = divide(spare, open.len() as u32);
-            for ((zone, tasks, kind), more) in open.into_iter().zip(more) {
-                lacks.push(fleet::Lack {
-                    window: window.name.clone(),
-                    spec: spec_of(window, zone, kind),
-                    tasks: tasks + more,
-                });
-            }
-        }
-        lacks
-    }
-
-    /// The type to ask for in a zone: of those named the first that is to be had,
-    /// else any. None: there is none that may be had now.
-    fn type_for(
-        &self,
-        window: &Window,
-        zone: Option<&Zone>,
-        now: Time,
-    ) -> Option<Option<TypeName>> {
-        let fits = |t: &MachineType| {
-            window.each().fits(t.total)
-                && t.zones
-                    .iter()
-                    .any(|z| zone.is_none_or(|own| own == z) && self.is_open(&t.name, z, now))
-        };
-        if window.types.is_empty() {
-            return self.types.values().any(|t| fits(t)).then_some(None);
-        }
-        let mut named = window.types.iter().map(|n| TypeName::from(n.as_str()));
-        named
-            .find(|n| self.types.get(n).is_some_and(|t| fits(t)))
-            .map(Some)
-    }
 }
 
 /// What a window's task takes, for the plan of the fleet.
-fn spec_of(window: &Window, zone: Option<Zone>, kind: Option<TypeName>) -> Rc<JobSpec> {
+pub(super) fn spec_of(window: &Window, zone: Option<Zone>, kind: Option<TypeName>) -> Rc<JobSpec> {
     Rc::new(JobSpec {
         class: Arc::from(window.classes.first().map_or("", |c| c.as_str())),
         team: Arc::from(window.team.as_str()),
--- /dev/null
+++ b/src/control/core/machine_list.rs
@@ -0,0 +1,165 @@
+//! What machines there are, by the cloud's list and by what was deleted: which are new,
+//! which are gone, and which are given back.
+
+use std::collections::BTreeSet;
+
+use super::link::Link;
+use super::{Coming, Core};
+use crate::cloud::{Listed, MachinePhase};
+use crate::types::{MachineId, Time, TypeName, Zone};
+
+/// Names of deleted machines are kept for so many leases, and so many of them.
+const DELETED_LEASES: f64 = 12.0;
+const MOST_DELETED: usize = 20_000;
+/// Clocks drift apart by 0.05% (PROTOCOL).
+const DRIFT: f64 = 1.001;
+/// How many times longer machines may hear nothing if most don't.
+const MOST_DEAF: f64 = 3.0;
+
+impl Core {
+    /// The machine list arrived: learn of machines, and of those that are gone.
+    pub fn listed(&mut self, list: &[Listed], now: Time) {
+        let names: BTreeSet<&MachineId> = list.iter().map(|m| &m.uid).collect();
+        self.listed = true;
+        self.forget_deleted(now);
+        for m in list {
+            // The list is late: a machine that is gone must not come back as
+            // one to be asked, or waited for.
+            if self.deleted.contains_key(&m.uid) || self.gone_before.contains(&m.uid) {
+                continue;
+            }
+            self.missing.remove(&m.uid);
+            if self.links.contains_key(&m.uid) {
+                if m.phase == MachinePhase::Failed {
+                    // It stopped by itself. That proves nothing about its
+                    // tasks; the answer to deleting it will.
+                    self.give_back(&m.uid);
+                }
+                continue;
+            }
+            if m.phase == MachinePhase::Running {
+                if let Some(addr) = m.addr {
+                    // Up, and perhaps running tasks that a record claims: ask it.
+                    self.link(&m.uid, addr, &m.build, &m.rack, m.loaners, now);
+                    continue;
+                }
+            }
+            self.coming.entry(m.uid.clone()).or_insert(Coming {
+                kind: m.build.clone(),
+                zone: m.rack.clone(),
+                spot: m.loaners,
+                since: Time(now.0 - m.held_s),
+            });
+            if m.phase == MachinePhase::Failed {
+                self.give_back(&m.uid);
+            }
+        }
+        // A machine that was heard of before and is missing from several
+        // lists in a row is probably gone; deleting it proves that.
+        let known: Vec<MachineId> = self
+            .links
+            .keys()
+            .chain(self.coming.keys())
+            .cloned()
+            .collect();
+        for id in known {
+            if names.contains(&id) {
+                continue;
+            }
+            let heard = self.links.get(&id).map(|l| l.last_heard);
+            let silent = heard.is_none_or(|t| now.since(t) > self.cfg.report_s * 1.5);
+            let fresh = self
+                .coming
+                .get(&id)
+                .is_some_and(|c| now.since(c.since) < 3.0 * self.cfg.list_lag_s + 5.0);
+            if silent && !fresh {
+                let count = self.missing.entry(id.clone()).or_insert(0);
+                *count += 1;
+                if *count >= 2 {
+                    self.give_back(&id);
+                }
+            }
+        }
+        // Claims can name machines that neither list nor report shows. A list
+        // is late by twice its usual lag at most (PROTOCOL), so by now it
+        // tells of a time at which every machine that a former owner claimed
+        // was there. Until they are gone these claims count against limits.
+        if now.since(self.started) > 2.0 * self.cfg.list_lag_s + 2.0 {
+            let ghosts: Vec<MachineId> = self
+                .cluster_state
+                .unknown_machines()
+                .filter(|id| !names.contains(id))
+                .cloned()
+                .collect();
+            for id in ghosts {
+                self.give_back(&id);
+            }
+        }
+    }
+
+    /// Names of machines that are gone are kept for longer than a late list shows
+    /// them: copies of their reports come well over a lease late. They are few
+    /// enough, and beyond a bound the oldest go first.
+    fn forget_deleted(&mut self, now: Time) {
+        let mut keep_s = (4.0 * self.cfg.list_lag_s + 10.0).max(DELETED_LEASES * self.cfg.lease_s);
+        self.deleted.retain(|_, at| now.since(*at) < keep_s);
+        while self.deleted.len() > MOST_DELETED && keep_s > 1.0 {
+            keep_s /= 2.0;
+            self.deleted.retain(|_, at| now.since(*at) < keep_s);
+        }
+    }
+
+    /// Machines that report and hear nothing, to be given back. Their answers renew
+    /// no lease, so what ran there has ended by then: before, a cut that heals would
+    /// cost their tasks.
+    pub(super) fn deaf(&self, now: Time) -> Vec<MachineId> {
+        let patience = self.cfg.lease_s * DRIFT + 2.0 * self.cfg.report_s;
+        // If most hear nothing it may be this controller that can't be heard. Another
+        // may then be the owner before long; if none is, they go all the same.
+        let doubtful = self.links.values().filter(|l| l.hearing.in_doubt()).count();
+        let patience = match doubtful * 2 <= self.links.len() {
+            true => patience,
+            false => MOST_DEAF * patience,
+        };
+        let deaf = |l: &Link| !l.deleting && l.hearing.is_deaf(patience, now);
+        let deaf = self.links.iter().filter(|(_, l)| deaf(l));
+        deaf.map(|(id, _)| id.clone()).collect()
+    }
+
+    pub(super) fn give_back(&mut self, id: &MachineId) {
+        match self.links.get_mut(id) {
+            Some(link) => link.deleting = true,
+            None => {
+                self.coming.entry(id.clone()).or_insert(Coming {
+                    kind: TypeName::from(""),
+                    zone: Zone::from(""),
+                    spot: false,
+                    since: Time(f64::NEG_INFINITY),
+                });
+                self.missing.insert(id.clone(), u32::MAX / 2);
+            }
+        }
+    }
+
+    /// Requests wait too long to be read: reports may be missing.
+    pub fn hears_badly(&mut self, now: Time) {
+        self.deaf_until = now.after(self.cfg.silent_s());
+    }
+
+    /// Machines were deleted: they and their tasks are gone.
+    pub fn deleted(&mut self, machines: &[MachineId], now: Time) {
+        for id in machines {
+            for task in self.cluster_state.claims_on(id) {
+                tracing::info!(task = %task, machine = %id, "gone with its machine");
+                self.release(&task, now);
+            }
+            self.walk_all = true;
+            self.deleted.insert(id.clone(), now);
+            self.gone.add(id, now);
+            self.links.remove(id);
+            self.coming.remove(id);
+            self.missing.remove(id);
+            self.cluster_state.remove_machine(id);
+        }
+    }
+}
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -3,6 +3,7 @@
 
 mod aims;
 mod calendar;
+mod calendar_needs;
 mod commands;
 mod deleted_machines;
 mod dispatch;
@@ -13,6 +14,7 @@
 mod link;
 mod links;
 mod load;
+mod machine_list;
 mod moving;
 mod placing;
 mod record;
@@ -22,6 +24,7 @@
 mod sharing;
 mod staging;
 mod unlinked;
+mod waves;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
