--- /dev/null
+++ b/src/sched/claims.rs
@@ -0,0 +1,203 @@
+//! Claims of tasks on machines: made, stopped and released, with all that counts them.
+
+use sorrelhinge_topology::devices::Unit;
+
+use super::tasks::{Claim, Progress, Sent};
+use super::{idle, ClusterState};
+use crate::types::{Attempt, Image, JobSpec, MachineId, TaskId, Time};
+
+impl ClusterState {
+    /// Enters a claim that its job holds already on a known machine.
+    pub(super) fn occupy(&mut self, id: &MachineId, task: &TaskId) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let Some(claim) = job.tasks.claims().get(&task.index) else {
+            return;
+        };
+        let (spec, units, unnamed) = (job.spec.clone(), claim.units.clone(), claim.unnamed);
+        let serving = self.serving_beside(id, &spec);
+        self.edit_machine(id, |m| {
+            m.claims.insert(task.clone());
+            m.used += spec.each;
+            if spec.spot && !m.spot {
+                m.movable += spec.each;
+            }
+            m.held.take(&units);
+            if unnamed {
+                m.held.take_unnamed();
+            }
+            let room = m.kind.cache_gb;
+            match &serving {
+                Some(beside) => m.cache.touch_beside(&spec, room, false, beside),
+                None => m.cache.touch(&spec.image, spec.image_gb, room, false),
+            }
+        });
+    }
+
+    /// Claims a pending task on a machine, and the devices that it needs. False
+    /// if one that it can't do without is not free.
+    pub fn claim(&mut self, task: &TaskId, m_id: &MachineId, now: Time) -> bool {
+        let Some(units) = self.units_for(&task.job, m_id) else {
+            return false;
+        };
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return false;
+        };
+        let attempt = job.tasks.take_attempt(task.index);
+        self.enter(task, attempt, m_id, units, now);
+        true
+    }
+
+    pub(super) fn enter(
+        &mut self,
+        task: &TaskId,
+        attempt: Attempt,
+        m_id: &MachineId,
+        units: Vec<Unit>,
+        now: Time,
+    ) {
+        let claim = Claim {
+            attempt,
+            machine: m_id.clone(),
+            since: now,
+            committed: false,
+            sent: Sent::No,
+            progress: Progress::Unseen,
+            stop: None,
+            units,
+            unnamed: false,
+        };
+        self.put_claim(task, claim);
+    }
+
+    /// Enters a claim, new or found in the record.
+    pub fn put_claim(&mut self, task: &TaskId, claim: Claim) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let (spec, team) = (job.spec.clone(), job.team);
+        self.teams[team].used += spec.each;
+        if idle::is_bounded(&spec) {
+            self.idle.used += spec.each;
+        }
+        if let Some(laned) = job.lane {
+            *self.lanes.used.entry(laned.lane).or_default() += spec.each.cpu;
+        }
+        if self
+            .reserved
+            .get(&claim.machine)
+            .is_some_and(|(j, _)| *j == task.job)
+        {
+            self.reserved.remove(&claim.machine);
+        }
+        self.holds.taken(team, &spec, &claim.machine);
+        let machine = claim.machine.clone();
+        self.edit_job(&task.job, |job| job.tasks.insert_claim(task.index, claim));
+        if self.machines.contains_key(&machine) {
+            self.occupy(&machine, task);
+        } else {
+            self.homeless
+                .entry(machine)
+                .or_default()
+                .insert(task.clone());
+        }
+    }
+
+    /// Marks a claimed task to be stopped, with time to save if that is of use
+    /// and there is no hurry.
+    pub fn stop(&mut self, task: &TaskId, hurry: bool) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let saves = job.spec.checkpoint_s > 0.0 && !job.cancelled && !hurry;
+        let grace = if saves { job.spec.save_s + 1.0 } else { 0.0 };
+        if let Some(claim) = job.tasks.claim_mut(task.index) {
+            if claim.stop.is_none_or(|g| grace < g) {
+                claim.stop = Some(grace);
+            }
+        }
+    }
+
+    /// Removes a claim whose task is provably gone, or was never started.
+    pub fn release(&mut self, task: &TaskId, now: Time) -> Option<Claim> {
+        let claim = self.edit_job(&task.job, |job| job.tasks.remove_claim(task.index))??;
+        let job = self.jobs.get(&task.job)?;
+        let (spec, team) = (job.spec.clone(), job.team);
+        self.teams[team].used -= spec.each;
+        if idle::is_bounded(&spec) {
+            self.idle.used -= spec.each;
+        }
+        if let Some(laned) = job.lane {
+            *self.lanes.used.entry(laned.lane).or_default() -= spec.each.cpu;
+        }
+        self.holds.left(team, &spec);
+        let awaited = self.machines.get(&claim.machine).is_some_and(|m| {
+            m.claims.iter().any(|t| {
+                t != task
+                    && self
+                        .jobs
+                        .get(&t.job)
+                        .is_some_and(|j| j.spec.image == spec.image)
+            })
+        });
+        let known = self.edit_machine(&claim.machine, |m| {
+            if m.claims.remove(task) {
+                m.used -= spec.each;
+                if spec.spot && !m.spot {
+                    m.movable -= spec.each;
+                }
+                m.held.give(&claim.units);
+                if claim.unnamed {
+                    m.held.give_unnamed();
+                }
+            }
+            if !awaited {
+                m.cache.give_up(&spec.image);
+            }
+            if m.claims.is_empty() {
+                m.idle_since = now;
+            }
+        });
+        if known.is_none() {
+            if let Some(tasks) = self.homeless.get_mut(&claim.machine) {
+                tasks.remove(task);
+                if tasks.is_empty() {
+                    self.homeless.remove(&claim.machine);
+                }
+            }
+        }
+        Some(claim)
+    }
+
+    /// The other images that tasks on a machine need, if a job's image goes from
+    /// machine to machine; none: it doesn't.
+    fn serving_beside(&self, id: &MachineId, spec: &JobSpec) -> Option<Vec<Image>> {
+        if !self.stages(spec) {
+            return None;
+        }
+        let claims = self.machines.get(id).map(|m| m.claims.iter());
+        let jobs = claims.into_iter().flatten();
+        let images = jobs.filter_map(|t| self.jobs.get(&t.job).map(|j| &j.spec.image));
+        Some(images.filter(|i| **i != spec.image).cloned().collect())
+    }
+
+    /// A claimed task was seen running, so its image is there.
+    pub fn ran(&mut self, task: &TaskId) {
+        let Some(claim) = self.claim_of(task) else {
+            return;
+        };
+        let machine = claim.machine.clone();
+        let Some(spec) = self.jobs.get(&task.job).map(|j| j.spec.clone()) else {
+            return;
+        };
+        let serving = self.serving_beside(&machine, &spec);
+        self.edit_machine(&machine, |m| {
+            let room = m.kind.cache_gb;
+            match &serving {
+                Some(beside) => m.cache.touch_beside(&spec, room, true, beside),
+                None => m.cache.touch(&spec.image, spec.image_gb, room, true),
+            }
+        });
+    }
+}
--- a/src/sched/cluster_state.rs
+++ b/src/sched/cluster_state.rs
@@ -1,9 +1,11 @@
 //! The cluster state: jobs, machines, claims, and the sums and indexes kept of them.
 
-use sorrelhinge_topology::devices::Unit;
+use std::collections::{BTreeMap, BTreeSet};
 
-use super::*;
-use crate::types::{Attempt, Image};
+use super::machine::Machine;
+use super::tasks::Claim;
+use super::{ClusterState, Job, Place, Team, AGED_PART, AGED_S};
+use crate::types::{Amount, JobId, MachineId, TaskId, Time, TypeName, Zone};
 
 impl ClusterState {
     /// A cluster state without jobs and machines.
@@ -22,26 +24,32 @@
     pub fn teams(&self) -> &[Team] {
         &self.teams
     }
+
     /// All jobs.
     pub fn jobs(&self) -> &BTreeMap<JobId, Job> {
         &self.jobs
     }
+
     /// One job.
     pub fn job(&self, id: &JobId) -> Option<&Job> {
         self.jobs.get(id)
     }
+
     /// A task's claim.
     pub fn claim_of(&self, task: &TaskId) -> Option<&Claim> {
         self.jobs.get(&task.job)?.tasks.claims().get(&task.index)
     }
+
     /// A task's claim, to change.
     pub fn claim_mut(&mut self, task: &TaskId) -> Option<&mut Claim> {
         self.jobs.get_mut(&task.job)?.tasks.claim_mut(task.index)
     }
+
     /// All machines.
     pub fn machines(&self) -> &BTreeMap<MachineId, Machine> {
         &self.machines
     }
+
     /// The jobs that want tasks placed, in no order.
     pub fn wanting(&self) -> impl Iterator<Item = (&JobId, &Job)> {
         self.queues
@@ -49,10 +57,12 @@
             .flatten()
             .filter_map(|p| Some((&p.id, self.jobs.get(&p.id)?)))
     }
+
     /// Whether any job wants a task placed.
     pub fn has_work(&self) -> bool {
         self.queues.iter().any(|q| !q.is_empty())
     }
+
     /// Tasks that claim a machine, known or not.
     pub fn claims_on(&self, id: &MachineId) -> Vec<TaskId> {
         let known = self.machines.get(id).map(|m| &m.claims);
@@ -61,14 +71,17 @@
             .map(|tasks| tasks.iter().cloned().collect())
             .unwrap_or_default()
     }
+
     /// Machines that tasks claim and that are not known.
     pub fn unknown_machines(&self) -> impl Iterator<Item = &MachineId> {
         self.homeless.keys()
     }
+
     /// What all usable machines offer.
     pub fn capacity(&self) -> Amount {
         self.capacity
     }
+
     /// Of each type: usable machines, their CPUs, CPUs used, and CPUs used by
     /// tasks that fit no smaller type: what is short may be only one type.
     pub fn use_of_kinds(&self) -> BTreeMap<TypeName, [i64; 4]> {
@@ -85,6 +98,7 @@
         }
         sums
     }
+
     /// What all teams together are guaranteed.
     pub fn guaranteed(&self) -> Amount {
         let mut sum = Amount::default();
@@ -209,6 +223,7 @@
             *self.claiming_of.entry(sort).or_insert(0) += 1;
         }
     }
+
     /// None of a job's claims waits to be recorded any more.
     pub fn claimed_all(&mut self, id: &JobId) {
         if !self.claiming.remove(id) {
@@ -224,6 +239,7 @@
             }
         }
     }
+
     /// What other blocks claim of a job, or is left to them; and what is left to
     /// this block, if another places it.
     pub fn share_job(&mut self, id: &JobId, foreign: BTreeSet<u32>, left: Option<BTreeSet<u32>>) {
@@ -232,6 +248,7 @@
             job.tasks.set_left_here(left);
         });
     }
+
     /// In which zones other blocks hold tasks of a job; none: that is not known.
     pub fn set_elsewhere(&mut self, id: &JobId, zones: Option<BTreeMap<Zone, u32>>) {
         if zones.as_ref().is_some_and(BTreeMap::is_empty) {
@@ -240,11 +257,13 @@
             self.elsewhere.insert(id.clone(), zones);
         }
     }
+
     /// Jobs of which it is not known where other blocks hold their tasks.
     pub fn unknown_elsewhere(&self) -> impl Iterator<Item = &JobId> {
         let unknown = self.elsewhere.iter().filter(|(_, zones)| zones.is_none());
         unknown.map(|(id, _)| id)
     }
+
     /// A claim that is not recorded yet takes another attempt number: the one it
     /// has was given to another task meanwhile.
     pub fn renumber(&mut self, task: &TaskId) {
@@ -255,6 +274,7 @@
             }
         }
     }
+
     /// This block's part of the limits, and of the guarantees as much: by team.
     pub fn set_limits(&mut self, parts: impl Iterator<Item = (Amount, Amount)>) {
         for (team, (limit, guarantee)) in self.teams.iter_mut().zip(parts) {
@@ -262,10 +282,12 @@
             team.guarantee = guarantee;
         }
     }
+
     /// What waits, by team.
     pub fn demands(&self) -> &[Amount] {
         &self.demand
     }
+
     /// A job goes. It must have no claims.
     pub fn remove_job(&mut self, id: &JobId) {
         self.edit_job(id, |job| job.cancelled = true);
@@ -314,198 +336,4 @@
         self.holds.drop_machine(id);
         self.homeless.remove(id);
     }
-
-    /// Enters a claim that its job holds already on a known machine.
-    pub(super) fn occupy(&mut self, id: &MachineId, task: &TaskId) {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return;
-        };
-        let Some(claim) = job.tasks.claims().get(&task.index) else {
-            return;
-        };
-        let (spec, units, unnamed) = (job.spec.clone(), claim.units.clone(), claim.unnamed);
-        let serving = self.serving_beside(id, &spec);
-        self.edit_machine(id, |m| {
-            m.claims.insert(task.clone());
-            m.used += spec.each;
-            if spec.spot && !m.spot {
-                m.movable += spec.each;
-            }
-            m.held.take(&units);
-            if unnamed {
-                m.held.take_unnamed();
-            }
-            let room = m.kind.cache_gb;
-            match &serving {
-                Some(beside) => m.cache.touch_beside(&spec, room, false, beside),
-                None => m.cache.touch(&spec.image, spec.image_gb, room, false),
-            }
-        });
-    }
-
-    /// Claims a pending task on a machine, and the devices that it needs. False
-    /// if one that it can't do without is not free.
-    pub fn claim(&mut self, task: &TaskId, m_id: &MachineId, now: Time) -> bool {
-        let Some(units) = self.units_for(&task.job, m_id) else {
-            return false;
-        };
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return false;
-        };
-        let attempt = job.tasks.take_attempt(task.index);
-        self.enter(task, attempt, m_id, units, now);
-        true
-    }
-
-    pub(super) fn enter(
-        &mut self,
-        task: &TaskId,
-        attempt: Attempt,
-        m_id: &MachineId,
-        units: Vec<Unit>,
-        now: Time,
-    ) {
-        let claim = Claim {
-            attempt,
-            machine: m_id.clone(),
-            since: now,
-            committed: false,
-            sent: Sent::No,
-            progress: Progress::Unseen,
-            stop: None,
-            units,
-            unnamed: false,
-        };
-        self.put_claim(task, claim);
-    }
-
-    /// Enters a claim, new or found in the record.
-    pub fn put_claim(&mut self, task: &TaskId, claim: Claim) {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return;
-        };
-        let (spec, team) = (job.spec.clone(), job.team);
-        self.teams[team].used += spec.each;
-        if idle::is_bounded(&spec) {
-            self.idle.used += spec.each;
-        }
-        if let Some(laned) = job.lane {
-            *self.lanes.used.entry(laned.lane).or_default() += spec.each.cpu;
-        }
-        if self
-            .reserved
-            .get(&claim.machine)
-            .is_some_and(|(j, _)| *j == task.job)
-        {
-            self.reserved.remove(&claim.machine);
-        }
-        self.holds.taken(team, &spec, &claim.machine);
-        let machine = claim.machine.clone();
-        self.edit_job(&task.job, |job| job.tasks.insert_claim(task.index, claim));
-        if self.machines.contains_key(&machine) {
-            self.occupy(&machine, task);
-        } else {
-            self.homeless
-                .entry(machine)
-                .or_default()
-                .insert(task.clone());
-        }
-    }
-
-    /// Marks a claimed task to be stopped, with time to save if that is of use
-    /// and there is no hurry.
-    pub fn stop(&mut self, task: &TaskId, hurry: bool) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        let saves = job.spec.checkpoint_s > 0.0 && !job.cancelled && !hurry;
-        let grace = if saves { job.spec.save_s + 1.0 } else { 0.0 };
-        if let Some(claim) = job.tasks.claim_mut(task.index) {
-            if claim.stop.is_none_or(|g| grace < g) {
-                claim.stop = Some(grace);
-            }
-        }
-    }
-
-    /// Removes a claim whose task is provably gone, or was never started.
-    pub fn release(&mut self, task: &TaskId, now: Time) -> Option<Claim> {
-        let claim = self.edit_job(&task.job, |job| job.tasks.remove_claim(task.index))??;
-        let job = self.jobs.get(&task.job)?;
-        let (spec, team) = (job.spec.clone(), job.team);
-        self.teams[team].used -= spec.each;
-        if idle::is_bounded(&spec) {
-            self.idle.used -= spec.each;
-        }
-        if let Some(laned) = job.lane {
-            *self.lanes.used.entry(laned.lane).or_default() -= spec.each.cpu;
-        }
-        self.holds.left(team, &spec);
-        let awaited = self.machines.get(&claim.machine).is_some_and(|m| {
-            m.claims.iter().any(|t| {
-                t != task
-                    && self
-                        .jobs
-                        .get(&t.job)
-                        .is_some_and(|j| j.spec.image == spec.image)
-            })
-        });
-        let known = self.edit_machine(&claim.machine, |m| {
-            if m.claims.remove(task) {
-                m.used -= spec.each;
-                if spec.spot && !m.spot {
-                    m.movable -= spec.each;
-                }
-                m.held.give(&claim.units);
-                if claim.unnamed {
-                    m.held.give_unnamed();
-                }
-            }
-            if !awaited {
-                m.cache.give_up(&spec.image);
-            }
-            if m.claims.is_empty() {
-                m.idle_since = now;
-            }
-        });
-        if known.is_none() {
-            if let Some(tasks) = self.homeless.get_mut(&claim.machine) {
-                tasks.remove(task);
-                if tasks.is_empty() {
-                    self.homeless.remove(&claim.machine);
-                }
-            }
-        }
-        Some(claim)
-    }
-
-    /// The other images that tasks on a machine need, if a job's image goes from
-    /// machine to machine; none: it doesn't.
-    fn serving_beside(&self, id: &MachineId, spec: &JobSpec) -> Option<Vec<Image>> {
-        if !self.stages(spec) {
-            return None;
-        }
-        let claims = self.machines.get(id).map(|m| m.claims.iter());
-        let jobs = claims.into_iter().flatten();
-        let images = jobs.filter_map(|t| self.jobs.get(&t.job).map(|j| &j.spec.image));
-        Some(images.filter(|i| **i != spec.image).cloned().collect())
-    }
-
-    /// A claimed task was seen running, so its image is there.
-    pub fn ran(&mut self, task: &TaskId) {
-        let Some(claim) = self.claim_of(task) else {
-            return;
-        };
-        let machine = claim.machine.clone();
-        let Some(spec) = self.jobs.get(&task.job).map(|j| j.spec.clone()) else {
-            return;
-        };
-        let serving = self.serving_beside(&machine, &spec);
-        self.edit_machine(&machine, |m| {
-            let room = m.kind.cache_gb;
-            match &serving {
-                Some(beside) => m.cache.touch_beside(&spec, room, true, beside),
-                None => m.cache.touch(&spec.image, spec.image_gb, room, true),
-            }
-        });
-    }
 }
--- /dev/null
+++ b/src/sched/holds_shown.rs
@@ -0,0 +1,122 @@
+//! What is held for windows, as the release calendar and the fleet ask for it.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use sorrelhinge_calendar::plan::divide;
+use sorrelhinge_calendar::settings::Window;
+
+use super::machine::Machine;
+use super::{ClusterState, Job};
+use crate::types::{Amount, MachineId, Zone};
+
+/// What a window has here, in tasks' room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HoldSeen {
+    /// Set aside on machines.
+    pub set_aside: u32,
+    /// Of it, what is free now.
+    pub free: u32,
+    /// What its work uses.
+    pub used: u32,
+    /// What is to be set aside beside it.
+    pub open: u32,
+}
+
+impl ClusterState {
+    /// All room set aside: the window, the machine, how many tasks' room.
+    pub fn held_room(&self) -> impl Iterator<Item = (&Rc<Window>, &MachineId, u32)> {
+        self.holds.0.values().flat_map(|h| {
+            let window = &h.hold.window;
+            h.placed.iter().map(move |(id, n)| (window, id, *n))
+        })
+    }
+
+    /// Of what is held, how many tasks of a job will find room there; notes it
+    /// in `left`, which begins as [`ClusterState::held_room`].
+    pub fn covered(&self, job: &Job, left: &mut BTreeMap<(String, MachineId), u32>) -> u32 {
+        let mut covered = 0;
+        let wanted = job.tasks.pending();
+        for ((name, id), n) in left.iter_mut() {
+            let Some(held) = self
+                .holds
+                .0
+                .get(name)
+                .filter(|h| h.is_for(job.team, &job.spec))
+            else {
+                continue;
+            };
+            if covered >= wanted
+                || !self
+                    .machines
+                    .get(id)
+                    .is_some_and(|m| Self::suits(&job.spec, m))
+            {
+                continue;
+            }
+            let each = held.hold.window.each();
+            let fits = job
+                .spec
+                .each
+                .how_many(each.times(i64::from(*n)))
+                .min(wanted - covered);
+            // So much of the room is spoken for.
+            let takes = job.spec.each.times(i64::from(fits));
+            let rest = each.how_many(each.times(i64::from(*n)) - takes);
+            *n = rest.min(*n);
+            covered += fits;
+        }
+        covered
+    }
+
+    /// What a window has: tasks' room set aside, of it what is free now, what its
+    /// work uses, and how many of its tasks wait.
+    pub fn hold_of(&self, name: &str) -> Option<HoldSeen> {
+        let held = self.holds.0.get(name)?;
+        let each = held.hold.window.each();
+        let free = held.placed.iter().map(|(id, n)| {
+            let free = self
+                .machines
+                .get(id)
+                .map_or(Amount::default(), Machine::free);
+            each.how_many(free).min(*n)
+        });
+        Some(HoldSeen {
+            set_aside: held.set_aside(),
+            free: free.sum(),
+            used: held.used_tasks(),
+            open: held.open(),
+        })
+    }
+
+    /// How much of a hold each of its zones lacks; without zones, of it as a whole.
+    pub fn lacking(&self, name: &str) -> Vec<(Option<Zone>, u32)> {
+        let Some(held) = self.holds.0.get(name) else {
+            return Vec::new();
+        };
+        let lacks = held.open().saturating_sub(held.set_aside());
+        let zones = &held.hold.window.zones;
+        if zones.is_empty() || lacks == 0 {
+            return vec![(None, lacks)];
+        }
+        let mut counts = self.used_in_zones(held, true);
+        for (id, n) in &held.placed {
+            if let Some(m) = self.machines.get(id) {
+                *counts.entry(Some(m.zone.clone())).or_insert(0) += n;
+            }
+        }
+        let mut left = lacks;
+        let shares = divide(held.hold.tasks, zones.len() as u32);
+        zones
+            .iter()
+            .zip(shares)
+            .map(|(zone, share)| {
+                let zone = Some(Zone::from(zone.as_str()));
+                let has = counts.get(&zone).copied().unwrap_or(0);
+                let wants = share.saturating_sub(has).min(left);
+                left -= wants;
+                (zone, wants)
+            })
+            .collect()
+    }
+}
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -7,9 +7,11 @@
 
 mod best_machine;
 mod capacity_index;
+mod claims;
 mod cluster_state;
 mod gangs;
 mod holds;
+mod holds_shown;
 mod idle;
 mod lanes;
 mod machine;
@@ -23,7 +25,8 @@
 mod topology_rules;
 
 pub use capacity_index::{CapacityIndex, GroupKey};
-pub use holds::{Hold, HoldSeen, Lending};
+pub use holds::{Hold, Lending};
+pub use holds_shown::HoldSeen;
 pub use lanes::Laned;
 pub use machine::{Cache, Machine};
 pub use rebalance::{Move, Moving};
