--- a/src/control/core/calendar.rs
+++ b/src/control/core/calendar.rs
@@ -440,7 +440,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
-        wishes: None,
+        placement: None,
         seal: None,
     })
 }
--- a/src/control/core/commands.rs
+++ b/src/control/core/commands.rs
@@ -17,10 +17,10 @@
         let starts = orders.iter().any(|o| matches!(o, Command::Start { .. }));
         let lease_s = self.cfg.lease_s;
         if let Some(link) = self.links.get_mut(id) {
-            link.hearing.answered(lease_s, now);
+            link.reachability.answered(lease_s, now);
             // Its next reports have to show that.
             if starts || !link.fenced() {
-                link.hearing.asked(now);
+                link.reachability.asked(now);
             }
         }
         let token = self.links.get(id).map_or(self.base_token(), |l| l.token);
--- a/src/control/core/dispatch.rs
+++ b/src/control/core/dispatch.rs
@@ -98,7 +98,7 @@
         match outcome {
             Sending::Executed(report) => {
                 link.direct_failures = 0;
-                link.hearing.proved(now);
+                link.reachability.proved(now);
                 link.passed = false;
                 link.direct_retry = now;
                 // The session that took the command may end right after it;
@@ -108,7 +108,7 @@
             }
             Sending::Refused(report) => {
                 link.direct_failures = 0;
-                link.hearing.proved(now);
+                link.reachability.proved(now);
                 // Not at once: a report that was overtaken leaves the session
                 // as it was.
                 link.direct_retry = now.after(0.02);
@@ -126,7 +126,7 @@
                         mark(Sent::Flying, Sent::No);
                         // It may report on and hear nothing. Whether it does,
                         // the token shows, by whatever way it gets there.
-                        if !link.hearing.is_sure(self.cfg.report_s, now) {
+                        if !link.reachability.is_confirmed(self.cfg.report_s, now) {
                             link.token = link.token.raised();
                         }
                     }
@@ -142,7 +142,7 @@
                 link.doubted = true;
                 // Its reports have to show the token.
                 if !link.fenced() {
-                    link.hearing.asked(now);
+                    link.reachability.asked(now);
                 }
                 let pause = 0.25 * f64::from(link.direct_failures.min(5)).exp2();
                 link.direct_retry = now.after(pause);
--- a/src/control/core/links.rs
+++ b/src/control/core/links.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use sorrelhinge_overload::hearing::Hearing;
+use sorrelhinge_overload::reachability::Reachability;
 
 use super::link::Link;
 use super::Core;
@@ -68,7 +68,7 @@
                 seen: Token(0),
                 last_heard: now,
                 told_of: Seq(0),
-                hearing: Hearing::default(),
+                reachability: Reachability::default(),
                 tasks: BTreeMap::new(),
                 flying: false,
                 direct_retry: now,
@@ -125,7 +125,7 @@
     pub fn hears(&self, id: &MachineId) -> bool {
         self.links
             .get(id)
-            .is_none_or(|l| l.fenced() && !l.hearing.in_doubt())
+            .is_none_or(|l| l.fenced() && !l.reachability.in_doubt())
     }
 
     pub(super) fn refresh_machine(&mut self, id: &MachineId, now: Time) {
@@ -158,7 +158,7 @@
             && !link.leaving
             && !link.deleting
             && now >= link.shunned_until
-            && !link.hearing.rests(now)
+            && !link.reachability.is_quarantined(now)
             && !silent;
         let leaving = link.leaving || link.deleting;
         let doubted = link.doubted;
--- a/src/control/core/load.rs
+++ b/src/control/core/load.rs
@@ -7,7 +7,7 @@
 use sorrelhinge_blocks::largest_jobs::Largest;
 use sorrelhinge_blocks::served::Served;
 use sorrelhinge_blocks::shard::Shard;
-use sorrelhinge_overload::carry::Uptake;
+use sorrelhinge_overload::fleet_limit::ClaimRate;
 use sorrelhinge_topology::renting::Memory;
 use sorrelhinge_topology::repair::Stability;
 use sorrelhinge_topology::Topology;
@@ -104,7 +104,7 @@
             rentals: 0,
             renting: 0,
             most_machines: None,
-            uptake: Uptake::default(),
+            claim_rate: ClaimRate::default(),
             claimed_cpu: 0,
             deaf_until: now,
             starts_until: Time(f64::INFINITY),
@@ -254,7 +254,7 @@
             ..Job::new(spec, team, submitted, tasks)
         };
         // An earlier version's record names no units.
-        let devices = job.spec.wishes.as_ref();
+        let devices = job.spec.placement.as_ref();
         let holds = devices.is_some_and(|w| w.lost || !w.devices.is_empty());
         let all_done = job.tasks.all_done();
         if homed && !over {
--- a/src/control/core/machine_list.rs
+++ b/src/control/core/machine_list.rs
@@ -116,12 +116,16 @@
         let patience = self.cfg.lease_s * DRIFT + 2.0 * self.cfg.report_s;
         // If most hear nothing it may be this controller that can't be heard. Another
         // may then be the owner before long; if none is, they go all the same.
-        let doubtful = self.links.values().filter(|l| l.hearing.in_doubt()).count();
+        let doubtful = self
+            .links
+            .values()
+            .filter(|l| l.reachability.in_doubt())
+            .count();
         let patience = match doubtful * 2 <= self.links.len() {
             true => patience,
             false => MOST_DEAF * patience,
         };
-        let deaf = |l: &Link| !l.deleting && l.hearing.is_deaf(patience, now);
+        let deaf = |l: &Link| !l.deleting && l.reachability.is_unreachable(patience, now);
         let deaf = self.links.iter().filter(|(_, l)| deaf(l));
         deaf.map(|(id, _)| id.clone()).collect()
     }
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -33,7 +33,7 @@
 use sorrelhinge_blocks::largest_jobs::Largest;
 use sorrelhinge_blocks::served::{Served, Sort};
 use sorrelhinge_blocks::shard::Shard;
-use sorrelhinge_overload::carry::Uptake;
+use sorrelhinge_overload::fleet_limit::ClaimRate;
 use sorrelhinge_topology::drain::Drain;
 use sorrelhinge_topology::renting::Memory;
 use sorrelhinge_topology::repair::Stability;
@@ -144,7 +144,7 @@
     /// How many machines can be served, if that was found to be a bound.
     most_machines: Option<usize>,
     /// What is claimed a second, and since that was last looked at.
-    uptake: Uptake,
+    claim_rate: ClaimRate,
     claimed_cpu: i64,
     /// Until then silence tells nothing.
     deaf_until: Time,
--- a/src/control/core/reports.rs
+++ b/src/control/core/reports.rs
@@ -75,13 +75,13 @@
             .collect();
         // That it reports is no sign that it hears: each report made a machine
         // usable again that no command reached.
-        link.hearing.reported(now);
+        link.reachability.reported(now);
         if took_up {
-            link.hearing.proved(now);
+            link.reachability.proved(now);
         }
         // Its leases end though its reports are answered: whatever runs there is
         // lost each time. While requests wait too long, answers may be too late.
-        if ended && link.hearing.session_ended(lease_s, now) && !hears_badly {
+        if ended && link.reachability.session_ended(lease_s, now) && !hears_badly {
             link.leaving = true;
         }
         link.images.clone_from(&report.images);
@@ -102,7 +102,7 @@
             self.reconcile(&report.machine, source, now);
         }
         if let Some(link) = self.links.get_mut(&report.machine) {
-            if link.fenced() && link.hearing.in_doubt() {
+            if link.fenced() && link.reachability.in_doubt() {
                 // It has the present token and does nothing: a higher one has
                 // to be taken up before anything more goes there.
                 link.token = link.token.raised();
@@ -118,7 +118,11 @@
 
     /// A task that we started is in the report: the machine hears.
     fn see_starts(&mut self, id: &MachineId, now: Time) {
-        let Some(link) = self.links.get_mut(id).filter(|l| l.hearing.waits()) else {
+        let Some(link) = self
+            .links
+            .get_mut(id)
+            .filter(|l| l.reachability.awaits_effect())
+        else {
             return;
         };
         let began = self.cluster_state.claims_on(id).into_iter().any(|task| {
@@ -128,7 +132,7 @@
             })
         });
         if began {
-            link.hearing.proved(now);
+            link.reachability.proved(now);
         }
     }
 
