--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -5,22 +5,28 @@
 //! that `docs/design.md` lists. No decision looks at every machine or every
 //! job: the cluster state keeps its sums, its queues and an index of room up to date.
 
+mod best_machine;
 mod capacity_index;
+mod claims;
 mod cluster_state;
 mod gangs;
 mod holds;
+mod holds_shown;
 mod idle;
 mod lanes;
 mod machine;
+mod order;
+mod placement_pass;
+mod placement_rules;
 mod preempt;
 mod rebalance;
 mod shares;
 mod tasks;
 mod topology_rules;
-mod walk;
 
 pub use capacity_index::{CapacityIndex, GroupKey};
-pub use holds::{Hold, HoldSeen, Lending};
+pub use holds::{Hold, Lending};
+pub use holds_shown::HoldSeen;
 pub use lanes::Laned;
 pub use machine::{Cache, Machine};
 pub use rebalance::{Move, Moving};
@@ -29,12 +35,11 @@
 
 use std::cell::OnceCell;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use capacity_index::{Nearness, Size};
-use sorrelhinge_blocks::fair;
 use sorrelhinge_blocks::served::Sort;
 use sorrelhinge_staging::patience;
 use sorrelhinge_topology::gang::Turn;
