Stand-ins: faults at named steps, and the world notes its history

Meetings of two troubles could only be brought about by waiting and hoping. State service: a chosen transaction or every so many-th is held back until the test releases it, after newer ones, or carried out with its answer lost; one controller is refused alone (each has a port of its own there), its open watches wait, as they now do in an outage, as PROTOCOL says. Workers: mute machines, direct commands held back and carried out once, machines that hang and go on inside their lease or after it; copies of reports to one controller. A lease's end is noted for the moment it ends, however late the routine is. The world notes questions, answers, machines, attempts and final records, and holds them against every rule.

--- a/crates/standins/src/cloud.rs
+++ b/crates/standins/src/cloud.rs
@@ -9,7 +9,8 @@
 use serde_json::{json, Value};
 use tokio::net::TcpListener;
 
-use crate::nodes::{add, Nodes, CPUS};
+use crate::history::Event;
+use crate::nodes::{add, Nodes, CPUS, RAM_GB, TYPE};
 use crate::{serve, Told, ZONES};
 
 /// What was rented under each name: what was asked, and what it came to.
@@ -42,7 +43,7 @@
         if path == "/machine_types" {
             return (
                 200,
-                json!({"builds": [{"label": "t", "cpus": CPUS, "cards": 0.0, "ram_gb": 16.0,
+                json!({"builds": [{"label": TYPE, "cpus": CPUS, "cards": 0.0, "ram_gb": RAM_GB,
                     "cache_gb": 20.0, "pull_gb_per_s": 1.0, "rate": 1.0, "market_price": 0.4,
                     "startup_s": 1.0, "racks": ZONES}]}),
             );
@@ -82,9 +83,11 @@
             for id in body["boxes"].as_array().into_iter().flatten() {
                 let id = id.as_str().unwrap_or_default();
                 nodes.borrow_mut().others.remove(id);
-                if let Some(node) = nodes.borrow_mut().all.get_mut(id) {
+                let mut nodes = nodes.borrow_mut();
+                if let Some(node) = nodes.all.get_mut(id) {
                     node.gone = true;
                     node.tasks.clear();
+                    nodes.recorder.note(Event::MachineGone(id.into()));
                 }
             }
             return (200, json!({}));
@@ -98,7 +101,7 @@
             .filter(|m| !m.gone)
             .map(|m| {
                 let phase = if m.up_at <= now { "running" } else { "booting" };
-                json!({"uid": m.id, "addr": m.addr, "build": "t", "rack": ZONES[m.zone as usize],
+                json!({"uid": m.id, "addr": m.addr, "build": TYPE, "rack": ZONES[m.zone as usize],
                     "loaners": false, "phase": phase,
                     "held_s": now.duration_since(m.born).as_secs_f64()})
             })
--- a/crates/standins/src/history/record.rs
+++ b/crates/standins/src/history/record.rs
@@ -46,7 +46,12 @@
 
     /// Notes what happens now.
     pub fn note(&self, event: Event) {
-        let at = self.now();
+        self.note_at(Instant::now(), event);
+    }
+
+    /// Notes what happened before now, or at that moment.
+    pub fn note_at(&self, when: Instant, event: Event) {
+        let at = when.saturating_duration_since(self.began);
         self.notes.borrow_mut().entries.push(Entry { at, event });
     }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,11 +3,14 @@
 //! 127.0.0.0/8, so networks tell where it is. All starts are checked as they
 //! happen: no task on two machines, no unit missing, broken or taken.
 
+mod asking;
 pub mod cloud;
 pub mod history;
 pub mod lines;
 pub mod nodes;
 pub mod place;
+mod plan;
+mod site;
 pub mod store;
 
 use std::cell::{Cell, RefCell};
@@ -26,7 +29,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
-use serde_json::{json, Value};
+use serde_json::Value;
 use sorrelhinge::http::{self, call_once, CallError, Limits, Pool};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -34,9 +37,12 @@
 use tokio::time::sleep;
 
 use cloud::Cloud;
+use history::Recorder;
 use lines::Cut;
 use nodes::Nodes;
 use place::Place;
+pub use plan::{file, Plan};
+use site::CREW_CPUS;
 use store::Store;
 
 /// Times of the small world, in seconds.
@@ -108,53 +114,12 @@
     told(pool.call(method, path, text(body), LIMITS).await)
 }
 
-/// How a world is laid out.
-pub struct Plan {
-    /// Second part of all machines' addresses is this and the zone.
-    pub net: u8,
-    /// Switches in each of three zones.
-    pub switches: u8,
-    /// Machines behind each switch at the start.
-    pub machines: u8,
-    /// The operator's file, if the feature is on.
-    pub topology: Option<String>,
-    /// How many controllers there are.
-    pub controllers: usize,
-    /// Whether controllers can be cut off from the state service and each other.
-    pub lines: bool,
-    /// How many sockets each controller may have; the operating system refuses
-    /// more. None: as many as it likes.
-    pub sockets: Option<usize>,
-    /// More of the operators' own settings.
-    pub properties: &'static str,
-    /// The program, and a folder for files and logs.
-    pub program: PathBuf,
-    pub folder: PathBuf,
-}
-
-impl Plan {
-    /// So many machines behind one switch in each zone, and nothing special:
-    /// `program` is what to run, and `folder` where each plan has one of its own.
-    pub fn plain(name: &str, net: u8, machines: u8, (program, folder): (&str, &str)) -> Self {
-        Self {
-            net,
-            switches: 1,
-            machines,
-            topology: None,
-            controllers: 3,
-            lines: false,
-            sockets: None,
-            properties: "",
-            program: program.into(),
-            folder: PathBuf::from(folder).join(name),
-        }
-    }
-}
-
 /// Everything outside the controllers, and the controllers.
 pub struct World {
     pub store: Rc<RefCell<Store>>,
     pub nodes: Rc<RefCell<Nodes>>,
+    /// The history of what users asked and machines did.
+    pub recorder: Recorder,
     controllers: Vec<Controller>,
     program: PathBuf,
     folder: PathBuf,
@@ -199,9 +164,14 @@
         let count = plan.controllers;
         let place = Place::claim(count);
         let store = store::start(&place.state()).await;
-        let state = place.state();
+        for i in 0..count {
+            store::listen(&store, &place.state_of(i), Some(i)).await;
+        }
         let users: Vec<SocketAddr> = (0..count).map(|i| place.users(i)).collect();
-        let nodes = Rc::new(RefCell::new(Nodes::new(users.clone())));
+        let recorder = Recorder::new(site::site());
+        store.borrow_mut().recorder = Some(recorder.clone());
+        let nodes = Nodes::new(users.clone(), recorder.clone());
+        let nodes = Rc::new(RefCell::new(nodes));
         let cloud = place.cloud();
         Cloud::start(nodes.clone(), cloud, plan.net, plan.switches).await;
         for zone in 0..3 {
@@ -222,7 +192,12 @@
         let whole = || (0..count).map(|_| watch::Sender::new(Cut::None)).collect();
         let (cuts, state_cuts): (Vec<_>, Vec<_>) = (whole(), whole());
         for i in (0..count).filter(|_| plan.lines) {
-            lines::line(place.state_line(i), state, state_cuts[i].subscribe()).await;
+            lines::line(
+                place.state_line(i),
+                place.state_of(i),
+                state_cuts[i].subscribe(),
+            )
+            .await;
             for o in (0..count).filter(|o| *o != i) {
                 // Cut at either end: through one line after the other.
                 let (near, far) = (place.peer_line(i, o), place.middle(i, o));
@@ -237,7 +212,10 @@
                         place.state_line(i),
                         (0..count).map(|o| place.peer_line(i, o)).collect(),
                     ),
-                    false => (state, (0..count).map(|o| place.peers(o)).collect()),
+                    false => (
+                        place.state_of(i),
+                        (0..count).map(|o| place.peers(o)).collect(),
+                    ),
                 };
                 let others: String = (0..count)
                     .filter(|o| *o != i)
@@ -253,7 +231,7 @@
                     "node = \"c-{i}\"\narea = \"{}\"\nbind = \"{}\"\npeer_bind = \"{}\"\n{others}\
                      [outside]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n\
                      [params]\nzones = [\"za\", \"zb\", \"zc\"]\n\
-                     [[params.teams]]\nname = \"crew\"\ncpus = 200.0\ncpus_max = 400.0\n\
+                     [[params.teams]]\nname = \"crew\"\ncpus = 200.0\ncpus_max = {CREW_CPUS:?}\n\
                      [[params.teams]]\nname = \"guest\"\ncpus = 0.0\ncpus_max = 0.0\n\
                      [params.workers]\nreport_s = {REPORT_S:?}\nlease_s = {LEASE_S:?}\ncancel_s = {CANCEL_S:?}\n\
                      [params.state]\nrps = 500.0\nwrite_rps = 300.0\nvalue_kb = 8.0\ntxn_ops = 16\n\
@@ -275,6 +253,7 @@
         let mut world = Self {
             store,
             nodes,
+            recorder,
             controllers,
             program,
             folder,
@@ -420,70 +399,6 @@
         self.controllers.iter().position(|c| c.name == name)
     }
 
-    /// Asks any controller, again and again until one answers with less than
-    /// 500 and not 421.
-    pub async fn ask(&self, method: Method, path: &str, body: &Value) -> Told {
-        let end = Instant::now() + Duration::from_secs(60);
-        loop {
-            for c in &self.controllers {
-                let told = ask(c.users, method.clone(), path, body).await;
-                if let Some(told) = told.filter(|(s, _)| *s < 500 && *s != 421 && *s != 429) {
-                    return told;
-                }
-            }
-            self.all_run();
-            assert!(Instant::now() < end, "nobody answers {path}");
-            sleep(Duration::from_millis(200)).await;
-        }
-    }
-
-    /// Asks one controller once, in any way.
-    pub async fn ask_once(
-        &self,
-        i: usize,
-        method: Method,
-        path: &str,
-        body: &Value,
-    ) -> Option<Told> {
-        ask(self.controllers[i].users, method, path, body).await
-    }
-
-    /// Asks one controller once.
-    pub async fn ask_one(&self, i: usize, path: &str) -> Option<Told> {
-        ask(self.controllers[i].users, Method::GET, path, &Value::Null).await
-    }
-
-    /// A job as it is submitted, and as workers fetch it; `more` overrides the
-    /// usual fields.
-    pub fn job(&self, uid: &str, more: Value) -> Value {
-        let mut job = json!({"uid": uid, "jobclass": "bake", "crew": "crew", "shape": "sweep",
-            "rank": "normal", "pieces": 1, "cpus": 1.0, "cards": 0.0, "ram_gb": 1.0,
-            "bundle": "img-1", "pull_gb": 0.1, "builds": null, "rack": null, "together": false,
-            "spread": false, "loaners": false, "guess_s": 1.0, "mark_s": 0.0, "stash_s": 0.0,
-            "due_s": null});
-        for (key, value) in more.as_object().expect("an object") {
-            job[key] = value.clone();
-        }
-        self.nodes.borrow_mut().jobs.insert(uid.into(), job.clone());
-        job
-    }
-
-    /// Submits a job; `more` overrides the usual fields.
-    pub async fn submit(&self, uid: &str, more: Value) -> Told {
-        let job = self.job(uid, more);
-        let (status, told) = self.ask(Method::POST, "/v1/jobs", &job).await;
-        if [200, 201].contains(&status) {
-            let now = Instant::now();
-            self.answered.borrow_mut().insert(uid.to_owned(), now);
-        }
-        match (status, told) {
-            // The id is new: an earlier try of this very call was accepted, and
-            // its answer came too late.
-            (200, told) => (201, told),
-            told => told,
-        }
-    }
-
     /// Whether the first tasks of a job have ended.
     pub fn done(&self, uid: &str, tasks: usize) -> bool {
         let nodes = self.nodes.borrow();
@@ -502,68 +417,6 @@
         self.state_cuts[i].send_replace(cut);
     }
 
-    /// Users ask for all accepted jobs from now on, again and again, of one
-    /// controller after the other.
-    pub fn ask_for_all(&self) {
-        let (answered, longest) = (self.answered.clone(), self.unanswered.clone());
-        let users: Vec<SocketAddr> = self.controllers.iter().map(|c| c.users).collect();
-        let nodes = self.nodes.clone();
-        spawn_local(async move {
-            for turn in 0_usize.. {
-                sleep(Duration::from_millis(20)).await;
-                let next = {
-                    let all = answered.borrow();
-                    let oldest = all.iter().min_by_key(|(_, at)| **at);
-                    oldest.map(|(uid, _)| uid.clone())
-                };
-                let Some(uid) = next else { continue };
-                let path = format!("/v1/jobs/{uid}");
-                let told = ask(users[turn % users.len()], Method::GET, &path, &Value::Null).await;
-                let gone = told.as_ref().is_some_and(|(status, _)| *status == 404);
-                if gone {
-                    nodes.borrow_mut().wrong.push(format!("forgotten: {uid}"));
-                }
-                if told.is_some_and(|(status, _)| status == 200) {
-                    let last = answered.borrow_mut().insert(uid, Instant::now());
-                    let waited = last.map_or(Duration::ZERO, |at| at.elapsed());
-                    longest.set(longest.get().max(waited));
-                }
-            }
-        });
-    }
-
-    /// The longest that an accepted job went without an answer to its users so far.
-    pub fn unanswered(&self) -> Duration {
-        let now = self.answered.borrow();
-        let waits = now.values().map(Instant::elapsed).max();
-        self.unanswered.get().max(waits.unwrap_or_default())
-    }
-
-    /// Delivers copies of reports that are older than so many seconds, a few of
-    /// each machine, to all controllers.
-    pub async fn replay(&self, age_s: f64, most: usize) -> usize {
-        let copies = self.nodes.borrow().old_reports(age_s, most);
-        for report in &copies {
-            for c in &self.controllers {
-                let _ = ask(c.users, Method::POST, "/agent/beat", report).await;
-            }
-        }
-        copies.len()
-    }
-
-    /// What users are told of a job.
-    pub async fn phase(&self, uid: &str) -> Value {
-        let path = format!("/v1/jobs/{uid}");
-        let (status, told) = self.ask(Method::GET, &path, &Value::Null).await;
-        assert_eq!(status, 200, "{told}");
-        told["phase"].clone()
-    }
-
-    /// No start broke a rule.
-    pub fn rules_hold(&self) {
-        assert_eq!(self.nodes.borrow().wrong, [] as [String; 0]);
-    }
-
     /// Waits until something is so.
     pub async fn until(&self, what: &str, seconds: u64, so: impl Fn(&Self) -> bool) {
         let end = Instant::now() + Duration::from_secs(seconds);
@@ -631,18 +484,3 @@
         .expect("a runtime");
     tokio::task::LocalSet::new().block_on(&runtime, test);
 }
-
-/// The operator's file for a world: each switch is a network of its own.
-pub fn file(net: u8, switches: u8, more: &str) -> String {
-    let mut text = String::from("version = 1\n");
-    for (zone, name) in ZONES.iter().enumerate() {
-        for switch in 0..switches {
-            let second = net as usize + zone;
-            text += &format!(
-                "[[place]]\ndomain = \"{name}/r{}/s{switch}\"\nnetworks = [\"127.{second}.{switch}.0/24\"]\n",
-                switch / 2
-            );
-        }
-    }
-    text + more
-}
--- a/crates/standins/src/nodes.rs
+++ b/crates/standins/src/nodes.rs
@@ -1,21 +1,20 @@
 //! Machines with their workers. A switch can be cut: whoever is behind it is
 //! silent, and its tasks run until the lease ends.
 
-use std::cell::RefCell;
+mod faults;
+mod worker;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hyper::Method;
 use serde_json::{json, Value};
-use sorrelhinge::http::Pool;
-use sorrelhinge_protocol::worker::{Command, Orders, Reply};
-use tokio::net::TcpListener;
-use tokio::task::spawn_local;
-use tokio::time::sleep;
+use sorrelhinge_protocol::worker::{Command, Orders};
 
-use crate::{ask_over, serve, Told, LEASE_S, REPORT_S, ZONES};
+use crate::history::{AttemptId, Event, Reason, Recorder, TaskName};
+use crate::{LEASE_S, ZONES};
+pub use faults::{machines_of, Faults, Hold, Released};
+pub use worker::add;
 
 /// A task on a machine.
 pub struct Task {
@@ -43,6 +42,8 @@
     reported: Instant,
     dirty: bool,
     target: usize,
+    /// Since when it hangs, if it does.
+    hung_since: Option<Instant>,
     pub tasks: BTreeMap<(String, u64), Task>,
 }
 
@@ -73,11 +74,20 @@
     /// A controller that is cut off from all workers, and its grant: neither
     /// reports nor commands get through.
     pub apart: Option<(usize, u64)>,
+    /// More that goes wrong by a test's word.
+    pub faults: Faults,
+    /// Takes notes of what happens on the machines.
+    pub recorder: Recorder,
     controllers: Vec<SocketAddr>,
     count: u32,
 }
 
+/// The one machine type, and what its machines have room for.
+pub(crate) const TYPE: &str = "t";
 pub(crate) const CPUS: f64 = 4.0;
+pub(crate) const RAM_GB: f64 = 16.0;
+/// A worker waits so long for an answer to its report (PROTOCOL).
+const PATIENCE: Duration = Duration::from_secs(4);
 /// Reports kept to be copied.
 const MOST_SENT: usize = 6000;
 
@@ -91,7 +101,8 @@
 }
 
 impl Nodes {
-    pub fn new(controllers: Vec<SocketAddr>) -> Self {
+    /// None yet, for controllers that take reports at these addresses.
+    pub fn new(controllers: Vec<SocketAddr>, recorder: Recorder) -> Self {
         Self {
             all: BTreeMap::new(),
             jobs: BTreeMap::new(),
@@ -106,11 +117,20 @@
             deaf: Vec::new(),
             sent: None,
             apart: None,
+            faults: Faults::default(),
+            recorder,
             controllers,
             count: 0,
         }
     }
 
+    /// Notes that a task is no longer on a machine.
+    fn note_left(&self, id: &str, key: &(String, u64), when: Instant, reason: Reason) {
+        if let Some(attempt) = attempt_id(id, &key.0, key.1) {
+            self.recorder.note_at(when, Event::Left(attempt, reason));
+        }
+    }
+
     fn is_cut(&self, id: &str) -> bool {
         let node = &self.all[id];
         self.cut.contains(&(node.zone, node.switch))
@@ -181,7 +201,7 @@
                 json!({"piece": piece, "try": attempt, "phase": t.phase, "cause": t.cause})
             })
             .collect();
-        json!({"box": id, "addr": node.addr, "build": "t", "rack": ZONES[node.zone as usize],
+        json!({"box": id, "addr": node.addr, "build": TYPE, "rack": ZONES[node.zone as usize],
             "loaners": false, "shift": node.session, "tick": node.tick, "baton": node.token,
             "warning_s": null, "pieces": pieces})
     }
@@ -197,11 +217,13 @@
                 } => self.begin(id, piece, attempt.0, units),
                 Command::Kill { piece, attempt, .. } => {
                     let node = self.all.get_mut(id).expect("it is there");
-                    let task = node.tasks.get_mut(&(piece.clone(), attempt.0));
+                    let key = (piece.clone(), attempt.0);
+                    let task = node.tasks.get_mut(&key);
                     if let Some(task) = task.filter(|t| t.phase != "ended") {
                         task.phase = "ended".into();
                         task.cause = Some("stopped");
                         node.dirty = true;
+                        self.note_left(id, &key, Instant::now(), Reason::Ended);
                     }
                 }
                 Command::Forget { piece, attempt } => {
@@ -283,19 +305,45 @@
         };
         node.tasks.insert(key, task);
         node.dirty = true;
+        if let Some(attempt) = attempt_id(id, piece, attempt).filter(|_| !full) {
+            self.recorder.note(Event::Started(attempt));
+        }
     }
 
-    /// Time passes on a machine.
+    /// Carries out direct commands if token and session match.
+    fn obey(&mut self, id: &str, orders: &Orders) -> bool {
+        let node = self.all.get_mut(id).expect("it is there");
+        if orders.baton.0 < node.token || orders.shift.0 != node.session {
+            return false;
+        }
+        node.token = orders.baton.0;
+        self.execute(id, &orders.orders);
+        true
+    }
+
+    /// Time passes on a machine: its lease may end, and unless it hangs its tasks go
+    /// on.
     fn advance(&mut self, id: &str) {
         let node = self.all.get_mut(id).expect("it is there");
         let now = Instant::now();
-        if now.duration_since(node.answered).as_secs_f64() > LEASE_S {
-            node.tasks.clear();
+        let lease_end = node.answered + Duration::from_secs_f64(LEASE_S);
+        if now > lease_end {
             node.session += 1;
             node.answered = now;
             node.dirty = true;
+            for (key, task) in std::mem::take(&mut node.tasks) {
+                if task.phase != "ended" {
+                    // At its end, also if this routine was late.
+                    self.note_left(id, &key, lease_end.max(task.since), Reason::Ended);
+                }
+            }
         }
-        for ((piece, _), task) in &mut node.tasks {
+        if self.is_hung(id) {
+            return;
+        }
+        let node = self.all.get_mut(id).expect("it is there");
+        let mut completed = Vec::new();
+        for (key, task) in &mut node.tasks {
             let ran = now.duration_since(task.since).as_secs_f64();
             if task.phase == "fetching" && ran >= 0.1 {
                 task.phase = "running".into();
@@ -303,182 +351,21 @@
             } else if task.phase == "running" && ran >= 0.1 + task.run_s {
                 task.phase = "ended".into();
                 task.cause = Some("done");
-                self.done.insert(piece.clone());
+                completed.push(key.clone());
                 node.dirty = true;
             }
         }
+        for key in completed {
+            self.note_left(id, &key, now, Reason::Done);
+            self.done.insert(key.0);
+        }
     }
 }
 
-/// A machine comes up behind a switch after `boot`.
-pub fn add(nodes: &Rc<RefCell<Nodes>>, net: u8, zone: u8, switch: u8, boot: Duration) -> String {
-    let listener;
-    let id = {
-        let mut n = nodes.borrow_mut();
-        n.count += 1;
-        let id = format!("vm-{:06}", n.count);
-        let last = (n.count % 250 + 1) as u8;
-        // A free port, so that two runs on one machine do not meet. Nobody is
-        // told of it before the machine is up.
-        listener = bind(([127, net + zone, switch, last], 0).into());
-        let addr = listener.local_addr().expect("its address");
-        let now = Instant::now();
-        let node = Node {
-            id: id.clone(),
-            addr,
-            zone,
-            switch,
-            gone: false,
-            up_at: now + boot,
-            born: now,
-            session: 1,
-            tick: 0,
-            token: 0,
-            answered: now + boot,
-            reported: now,
-            dirty: true,
-            target: n.count as usize % n.controllers.len(),
-            tasks: BTreeMap::new(),
-        };
-        n.all.insert(id.clone(), node);
-        id
-    };
-    let (all, name) = (nodes.clone(), id.clone());
-    spawn_local(async move {
-        sleep(boot).await;
-        let listener = TcpListener::from_std(listener).expect("a listener");
-        let (served, me) = (all.clone(), name.clone());
-        serve(listener, move |_, path, body| {
-            let (nodes, id) = (served.clone(), me.clone());
-            Box::pin(async move { orders(nodes, id, path, &body).await })
-        });
-        work(all, name).await;
-    });
-    id
-}
-
-/// Binds an address. If that fails the whole run ends at once and says why: in
-/// a routine of its own the failure would go unnoticed, and the test wait.
-fn bind(addr: SocketAddr) -> std::net::TcpListener {
-    let bound = std::net::TcpListener::bind(addr).and_then(|l| {
-        l.set_nonblocking(true)?;
-        Ok(l)
-    });
-    bound.unwrap_or_else(|error| {
-        eprintln!("the stand-ins can't listen on {addr}: {error}");
-        std::process::exit(101)
+fn attempt_id(machine: &str, piece: &str, attempt: u64) -> Option<AttemptId> {
+    Some(AttemptId {
+        task: TaskName::parse(piece)?,
+        attempt,
+        machine: machine.into(),
     })
 }
-
-async fn orders(nodes: Rc<RefCell<Nodes>>, id: String, path: String, body: &[u8]) -> Told {
-    let silent = {
-        let n = nodes.borrow();
-        n.all[&id].gone || n.is_cut(&id)
-    };
-    if silent {
-        // No answer: the client gives up by itself.
-        sleep(Duration::from_secs(30)).await;
-        return (503, Value::Null);
-    }
-    let orders = serde_json::from_slice::<Orders>(body);
-    let apart = nodes.borrow().apart;
-    let from_there = |o: &Orders| {
-        let grant = o.baton.grant();
-        let n = nodes.borrow();
-        apart.is_some_and(|(_, g)| grant == g) || n.is_deaf(&id, |(_, g)| grant == g)
-    };
-    if orders.as_ref().is_ok_and(from_there) {
-        sleep(Duration::from_secs(30)).await;
-        return (503, Value::Null);
-    }
-    let mut n = nodes.borrow_mut();
-    if path == "/status" {
-        return (200, n.report(&id));
-    }
-    let Ok(orders) = orders else {
-        return (400, Value::Null);
-    };
-    let node = n.all.get_mut(&id).expect("it is there");
-    if orders.baton.0 < node.token || orders.shift.0 != node.session {
-        return (409, n.report(&id));
-    }
-    node.token = orders.baton.0;
-    n.execute(&id, &orders.orders);
-    (200, n.report(&id))
-}
-
-/// The worker's own routine: time passes, and reports go out.
-async fn work(nodes: Rc<RefCell<Nodes>>, id: String) {
-    // Connections stay open as PROTOCOL has it, unless a controller ends them.
-    let pools: Vec<Pool> = nodes
-        .borrow()
-        .controllers
-        .iter()
-        .map(|c| Pool::new(*c))
-        .collect();
-    loop {
-        sleep(Duration::from_millis(25)).await;
-        let (due, target, report, sent, session) = {
-            let mut n = nodes.borrow_mut();
-            if n.all[&id].gone {
-                return;
-            }
-            n.advance(&id);
-            let cut = n.is_cut(&id);
-            let node = n.all.get_mut(&id).expect("it is there");
-            let age = node.reported.elapsed().as_secs_f64();
-            let due = !cut && (age >= REPORT_S || node.dirty && age >= REPORT_S / 2.0);
-            let (target, session) = (node.target, node.session);
-            if due {
-                node.reported = Instant::now();
-                node.dirty = false;
-            }
-            let report = if due { n.report(&id) } else { Value::Null };
-            if let Some(sent) = n.sent.as_mut().filter(|_| due) {
-                sent.push_back((Instant::now(), id.clone(), report.clone()));
-                if sent.len() > MOST_SENT {
-                    sent.pop_front();
-                }
-            }
-            (due, target, report, Instant::now(), session)
-        };
-        if !due {
-            continue;
-        }
-        let away = nodes.borrow().turned_away.contains(&id);
-        let apart = nodes.borrow().apart.is_some_and(|(at, _)| at == target);
-        let told = match (away, apart) {
-            (true, _) => Some((503, Value::Null)),
-            (_, true) => None,
-            (false, false) => ask_over(&pools[target], Method::POST, "/agent/beat", &report).await,
-        };
-        let mut n = nodes.borrow_mut();
-        if n.all[&id].gone || n.is_cut(&id) {
-            continue;
-        }
-        let told = told.filter(|_| !n.is_deaf(&id, |(c, _)| c == target));
-        let node = n.all.get_mut(&id).expect("it is there");
-        match told {
-            Some((200, body)) => {
-                let Ok(reply) = serde_json::from_value::<Reply>(body) else {
-                    continue;
-                };
-                if reply.baton.0 >= node.token && session == node.session {
-                    node.token = reply.baton.0;
-                    node.answered = sent;
-                    n.execute(&id, &reply.orders);
-                }
-            }
-            Some((421, body)) => {
-                let named = body["foreman"].as_str().and_then(|f| f.strip_prefix("c-"));
-                let named = named.and_then(|f| f.parse().ok());
-                node.target = named.unwrap_or((node.target + 1) % pools.len());
-                node.dirty = true;
-            }
-            _ => {
-                node.target = (node.target + 1) % pools.len();
-                node.dirty = true;
-            }
-        }
-    }
-}
--- a/crates/standins/src/place.rs
+++ b/crates/standins/src/place.rs
@@ -24,6 +24,8 @@
 const STATE_LINES: u16 = 21_300;
 const PEER_LINES: u16 = 21_400;
 const MIDDLES: u16 = 21_500;
+/// The state service's own port for each controller.
+const STATES: u16 = 21_700;
 /// For whatever else listens, and how many of them.
 const MORE: u16 = 21_600;
 const MOST_MORE: usize = 32;
@@ -71,7 +73,14 @@
         let own = own.chain((0..MOST_MORE).map(|n| self.more(n)));
         let all = 0..controllers;
         let theirs = all.clone();
-        let theirs = theirs.flat_map(|i| [self.users(i), self.peers(i), self.state_line(i)]);
+        let theirs = theirs.flat_map(|i| {
+            [
+                self.users(i),
+                self.peers(i),
+                self.state_line(i),
+                self.state_of(i),
+            ]
+        });
         let pairs = all.flat_map(|i| (0..controllers).map(move |o| (i, o)));
         let lines = pairs.flat_map(|(i, o)| [self.peer_line(i, o), self.middle(i, o)]);
         own.chain(theirs).chain(lines).all(|at| !listens(at))
@@ -86,6 +95,11 @@
         self.at(STATE)
     }
 
+    /// Where the state service listens for one controller.
+    pub fn state_of(&self, controller: usize) -> SocketAddr {
+        self.at(STATES + controller as u16)
+    }
+
     /// Where the cloud listens.
     pub fn cloud(&self) -> SocketAddr {
         self.at(CLOUD)
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -1,5 +1,7 @@
 //! The state service, as PROTOCOL describes it, in memory.
 
+mod faults;
+
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,7 +15,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use crate::history::{Event, JobPhase, Recorder};
 use crate::{serve, Told};
+pub use faults::{Fate, Faults, TxnFault};
 
 struct Held {
     stamp: u64,
@@ -32,8 +36,14 @@
     down: bool,
     /// Puts and deletes so far.
     pub changes: u64,
+    faults: Faults,
+    /// Where final phases of jobs are noted, if anywhere.
+    pub recorder: Option<Recorder>,
 }
 
+/// The key of a job's record begins so.
+const JOB_KEYS: &str = "h/job/";
+
 fn query(path: &str, name: &str) -> Option<String> {
     let (_, query) = path.split_once('?')?;
     let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
@@ -62,6 +72,63 @@
         for (life, end) in self.leases.values_mut() {
             *end = now + *life;
         }
+        self.changed.notify_waiters();
+    }
+
+    /// Refuses one controller alone, or serves it again: its open watches wait, and
+    /// its leases run out, as nobody renews them.
+    pub fn set_refused(&mut self, controller: usize, refused: bool) {
+        match refused {
+            true => self.faults.refused.insert(controller),
+            false => self.faults.refused.remove(&controller),
+        };
+        self.changed.notify_waiters();
+    }
+
+    /// Has a fault meet transactions from now on.
+    pub fn inject(&mut self, fault: TxnFault) {
+        self.faults.arm(fault);
+    }
+
+    /// No fault meets any further transaction.
+    pub fn end_faults(&mut self) {
+        self.faults.disarm();
+    }
+
+    /// How many transactions have met a fault.
+    pub fn faults_met(&self) -> usize {
+        self.faults.met
+    }
+
+    /// How many transactions are held back.
+    pub fn late(&self) -> usize {
+        self.faults.late.len()
+    }
+
+    /// Carries out what was held back, in its order, and says with which statuses.
+    /// An outage keeps nothing of it: it had reached the service before.
+    pub fn release_late(&mut self) -> Vec<u16> {
+        let late = std::mem::take(&mut self.faults.late);
+        let told = late.iter().map(|txn| self.txn(txn).0);
+        told.collect()
+    }
+
+    fn serves(&self, from: Option<usize>) -> bool {
+        !self.down && from.is_none_or(|c| !self.faults.refused.contains(&c))
+    }
+
+    /// Notes a job whose record is final.
+    fn note_final(&self, key: &str, value: &Value) {
+        let Some((uid, recorder)) = key.strip_prefix(JOB_KEYS).zip(self.recorder.as_ref()) else {
+            return;
+        };
+        let phase = match value["p"].as_str() {
+            Some("d") => JobPhase::Done,
+            Some("c") => JobPhase::Cancelled,
+            _ => JobPhase::Pending,
+        };
+        let uid = uid.to_owned();
+        recorder.note(Event::Recorded { uid, phase });
     }
 
     fn expire(&mut self) {
@@ -125,6 +192,7 @@
             if let Some(key) = change["write"].as_str() {
                 let value = change["value"].clone();
                 assert!(value.to_string().len() <= 8 << 10, "value over the limit");
+                self.note_final(key, &value);
                 let event = json!({"write": key, "value": value, "stamp": stamp});
                 self.log.push((stamp, key.into(), event));
                 let lease = change["ticket"].as_u64();
@@ -144,6 +212,30 @@
         (200, json!({"ledger": stamp}))
     }
 
+    fn grant_lease(&mut self, body: &Value) -> Told {
+        let id = self.leases.keys().next_back().map_or(1, |l| l + 1) + self.revision * 1000;
+        let life = Duration::from_millis(body["life_ms"].as_u64().unwrap_or(1000));
+        self.leases.insert(id, (life, Instant::now() + life));
+        (200, json!({"ticket": id}))
+    }
+
+    /// Renews or ends a lease: `rest` is its number, and what follows.
+    fn change_lease(&mut self, method: &Method, rest: &str) -> Told {
+        let id = rest.split('/').next().and_then(|n| n.parse().ok());
+        let id: u64 = id.unwrap_or(0);
+        if *method == Method::DELETE {
+            self.end(id);
+            return (200, json!({}));
+        }
+        match self.leases.get_mut(&id) {
+            Some((life, end)) => {
+                *end = Instant::now() + *life;
+                (200, json!({}))
+            }
+            None => (404, json!({})),
+        }
+    }
+
     fn list(&self, path: &str) -> Told {
         let under = query(path, "under").unwrap_or_default();
         let since = query(path, "since").unwrap_or_default();
@@ -169,7 +261,21 @@
     }
 }
 
-async fn follow(store: Rc<RefCell<Store>>, path: String) -> Told {
+/// A transaction, as the faults of the moment have it.
+async fn transact(store: Rc<RefCell<Store>>, from: Option<usize>, txn: Value) -> Told {
+    let fate = store.borrow_mut().faults.fate(from, &txn);
+    match fate {
+        None => return store.borrow_mut().txn(&txn),
+        Some(Fate::AnswerLost) => {
+            store.borrow_mut().txn(&txn);
+        }
+        Some(Fate::Late) => store.borrow_mut().faults.late.push(txn),
+    }
+    // The controller gives up by itself.
+    std::future::pending().await
+}
+
+async fn follow(store: Rc<RefCell<Store>>, from: Option<usize>, path: String) -> Told {
     let number = |name: &str| query(&path, name).and_then(|n| n.parse().ok()).unwrap_or(0);
     let (since, block) = (number("since"), number("block_ms"));
     let under = query(&path, "under").unwrap_or_default();
@@ -177,6 +283,11 @@
     loop {
         let changed = store.borrow().changed.clone();
         let wait = changed.notified();
+        if !store.borrow().serves(from) {
+            // Open watches wait as long as it takes.
+            wait.await;
+            continue;
+        }
         let events = store.borrow().news(since, &under);
         let left = end.saturating_duration_since(Instant::now());
         if !events.is_empty() || left.is_zero() {
@@ -187,9 +298,8 @@
     }
 }
 
-/// Starts the service.
+/// Starts the service for whoever asks at an address.
 pub async fn start(addr: &SocketAddr) -> Rc<RefCell<Store>> {
-    let listener = TcpListener::bind(addr).await.expect("a port");
     let store = Rc::new(RefCell::new(Store {
         revision: 0,
         keys: BTreeMap::new(),
@@ -198,6 +308,8 @@
         changed: Rc::default(),
         down: false,
         changes: 0,
+        faults: Faults::default(),
+        recorder: None,
     }));
     let kept = store.clone();
     spawn_local(async move {
@@ -206,48 +318,36 @@
             sleep(Duration::from_millis(20)).await;
         }
     });
+    listen(&store, addr, None).await;
+    store
+}
+
+/// Serves one controller at an address of its own, so that it can be told apart.
+pub async fn listen(store: &Rc<RefCell<Store>>, addr: &SocketAddr, from: Option<usize>) {
+    let listener = TcpListener::bind(addr).await.expect("a port");
     let served = store.clone();
     serve(listener, move |method, path, body| {
         let store = served.clone();
         Box::pin(async move {
-            if store.borrow().down {
+            if !store.borrow().serves(from) {
                 return (503, json!({"error": "trouble"}));
             }
             if path.starts_with("/follow") {
-                return follow(store, path).await;
+                return follow(store, from, path).await;
             }
             let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
-            let mut s = store.borrow_mut();
-            s.expire();
+            store.borrow_mut().expire();
             if path == "/txn" {
-                return s.txn(&body);
+                return transact(store, from, body).await;
             }
+            let mut s = store.borrow_mut();
             if path == "/leases" {
-                let id = s.leases.keys().next_back().map_or(1, |l| l + 1) + s.revision * 1000;
-                let life = Duration::from_millis(body["life_ms"].as_u64().unwrap_or(1000));
-                s.leases.insert(id, (life, Instant::now() + life));
-                return (200, json!({"ticket": id}));
+                return s.grant_lease(&body);
             }
-            if let Some(rest) = path.strip_prefix("/leases/") {
-                let id: u64 = rest
-                    .split('/')
-                    .next()
-                    .and_then(|n| n.parse().ok())
-                    .unwrap_or(0);
-                if method == Method::DELETE {
-                    s.end(id);
-                    return (200, json!({}));
-                }
-                return match s.leases.get_mut(&id) {
-                    Some((life, end)) => {
-                        *end = Instant::now() + *life;
-                        (200, json!({}))
-                    }
-                    None => (404, json!({})),
-                };
+            match path.strip_prefix("/leases/") {
+                Some(rest) => s.change_lease(&method, rest),
+                None => s.list(&path),
             }
-            s.list(&path)
         })
     });
-    store
 }
--- /dev/null
+++ b/tests/meetings_loopback.rs
@@ -0,0 +1,455 @@
+//! Two troubles at once, with real controllers on loopback, three and five of them.
+//! Faults are injected at named steps: a write is held back or its answer is lost,
+//! one controller is refused, commands and reports are kept for the next leader. The
+//! verdict is the history's: no rule is broken.
+
+use std::time::Duration;
+
+use hyper::Method;
+use serde_json::{json, Value};
+use sorrelhinge_standins::history::Event;
+use sorrelhinge_standins::nodes::{machines_of, Hold, Released};
+use sorrelhinge_standins::store::{Fate, TxnFault};
+use sorrelhinge_standins::{run, Plan, Told, World, CANCEL_S};
+use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::sleep;
+
+/// The program, and a folder for files and logs.
+const AT: (&str, &str) = (
+    env!("CARGO_BIN_EXE_sorrelhinge"),
+    env!("CARGO_TARGET_TMPDIR"),
+);
+
+const SERVICE: &str = "run-000001";
+const REPLICAS: usize = 4;
+/// Key prefix of the jobs' records.
+const JOBS: &str = "h/job/";
+/// So long a meeting may take on a busy machine.
+const PATIENCE_S: u64 = 60;
+
+/// A leader keeps its lease for so long that no other takes over by itself.
+const LONG_LEASE: &str = "leader.lease.s=30\n";
+
+async fn begin(name: &str, net: u8, controllers: usize, properties: &'static str) -> World {
+    let plan = Plan::plain(&format!("meetings_{name}_{controllers}"), net, 3, AT);
+    let world = World::start(Plan {
+        controllers,
+        properties,
+        ..plan
+    })
+    .await;
+    let service = json!({"shape": "standing", "pieces": REPLICAS, "rank": "critical"});
+    assert_eq!(world.submit(SERVICE, service).await.0, 201);
+    let up = |w: &World| w.nodes.borrow().copies(SERVICE) == REPLICAS;
+    world.until("replicas run", PATIENCE_S, up).await;
+    world
+}
+
+fn leader(world: &World) -> usize {
+    world.leader().expect("a leader")
+}
+
+fn path(uid: &str) -> String {
+    format!("/v1/jobs/{uid}")
+}
+
+fn withdraw(uid: &str) -> String {
+    format!("/v1/jobs/{uid}/withdraw")
+}
+
+/// Sends a request without waiting for its answer.
+fn send(world: &World, i: usize, path: &str, body: &Value) -> JoinHandle<Option<Told>> {
+    let (recorder, to) = (world.recorder.clone(), world.address(i));
+    let (path, body) = (path.to_owned(), body.clone());
+    spawn_local(async move { recorder.ask(i, to, Method::POST, &path, &body).await })
+}
+
+/// Asks a controller until it answers 200 or 404, and has that.
+async fn told(world: &World, i: usize, uid: &str) -> Told {
+    for _ in 0..PATIENCE_S * 10 {
+        let told = world.ask_one(i, &path(uid)).await;
+        if let Some(told) = told.filter(|(s, _)| [200, 404].contains(s)) {
+            return told;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    panic!("controller {i} does not answer for {uid}");
+}
+
+/// Repeats a cancellation at one controller until it is confirmed there.
+async fn cancel_at(world: &World, i: usize, uid: &str) {
+    let path = withdraw(uid);
+    for _ in 0..PATIENCE_S * 10 {
+        let told = world.ask_once(i, Method::POST, &path, &Value::Null);
+        if let Some((200, told)) = told.await {
+            assert_eq!(told["phase"], "cancelled", "{uid}");
+            return;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    panic!("controller {i} does not confirm the cancellation of {uid}");
+}
+
+async fn next_leader(world: &World, old: usize) -> usize {
+    let other = |w: &World| w.leader().is_some_and(|l| l != old);
+    world.until("the next leads", PATIENCE_S, other).await;
+    leader(world)
+}
+
+async fn ends(world: &World, uid: &str, tasks: usize) {
+    let done = |w: &World| w.done(uid, tasks);
+    world.until("a job's tasks end", PATIENCE_S, done).await;
+    for i in 0.. {
+        let recorded = world.store.borrow().get(&format!("{JOBS}{uid}"));
+        if recorded.is_some_and(|r| r["p"] == "d") {
+            return;
+        }
+        assert!(i < PATIENCE_S * 10, "{uid} is never recorded as done");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// The history breaks no rule, and the service outlived it all.
+async fn all_is_well(world: &World, controllers: usize) {
+    world.recorder.note(Event::TroublesOver);
+    for i in 0..controllers {
+        assert_eq!(told(world, i, SERVICE).await.0, 200);
+    }
+    world.rules_hold();
+    world.history_holds(0);
+}
+
+/// The gap: the state service refuses the leader alone, a job is cancelled by way of
+/// another controller, and then nobody is served for longer than `cancel_s`. The
+/// workers go on reporting to the old leader, which knows nothing of the cancellation:
+/// it must let their leases end in time.
+async fn gap(net: u8, controllers: usize) {
+    let world = begin("gap", net, controllers, LONG_LEASE).await;
+    let uid = "run-000002";
+    let long = json!({"pieces": 3, "guess_s": 600.0});
+    assert_eq!(world.submit(uid, long).await.0, 201);
+    let run = |w: &World| w.nodes.borrow().places(uid).len() == 3;
+    world.until("its tasks run", PATIENCE_S, run).await;
+    let old = leader(&world);
+    world.store.borrow_mut().set_refused(old, true);
+    cancel_at(&world, (old + 1) % controllers, uid).await;
+    let confirmed = world.recorder.now();
+    world.store.borrow_mut().set_down(true);
+    assert_eq!(
+        world.leader(),
+        Some(old),
+        "nobody took over before the outage"
+    );
+    // One of its machines hangs, and goes on within its lease.
+    let hung = machines_of(&world.nodes, uid)[0].clone();
+    world.nodes.borrow_mut().hang(&hung);
+    sleep(Duration::from_secs(1)).await;
+    world.nodes.borrow_mut().go_on(&hung);
+    let outage = Duration::from_secs_f64(CANCEL_S + 3.0);
+    while world.recorder.now() < confirmed + outage {
+        sleep(Duration::from_millis(100)).await;
+    }
+    let breaches = world.breaches(0);
+    assert!(breaches.is_empty(), "{breaches:?}");
+    world.store.borrow_mut().set_refused(old, false);
+    world.store.borrow_mut().set_down(false);
+    for i in 0..controllers {
+        assert_eq!(told(&world, i, uid).await.1["phase"], "cancelled");
+    }
+    all_is_well(&world, controllers).await;
+}
+
+#[test]
+fn a_cancellation_in_the_gap_ends_its_tasks_in_time() {
+    run(async {
+        gap(146, 3).await;
+        gap(150, 5).await;
+    });
+}
+
+/// A transaction is carried out at once and its answer is lost. While its controller
+/// still waits, the others read what it wrote and tell users; whatever it says from
+/// then on is not older, and the request can be repeated.
+async fn answer_lost(net: u8, controllers: usize) {
+    let world = begin("answer_lost", net, controllers, LONG_LEASE).await;
+    let writer = (leader(&world) + 1) % controllers;
+    for n in 2..7 {
+        let uid = format!("run-{n:06}");
+        let body = world.job(&uid, json!({"guess_s": 600.0}));
+        lose_answer(&world, writer, |v| v["p"] == "l");
+        let accepted = send(&world, writer, "/v1/jobs", &body);
+        answer_is_lost(&world).await;
+        everybody_knows(&world, controllers, writer, &uid, None).await;
+        let _ = accepted.await;
+        let repeated = world.ask_once(writer, Method::POST, "/v1/jobs", &body);
+        if let Some((status, said)) = repeated.await {
+            assert!([200, 201, 503].contains(&status), "{status} {said}");
+        }
+        lose_answer(&world, writer, |v| v["p"] == "c");
+        let cancelled = send(&world, writer, &withdraw(&uid), &Value::Null);
+        answer_is_lost(&world).await;
+        everybody_knows(&world, controllers, writer, &uid, Some("cancelled")).await;
+        let _ = cancelled.await;
+        cancel_at(&world, writer, &uid).await;
+    }
+    // The owner's own: claims, and that a job is done.
+    for (n, value) in [(7, "l"), (8, "d")] {
+        let uid = format!("run-{n:06}");
+        let owner = leader(&world);
+        let body = json!({"pieces": 3, "guess_s": 0.3});
+        let phase: fn(&Value) -> bool = match value {
+            "l" => |v| v["p"] == "l",
+            _ => |v| v["p"] == "d",
+        };
+        let before = world.store.borrow().faults_met();
+        lose_answer(&world, owner, phase);
+        assert_eq!(world.submit(&uid, body).await.0, 201);
+        let met = |w: &World| w.store.borrow().faults_met() > before;
+        world.until("an answer is lost", PATIENCE_S, met).await;
+        ends(&world, &uid, 3).await;
+        for i in 0..controllers {
+            assert_eq!(told(&world, i, &uid).await.1["phase"], "done");
+        }
+    }
+    all_is_well(&world, controllers).await;
+}
+
+fn lose_answer(world: &World, controller: usize, value: fn(&Value) -> bool) {
+    let mut store = world.store.borrow_mut();
+    store.end_faults();
+    store.inject(TxnFault {
+        controller: Some(controller),
+        value,
+        ..TxnFault::next(Fate::AnswerLost, JOBS)
+    });
+}
+
+async fn answer_is_lost(world: &World) {
+    let before = world.store.borrow().faults_met();
+    let met = |w: &World| w.store.borrow().faults_met() > before;
+    world.until("an answer is lost", PATIENCE_S, met).await;
+}
+
+/// All others are asked, and then the one whose answer was lost.
+async fn everybody_knows(
+    world: &World,
+    controllers: usize,
+    writer: usize,
+    uid: &str,
+    phase: Option<&str>,
+) {
+    for turn in 1..=controllers {
+        let (status, said) = told(world, (writer + turn) % controllers, uid).await;
+        assert_eq!(status, 200, "{uid}: {said}");
+        if let Some(phase) = phase {
+            assert_eq!(said["phase"], phase, "{uid}");
+        }
+    }
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_is_never_unsaid() {
+    run(async {
+        answer_lost(154, 3).await;
+        answer_lost(158, 5).await;
+    });
+}
+
+/// Transactions of the owner are held back until it has ended and the next one has
+/// acted; those of the users' requests until they were repeated elsewhere. Carried out
+/// then, none changes anything.
+async fn late_writes(net: u8, controllers: usize) {
+    let mut world = begin("late_writes", net, controllers, "").await;
+    let old = leader(&world);
+    let user_at = (old + 1) % controllers;
+    let elsewhere = (old + 2) % controllers;
+    let hold = |world: &World, controller, value: fn(&Value) -> bool| {
+        world.store.borrow_mut().inject(TxnFault {
+            controller: Some(controller),
+            value,
+            ..TxnFault::next(Fate::Late, JOBS)
+        });
+    };
+    let held = |n: usize| move |w: &World| w.store.borrow().late() == n;
+    // A submission, accepted elsewhere meanwhile and then cancelled.
+    let body = world.job("run-000002", json!({"guess_s": 600.0}));
+    hold(&world, user_at, |v| v["p"] == "l");
+    let submitted = send(&world, user_at, "/v1/jobs", &body);
+    world
+        .until("a submission is held", PATIENCE_S, held(1))
+        .await;
+    let again = world.ask_once(elsewhere, Method::POST, "/v1/jobs", &body);
+    let again = again.await.map(|(status, _)| status);
+    assert!(matches!(again, Some(200 | 201)), "{again:?}");
+    let _ = submitted.await;
+    hold(&world, user_at, |v| v["p"] == "c");
+    let cancelled = send(&world, user_at, &withdraw("run-000002"), &Value::Null);
+    world
+        .until("a cancellation is held", PATIENCE_S, held(2))
+        .await;
+    cancel_at(&world, elsewhere, "run-000002").await;
+    let _ = cancelled.await;
+    // The owner's claims, and that a job is done: held, and it ends.
+    assert_eq!(
+        world.submit("run-000003", json!({"guess_s": 1.0})).await.0,
+        201
+    );
+    let runs = |w: &World| !machines_of(&w.nodes, "run-000003").is_empty();
+    world.until("it runs", PATIENCE_S, runs).await;
+    hold(&world, old, |v| v["p"] == "d");
+    world.until("its end is held", PATIENCE_S, held(3)).await;
+    hold(&world, old, |v| v["p"] == "l");
+    let job = json!({"pieces": 3, "guess_s": 1.0});
+    assert_eq!(world.submit("run-000004", job).await.0, 201);
+    world.until("a claim is held", PATIENCE_S, held(4)).await;
+    world.kill_controller(old);
+    let _ = next_leader(&world, old).await;
+    world.start_controller(old);
+    ends(&world, "run-000003", 1).await;
+    let runs = |w: &World| !machines_of(&w.nodes, "run-000004").is_empty();
+    world
+        .until("the next leader places it", PATIENCE_S, runs)
+        .await;
+    let released = world.store.borrow_mut().release_late();
+    assert_eq!(released, [409; 4], "conditions keep late writes out");
+    ends(&world, "run-000004", 3).await;
+    for i in 0..controllers {
+        for (uid, phase) in [
+            ("run-000002", "cancelled"),
+            ("run-000003", "done"),
+            ("run-000004", "done"),
+        ] {
+            assert_eq!(told(&world, i, uid).await.1["phase"], phase, "{uid}");
+        }
+    }
+    all_is_well(&world, controllers).await;
+}
+
+#[test]
+fn writes_that_come_late_change_nothing() {
+    run(async {
+        late_writes(162, 3).await;
+        late_writes(166, 5).await;
+    });
+}
+
+/// Copies of reports, and reports that no controller got, are kept for the next leader:
+/// it has them as it begins, and again after it has acted. One job's tasks ended
+/// meanwhile, another one was cancelled and another one started.
+async fn kept_reports(net: u8, controllers: usize) {
+    let mut world = begin("kept_reports", net, controllers, "").await;
+    world.nodes.borrow_mut().sent = Some(Default::default());
+    assert_eq!(
+        world.submit("run-000002", json!({"pieces": 3})).await.0,
+        201
+    );
+    let long = json!({"pieces": 2, "guess_s": 600.0});
+    assert_eq!(world.submit("run-000003", long).await.0, 201);
+    let run = |w: &World| w.nodes.borrow().places("run-000003").len() == 2;
+    world.until("its tasks run", PATIENCE_S, run).await;
+    // Two machines reach nobody for a while: what they say is kept.
+    let mute = machines_of(&world.nodes, "run-000003");
+    let first = mute[0].clone();
+    world.nodes.borrow_mut().faults.mute.insert(first.clone());
+    sleep(Duration::from_secs(1)).await;
+    world.nodes.borrow_mut().faults.mute.remove(&first);
+    ends(&world, "run-000002", 3).await;
+    for round in 0..3 {
+        let old = leader(&world);
+        world.kill_controller(old);
+        if round == 1 {
+            cancel_at(&world, (old + 1) % controllers, "run-000003").await;
+        }
+        let new = next_leader(&world, old).await;
+        let (copies, _) = world.replay_to(new, 0.0, 4).await;
+        assert!(copies > 0, "reports were kept");
+        let uid = format!("run-{:06}", 10 + round);
+        assert_eq!(world.submit(&uid, json!({"pieces": 3})).await.0, 201);
+        let acted = |w: &World| !machines_of(&w.nodes, &uid).is_empty();
+        world
+            .until("the next leader acted", PATIENCE_S, acted)
+            .await;
+        world.replay_to(new, 0.0, 40).await;
+        world.start_controller(old);
+        ends(&world, &uid, 3).await;
+    }
+    let gone = |w: &World| machines_of(&w.nodes, "run-000003").is_empty();
+    world
+        .until("cancelled tasks are gone", PATIENCE_S, gone)
+        .await;
+    all_is_well(&world, controllers).await;
+}
+
+#[test]
+fn reports_kept_for_the_next_leader_prove_nothing() {
+    run(async {
+        kept_reports(170, 3).await;
+        kept_reports(174, 5).await;
+    });
+}
+
+/// Direct commands of a leader are held back, and it is killed. The next one places
+/// the same tasks, also elsewhere; then the commands arrive.
+async fn held_commands(net: u8, controllers: usize) {
+    let mut world = begin("held_commands", net, controllers, "").await;
+    let old = leader(&world);
+    world.nodes.borrow_mut().faults.hold = Some(Hold {
+        starts: true,
+        ..Hold::default()
+    });
+    for n in 2..6 {
+        let job = json!({"pieces": 3, "guess_s": 1.0});
+        let uid = format!("run-{n:06}");
+        assert_eq!(world.submit(&uid, job).await.0, 201);
+    }
+    let held = |w: &World| w.nodes.borrow().held_commands() > 0;
+    world.until("commands are held", PATIENCE_S, held).await;
+    world.kill_controller(old);
+    next_leader(&world, old).await;
+    world.nodes.borrow_mut().faults.hold = None;
+    world.start_controller(old);
+    for n in 2..6 {
+        ends(&world, &format!("run-{n:06}"), 3).await;
+    }
+    let released: Released = world.nodes.borrow_mut().release_commands();
+    assert_eq!(released.carried_out, 0, "{released:?}");
+    assert!(released.dropped > 0, "{released:?}");
+    all_is_well(&world, controllers).await;
+}
+
+#[test]
+fn held_commands_of_a_deposed_leader_start_nothing() {
+    run(async {
+        held_commands(178, 3).await;
+        held_commands(182, 5).await;
+    });
+}
+
+/// Commands that a machine did not answer are held back while their sender goes on: it
+/// raises the token before it gives the tasks to others.
+async fn held_by_the_same(net: u8, controllers: usize) {
+    let world = begin("held_by_the_same", net, controllers, LONG_LEASE).await;
+    world.nodes.borrow_mut().faults.hold = Some(Hold {
+        starts: true,
+        ..Hold::default()
+    });
+    let job = json!({"pieces": 4, "guess_s": 1.0});
+    assert_eq!(world.submit("run-000002", job).await.0, 201);
+    let held = |w: &World| w.nodes.borrow().held_commands() > 0;
+    world.until("commands are held", PATIENCE_S, held).await;
+    world.nodes.borrow_mut().faults.hold = None;
+    ends(&world, "run-000002", 4).await;
+    // The job is over, so every machine that had a command has taken a higher token.
+    let released: Released = world.nodes.borrow_mut().release_commands();
+    assert_eq!(released.carried_out, 0, "{released:?}");
+    assert!(released.dropped > 0, "{released:?}");
+    all_is_well(&world, controllers).await;
+}
+
+#[test]
+fn held_commands_of_the_same_leader_start_nothing_twice() {
+    run(async {
+        held_by_the_same(186, 3).await;
+        held_by_the_same(54, 5).await;
+    });
+}
