Making room keeps to the limit that the walk keeps to

Cause: preempt::make_room looked at a team's whole limit, the walk at the limit less the part that is left to jobs with a start aim (held_back). For a team at that part tasks of other teams were stopped, and the room stayed empty, again and again.

Changed: both ask ClusterState::limit_to_start.

tests/held_back.rs: of its 4 tests 2 failed before the change (the guest's tasks were stopped for a job that could not start; the team's own work was not), all pass after it. The other two hold the allowed cases.

--- a/src/sched/preempt.rs
+++ b/src/sched/preempt.rs
@@ -173,9 +173,11 @@
         let team = &self.teams[job.team];
         let more = job.spec.each.times(i64::from(made + 1));
         let within_guarantee = (team.used + more).fits_team(team.guarantee);
-        // At the team's limit only the team's own work can make room.
+        // At the team's limit only the team's own work can make room. It is the
+        // limit that the walk keeps to: beyond it nobody takes the room, and
+        // tasks were stopped for it again and again.
         let over = team.used - leaving[job.team] + more;
-        let limit = self.limit_for(job);
+        let limit = self.limit_to_start(job);
         let limited = !over.fits_team(limit);
         let mut free = self.room_for(id, job.spec.spot, m_id, now);
         // Production alone may take what idle work has as its part.
--- a/src/sched/walk.rs
+++ b/src/sched/walk.rs
@@ -129,13 +129,20 @@
             && (!job.spec.spread || here < job.spec.tasks.div_ceil(2))
     }
 
+    /// What a job's team may use once a task of the job starts: its limit, less
+    /// what is held for windows, and less the part that is left to jobs whose
+    /// users wait for the start unless it is one of them.
+    pub(super) fn limit_to_start(&self, job: &Job) -> Amount {
+        let limit = self.limit_for(job);
+        match job.start_within {
+            Some(_) => limit,
+            None => limit - self.teams[job.team].held_back,
+        }
+    }
+
     /// Whether one more task of a job stays within its team's limit.
     pub fn limit_allows(&self, job: &Job) -> bool {
-        let team = &self.teams[job.team];
-        let mut left = self.limit_for(job) - team.used;
-        if job.start_within.is_none() {
-            left -= team.held_back;
-        }
+        let left = self.limit_to_start(job) - self.teams[job.team].used;
         job.spec.each.fits_team(left)
     }
 
--- /dev/null
+++ b/tests/held_back.rs
@@ -0,0 +1,131 @@
+//! The part of a team's limit that is left to jobs whose users wait for the start:
+//! no task is stopped to make room that this part then forbids to take.
+
+mod cluster_states;
+
+use std::rc::Rc;
+
+use cluster_states::RULE;
+use serde_json::json;
+use sorrelhinge::api::read_job;
+use sorrelhinge::sched::{ClusterState, Job, Progress, Tasks};
+use sorrelhinge::types::{Amount, JobId, TaskId, Time};
+
+/// The team that has a limit, in the order of the cluster's teams.
+const HOUSE: usize = 0;
+/// A team without a guarantee: all its work may give way.
+const GUEST: usize = 1;
+/// How long a job has waited before room is made for it, in seconds.
+const PATIENCE_S: f64 = 5.0;
+
+/// Sixteen CPUs: the house uses 8 of its 12, the guest all the others. A job of the
+/// house waits, 4 CPUs of the house's limit are left to others of its jobs.
+struct Case {
+    cluster_state: ClusterState,
+    first: JobId,
+    guest: JobId,
+    waiting: JobId,
+}
+
+impl Case {
+    fn new(rank_of_first: &str) -> Self {
+        let teams = [("house", 4.0, Some(12.0)), ("guest", 0.0, None)];
+        let mut cluster_state = cluster_states::cluster_state(4, 4.0, true, &teams);
+        let first = add(&mut cluster_state, "run-1", HOUSE, rank_of_first, 8);
+        run_placed(&mut cluster_state, 1.0);
+        let guest = add(&mut cluster_state, "run-2", GUEST, "normal", 8);
+        run_placed(&mut cluster_state, 2.0);
+        cluster_state.hold_back(HOUSE, Amount::new(4.0, 0.0, 0.0));
+        let waiting = add(&mut cluster_state, "run-3", HOUSE, "high", 2);
+        run_placed(&mut cluster_state, 3.0);
+        let case = Self {
+            cluster_state,
+            first,
+            guest,
+            waiting,
+        };
+        let used = [&case.first, &case.guest, &case.waiting].map(|id| case.used(id));
+        assert_eq!(used, [8, 8, 0], "all is taken, and run-3 waits");
+        case
+    }
+
+    fn used(&self, id: &JobId) -> usize {
+        let job = self.cluster_state.job(id);
+        job.map_or(0, |j| j.tasks.claims().len())
+    }
+
+    /// Makes room, lets what is stopped go, and places: which jobs' tasks were stopped.
+    fn make_room(&mut self) -> Vec<JobId> {
+        let stopped = self.cluster_state.preempt(|_| PATIENCE_S, Time(20.0));
+        for task in &stopped {
+            self.cluster_state.release(task, Time(20.5));
+        }
+        run_placed(&mut self.cluster_state, 21.0);
+        stopped.into_iter().map(|task| task.job).collect()
+    }
+}
+
+fn add(cluster_state: &mut ClusterState, uid: &str, team: usize, rank: &str, pieces: u32) -> JobId {
+    let crew = ["house", "guest"][team];
+    let value = json!({"uid": uid, "jobclass": rank, "crew": crew, "shape": "sweep",
+        "rank": rank, "pieces": pieces, "cpus": 1.0, "cards": 0.0, "ram_gb": 1.0,
+        "bundle": "img-1", "pull_gb": 0.1, "builds": null, "rack": null, "together": false,
+        "spread": false, "loaners": true, "guess_s": 600.0, "mark_s": 0.0, "stash_s": 0.0,
+        "due_s": null});
+    let spec = read_job(value).expect("a valid job");
+    let tasks = Tasks::new(spec.tasks, 64);
+    let id = JobId::from(uid);
+    cluster_state.add_job(id.clone(), Job::new(Rc::new(spec), team, Time(0.0), tasks));
+    id
+}
+
+/// Places what can be placed, and lets it run.
+fn run_placed(cluster_state: &mut ClusterState, now: f64) {
+    for launch in cluster_state.place(RULE, Time(now)) {
+        let task: &TaskId = &launch.task;
+        let claim = cluster_state.claim_mut(task).expect("it was placed");
+        claim.committed = true;
+        claim.progress = Progress::Running(Time(now));
+    }
+}
+
+/// The walk leaves the part to others, so room beyond it would lie there unused:
+/// the guest's tasks were stopped for it again and again.
+#[test]
+fn nothing_is_stopped_for_room_that_the_limit_leaves_to_others() {
+    let mut case = Case::new("high");
+    assert_eq!(case.make_room(), vec![], "run-3 could not take the room");
+    assert_eq!(case.used(&case.guest), 8);
+}
+
+/// The same room, once nothing is left to others: it is made, and taken.
+#[test]
+fn room_inside_the_limit_is_made_and_taken() {
+    let mut case = Case::new("high");
+    case.cluster_state.hold_back(HOUSE, Amount::default());
+    let stopped = case.make_room();
+    assert_eq!(stopped, vec![case.guest.clone(); 2]);
+    assert_eq!(case.used(&case.waiting), 2);
+}
+
+/// A job whose users wait for its start is whom the part is left to.
+#[test]
+fn the_part_left_to_others_is_for_jobs_with_a_start_aim() {
+    let mut case = Case::new("high");
+    let waiting = case.waiting.clone();
+    case.cluster_state
+        .edit_job(&waiting, |job| job.start_within = Some(1.0));
+    let stopped = case.make_room();
+    assert_eq!(stopped, vec![case.guest.clone(); 2]);
+    assert_eq!(case.used(&waiting), 2);
+}
+
+/// At what the limit allows, the team's own lower work makes room, nobody else's.
+#[test]
+fn beside_the_part_left_to_others_only_own_work_gives_way() {
+    let mut case = Case::new("normal");
+    let stopped = case.make_room();
+    assert_eq!(stopped, vec![case.first.clone(); 2]);
+    assert_eq!(case.used(&case.waiting), 2);
+    assert_eq!(case.used(&case.guest), 8);
+}
