Errors at the borders of crates are typed

Result<_, String> at public borders of protocol, lanes, topology, calendar and agent is an enum or struct by now: InvalidField (a field's path and what is wrong with it), LanesError, NamedTwice, PathError, FileError, WindowError, RecordError, SettingsError, DescriptionError, SumsError, FormatError, SuperviseError, StatusError. Tests compare the same texts by to_string; none is lost or eased. Left as text: errors inside of the agent that only go into its log.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -30,7 +30,7 @@
 use self::images::Fetching;
 use self::recovery::{cache_found, recover};
 use self::reports::Line;
-pub use self::status::status;
+pub use self::status::{status, StatusError};
 use self::tasks::Watched;
 use crate::attempt::Folder;
 use crate::clock;
--- a/crates/agent/src/agent/status.rs
+++ b/crates/agent/src/agent/status.rs
@@ -12,11 +12,22 @@
 use super::reports::connect;
 use super::MAX_BODY_BYTES;
 
+/// Why an agent's status is not known.
+#[derive(Debug, thiserror::Error)]
+pub enum StatusError {
+    /// It could not be asked, or what it answered could not be read.
+    #[error("{0}: {1}")]
+    Failed(SocketAddr, String),
+    /// It gave no answer in time.
+    #[error("{0}: no answer")]
+    NoAnswer(SocketAddr),
+}
+
 /// What an agent says of its machine, as a table.
-pub async fn status(listen: SocketAddr) -> Result<String, String> {
+pub async fn status(listen: SocketAddr) -> Result<String, StatusError> {
     let report = match timeout(Duration::from_secs(5), ask(listen)).await {
-        Ok(report) => report.map_err(|e| format!("{listen}: {e}"))?,
-        Err(_) => return Err(format!("{listen}: no answer")),
+        Ok(report) => report.map_err(|e| StatusError::Failed(listen, e))?,
+        Err(_) => return Err(StatusError::NoAnswer(listen)),
     };
     Ok(table(&report))
 }
--- a/crates/agent/src/describe.rs
+++ b/crates/agent/src/describe.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use sorrelhinge_protocol::placement::first_error;
+use sorrelhinge_protocol::invalid::InvalidField;
 use sorrelhinge_protocol::types::Amount;
 use sorrelhinge_protocol::users::job_id;
 use sorrelhinge_protocol::worker::Why;
@@ -28,6 +28,20 @@
 const MAX_DESCRIPTION_BYTES: usize = 256 << 10;
 const FETCH_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Why a description can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum DescriptionError {
+    /// It has more bytes than are read.
+    #[error("longer than {} bytes", MAX_DESCRIPTION_BYTES)]
+    TooLong,
+    /// Something follows it.
+    #[error("{0}")]
+    Trailing(String),
+    /// A field is not valid.
+    #[error(transparent)]
+    Field(#[from] InvalidField),
+}
+
 /// How a task saves when it is told to stop.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema, Validate)]
 #[serde(deny_unknown_fields)]
@@ -113,27 +127,31 @@
 
 impl Description {
     /// Reads a description; the error names what is wrong.
-    pub fn read(bytes: &[u8]) -> Result<Self, String> {
+    pub fn read(bytes: &[u8]) -> Result<Self, DescriptionError> {
         if bytes.len() > MAX_DESCRIPTION_BYTES {
-            return Err(format!("longer than {MAX_DESCRIPTION_BYTES} bytes"));
+            return Err(DescriptionError::TooLong);
         }
         let mut json = serde_json::Deserializer::from_slice(bytes);
-        let description: Self = serde_path_to_error::deserialize(&mut json)
-            .map_err(|e| format!("job.{}: {}", e.path(), e.inner()))?;
-        json.end().map_err(|e| e.to_string())?;
+        let description: Self =
+            serde_path_to_error::deserialize(&mut json).map_err(|e| InvalidField::Malformed {
+                path: format!("job.{}", e.path()),
+                reason: e.inner().to_string(),
+            })?;
+        json.end()
+            .map_err(|e| DescriptionError::Trailing(e.to_string()))?;
         description
             .validate()
-            .map_err(|report| first_error(&report, "job"))?;
+            .map_err(|report| InvalidField::first(&report, "job"))?;
         if description
             .env
             .keys()
             .any(|k| k.is_empty() || k.contains(['=', '\0']))
         {
-            return Err("job.env: a name is empty, or has = in it".into());
+            return Err(InvalidField::value("job.env", "a name is empty, or has = in it").into());
         }
         let texts = description.command.iter().chain(description.env.values());
         if texts.into_iter().any(|t| t.contains('\0')) {
-            return Err("job: a text has a zero byte".into());
+            return Err(InvalidField::value("job", "a text has a zero byte").into());
         }
         Ok(description)
     }
@@ -193,7 +211,7 @@
             return Err(Why::NoSuch);
         };
         Description::read(&bytes).map_err(|error| {
-            tracing::error!(task = piece, error, "job description");
+            tracing::error!(task = piece, error = error.to_string(), "job description");
             Why::Error
         })
     }
--- a/crates/agent/src/fetch/find.rs
+++ b/crates/agent/src/fetch/find.rs
@@ -107,7 +107,7 @@
         trusted: bool,
         giver: Option<SocketAddr>,
     ) -> Result<Found, Failed> {
-        let sums = Sums::read(&text).map_err(lost)?;
+        let sums = Sums::read(&text).map_err(|e| lost(e.to_string()))?;
         if sums.sha256 != self.image.sha256 {
             return Err(keep(format!(
                 "another image of this name: its sum is {}",
--- a/crates/agent/src/journal.rs
+++ b/crates/agent/src/journal.rs
@@ -38,7 +38,35 @@
     Io(PathBuf, std::io::Error),
     /// The file is not a journal, or a later version wrote it.
     #[error("{0}: {1}")]
-    Format(PathBuf, String),
+    Format(PathBuf, FormatError),
+}
+
+/// Why bytes are no journal that this version reads.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FormatError {
+    /// There are not enough bytes for the head.
+    #[error("shorter than its head")]
+    NoHead,
+    /// The head is not a journal's.
+    #[error("not a journal")]
+    NoJournal,
+    /// Another version wrote it.
+    #[error("version {0}; this program knows {v}", v = VERSION)]
+    Version(u32),
+    /// An entry, by its number, is whole and of no known kind.
+    #[error("entry {0} is whole, but not one of version {v}", v = VERSION)]
+    Entry(usize),
+}
+
+/// What was read of a journal.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Entries {
+    /// What the entries that are whole come to.
+    pub state: State,
+    /// How many they are.
+    pub count: usize,
+    /// The bytes that they and the head take.
+    pub bytes: usize,
 }
 
 /// What all entries together come to.
@@ -113,18 +141,17 @@
     }
 }
 
-/// Reads entries as far as they are whole; how many there were, and how many
-/// bytes they and what is before them take.
-pub fn read(bytes: &[u8]) -> Result<(State, usize, usize), String> {
+/// Reads entries as far as they are whole.
+pub fn read(bytes: &[u8]) -> Result<Entries, FormatError> {
     let Some((head, mut rest)) = bytes.split_at_checked(8) else {
-        return Err("shorter than its head".into());
+        return Err(FormatError::NoHead);
     };
     let version = u32::from_le_bytes([head[4], head[5], head[6], head[7]]);
     if &head[..4] != MAGIC {
-        return Err("not a journal".into());
+        return Err(FormatError::NoJournal);
     }
     if version != VERSION {
-        return Err(format!("version {version}; this program knows {VERSION}"));
+        return Err(FormatError::Version(version));
     }
     let mut state = State::default();
     let mut count = 0;
@@ -141,15 +168,17 @@
             break;
         }
         let Ok(note) = serde_json::from_slice::<Note>(payload) else {
-            return Err(format!(
-                "entry {count} is whole, but not one of version {VERSION}"
-            ));
+            return Err(FormatError::Entry(count));
         };
         state.apply(&note);
         count += 1;
         rest = after;
     }
-    Ok((state, count, bytes.len() - rest.len()))
+    Ok(Entries {
+        state,
+        count,
+        bytes: bytes.len() - rest.len(),
+    })
 }
 
 fn frame(note: &Note) -> Vec<u8> {
@@ -181,11 +210,12 @@
             let mut file = File::open(&path).map_err(io)?;
             file.read_to_end(&mut bytes).map_err(io)?;
         }
-        let (state, entries, whole) = match bytes.len() {
+        let found = match bytes.len() {
             // The machine stopped while the first bytes were written.
-            0..8 => (State::default(), 0, 0),
+            0..8 => Entries::default(),
             _ => read(&bytes).map_err(|why| JournalError::Format(path.clone(), why))?,
         };
+        let (state, entries, whole) = (found.state, found.count, found.bytes);
         let mut file = OpenOptions::new()
             .create(true)
             .read(true)
@@ -311,10 +341,13 @@
         // A changed bit ends it there, and a later version is refused whole.
         let mut changed = whole.clone();
         changed[lengths[2] + 9] ^= 1;
-        let (state, count, _) = read(&changed).expect("a journal");
+        let Entries { state, count, .. } = read(&changed).expect("a journal");
         assert_eq!((&state, count), (&states[2], 2));
         changed[4] = 2;
-        assert!(read(&changed).expect_err("refused").contains("version 2"));
+        assert!(read(&changed)
+            .expect_err("refused")
+            .to_string()
+            .contains("version 2"));
         std::fs::remove_dir_all(&folder).expect("removed");
     }
 }
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -149,7 +149,8 @@
         }
         (Some(Command::Describe { file }), _) => {
             let text = std::fs::read(&file).map_err(|e| e.to_string());
-            match text.and_then(|text| Description::read(&text)) {
+            let read = |text: Vec<u8>| Description::read(&text).map_err(|e| e.to_string());
+            match text.and_then(read) {
                 Ok(_) => {
                     println!("{}: valid", file.display());
                     ExitCode::SUCCESS
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -7,12 +7,34 @@
 use ipnet::IpNet;
 use schemars::JsonSchema;
 use serde::Deserialize;
-use sorrelhinge_protocol::placement::first_error;
+use sorrelhinge_protocol::invalid::InvalidField;
 use sorrelhinge_protocol::types::{Amount, MachineId, TypeName, Zone};
 
 use crate::core::Machine;
 use crate::describe::Source;
 
+/// Why the settings can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("{0}: {1}")]
+    Io(PathBuf, std::io::Error),
+    /// What the file says is wrong.
+    #[error("{0}: {1}")]
+    File(PathBuf, Box<SettingsError>),
+    /// It is not TOML, or not of the format.
+    #[error("line {line}: {reason}")]
+    Toml {
+        /// The line, from 1.
+        line: usize,
+        /// What is wrong there.
+        reason: String,
+    },
+    /// A field is not valid.
+    #[error(transparent)]
+    Field(#[from] InvalidField),
+}
+
 /// A controller.
 #[derive(Clone, Debug, Deserialize, JsonSchema, Validate)]
 #[serde(deny_unknown_fields)]
@@ -184,34 +206,39 @@
 
 impl Settings {
     /// Reads and checks the file; the error names the line or the field.
-    pub fn load(path: &Path) -> Result<Self, String> {
-        let at = |why: String| format!("{}: {why}", path.display());
-        let text = std::fs::read_to_string(path).map_err(|e| at(e.to_string()))?;
-        Self::parse(&text).map_err(at)
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let path = path.to_owned();
+        match std::fs::read_to_string(&path) {
+            Ok(text) => Self::parse(&text).map_err(|why| SettingsError::File(path, Box::new(why))),
+            Err(error) => Err(SettingsError::Io(path, error)),
+        }
     }
 
     /// Reads and checks the settings.
-    pub fn parse(text: &str) -> Result<Self, String> {
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
         let settings: Self = toml::from_str(text).map_err(|e| {
             let line = e.span().map_or(0, |span| {
                 text[..span.start.min(text.len())].matches('\n').count()
             });
-            format!("line {}: {}", line + 1, e.message().replace('\n', " "))
+            SettingsError::Toml {
+                line: line + 1,
+                reason: e.message().replace('\n', " "),
+            }
         })?;
         settings
             .validate()
-            .map_err(|report| first_error(&report, "agent"))?;
+            .map_err(|report| InvalidField::first(&report, "agent"))?;
         let jobs = Some(("jobs", &settings.jobs));
         let images = settings.images.as_ref().map(|i| ("images", i));
         for (name, places) in jobs.into_iter().chain(images) {
             if places.folder.is_some() == places.server.is_some() {
-                return Err(format!(
-                    "agent.{name}: either folder or server says where they are"
-                ));
+                let reason = "either folder or server says where they are";
+                return Err(InvalidField::value(format!("agent.{name}"), reason).into());
             }
         }
         if settings.listen.port() == 0 || settings.listen.ip().is_unspecified() {
-            return Err("agent.listen: controllers need an address and a port".into());
+            let reason = "controllers need an address and a port";
+            return Err(InvalidField::value("agent.listen", reason).into());
         }
         Ok(settings)
     }
--- a/crates/agent/src/sums.rs
+++ b/crates/agent/src/sums.rs
@@ -24,6 +24,30 @@
 /// The version that this one reads and writes.
 const VERSION: u32 = 1;
 
+/// Why a file of sums can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SumsError {
+    /// It is not JSON, or not of the format.
+    #[error("sums: {0}")]
+    Malformed(String),
+    /// Another version wrote it.
+    #[error("sums: version {}, not {}", .0, VERSION)]
+    Version(u32),
+    /// Chunks of so many bytes are not handled.
+    #[error("sums: chunks of {0} bytes")]
+    Chunk(u64),
+    /// The number of sums, of bytes and of a chunk's bytes don't go together.
+    #[error("sums: {sums} of them for {bytes} bytes in chunks of {chunk}")]
+    Count {
+        /// How many sums there are.
+        sums: usize,
+        /// The archive's bytes.
+        bytes: u64,
+        /// A chunk's bytes.
+        chunk: u64,
+    },
+}
+
 /// SHA-256, as hexadecimal digits.
 pub fn sha256(bytes: &[u8]) -> String {
     hexadecimal(Sha256::digest(bytes).as_slice())
@@ -51,21 +75,21 @@
     /// # Errors
     /// What is wrong with it: malformed, of a later version, or its numbers
     /// don't go together.
-    pub fn read(text: &[u8]) -> Result<Self, String> {
-        let sums: Self = serde_json::from_slice(text).map_err(|e| format!("sums: {e}"))?;
+    pub fn read(text: &[u8]) -> Result<Self, SumsError> {
+        let sums: Self =
+            serde_json::from_slice(text).map_err(|e| SumsError::Malformed(e.to_string()))?;
         if sums.version != VERSION {
-            return Err(format!("sums: version {}, not {VERSION}", sums.version));
+            return Err(SumsError::Version(sums.version));
         }
         if !ALLOWED_CHUNK_BYTES.contains(&sums.chunk) {
-            return Err(format!("sums: chunks of {} bytes", sums.chunk));
+            return Err(SumsError::Chunk(sums.chunk));
         }
         if sums.bytes == 0 || sums.bytes.div_ceil(sums.chunk) != sums.sums.len() as u64 {
-            return Err(format!(
-                "sums: {} of them for {} bytes in chunks of {}",
-                sums.sums.len(),
-                sums.bytes,
-                sums.chunk
-            ));
+            return Err(SumsError::Count {
+                sums: sums.sums.len(),
+                bytes: sums.bytes,
+                chunk: sums.chunk,
+            });
         }
         Ok(sums)
     }
--- a/crates/agent/src/supervise.rs
+++ b/crates/agent/src/supervise.rs
@@ -40,27 +40,50 @@
     (boot == clock::boot_id()).then(|| since.trim().parse().ok())?
 }
 
+/// What keeps a supervisor from running its task.
+#[derive(Debug, thiserror::Error)]
+pub enum SuperviseError {
+    /// The attempt's folder can't be used.
+    #[error("{0}: {1}")]
+    Folder(PathBuf, std::io::Error),
+    /// Another supervisor runs the attempt.
+    #[error("another supervisor holds the lock")]
+    Locked,
+    /// The agent has given the attempt up.
+    #[error("the attempt is over")]
+    Over,
+    /// What there is to run is not known.
+    #[error("task.json can't be read")]
+    NoTask,
+    /// What the task leaves behind would not become this process's child.
+    #[error("{0}")]
+    Subreaper(rustix::io::Errno),
+    /// This process is not found among those that run.
+    #[error("no process of this number")]
+    NoProcess,
+}
+
 /// Runs the task of a folder to its end.
 ///
 /// # Errors
 /// What kept it from doing so; then nothing runs.
-pub fn supervise(path: PathBuf) -> Result<(), String> {
+pub fn supervise(path: PathBuf) -> Result<(), SuperviseError> {
     let folder = Folder(path);
-    let text = |e: std::io::Error| format!("{}: {e}", folder.0.display());
+    let text = |e: std::io::Error| SuperviseError::Folder(folder.0.clone(), e);
     let Some(_lock) = folder.lock().map_err(text)? else {
-        return Err("another supervisor holds the lock".into());
+        return Err(SuperviseError::Locked);
     };
     if folder.over() {
         // An agent that did not see this process has given the attempt up.
-        return Err("the attempt is over".into());
+        return Err(SuperviseError::Over);
     }
-    let task = folder.task().ok_or("task.json can't be read")?;
+    let task = folder.task().ok_or(SuperviseError::NoTask)?;
     // Whatever the task leaves behind becomes this process's child.
-    set_child_subreaper(Some(rustix::process::getpid())).map_err(|e| e.to_string())?;
+    set_child_subreaper(Some(rustix::process::getpid())).map_err(SuperviseError::Subreaper)?;
     let own = rustix::process::getpid().as_raw_nonzero().get();
     let mut pid = Pid {
         boot: clock::boot_id(),
-        supervisor: Process::find(own).ok_or("no process of this number")?,
+        supervisor: Process::find(own).ok_or(SuperviseError::NoProcess)?,
         task: None,
     };
     folder.runs(&pid).map_err(text)?;
--- a/crates/agent/tests/supervisor.rs
+++ b/crates/agent/tests/supervisor.rs
@@ -255,6 +255,7 @@
         let mut body = good.clone();
         body[field] = wrong;
         let error = Description::read(body.to_string().as_bytes()).expect_err(field);
+        let error = error.to_string();
         assert!(error.contains(named), "{field}: {error}");
     }
     assert!(Description::read(&vec![b' '; 300_000]).is_err());
--- a/crates/calendar/src/record.rs
+++ b/crates/calendar/src/record.rs
@@ -16,6 +16,27 @@
 /// Version of both formats.
 pub const VERSION: u32 = 1;
 
+/// Why the calendar's record can't be changed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum RecordError {
+    /// A later version wrote it: what that means by its fields is not known here.
+    #[error("the calendar was written by a later version")]
+    LaterVersion,
+    /// It does not fit into one value of the state service.
+    #[error(
+        "calendar: {windows} windows take {bytes} bytes, the state service holds {value_kb} KiB: \
+         have fewer of them, shorter names, or one weekly rule instead of many moments"
+    )]
+    TooLarge {
+        /// How many windows it has.
+        windows: usize,
+        /// The bytes that they take.
+        bytes: usize,
+        /// What a value may have, in KiB.
+        value_kb: u64,
+    },
+}
+
 /// A window, and where it is from.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
@@ -150,7 +171,7 @@
     pub fn pin(
         recorded: Option<&CalendarRecord>,
         window: &Window,
-    ) -> Result<Option<CalendarRecord>, String> {
+    ) -> Result<Option<CalendarRecord>, RecordError> {
         let mut record = recorded.cloned().unwrap_or(CalendarRecord {
             version: VERSION,
             number: 0,
@@ -175,33 +196,33 @@
 
     /// A window taken out, an operator's or the file's, until a newer file has
     /// it; `None` if there is none of the name.
-    pub fn unpin(&self, name: &str) -> Result<Option<CalendarRecord>, String> {
+    pub fn unpin(&self, name: &str) -> Result<Option<CalendarRecord>, RecordError> {
         self.changeable()?;
         let mut record = self.clone();
         record.entries.retain(|e| e.window.name != name);
         Ok(Some(record).filter(|r| r.entries.len() < self.entries.len()))
     }
 
-    fn changeable(&self) -> Result<(), String> {
+    fn changeable(&self) -> Result<(), RecordError> {
         match self.known() {
             true => Ok(()),
-            false => Err("the calendar was written by a later version".into()),
+            false => Err(RecordError::LaterVersion),
         }
     }
 
     /// Whether it fits into one value of the state service, `value_kb` of the
     /// settings. It is one record so that all windows change at once; more
     /// than it can hold is refused rather than cut.
-    pub fn fits(&self, value_kb: u64) -> Result<(), String> {
+    pub fn fits(&self, value_kb: u64) -> Result<(), RecordError> {
         let bytes = serde_json::to_vec(self).map_or(usize::MAX, |text| text.len());
         if bytes as u64 <= value_kb.saturating_mul(1024) {
             return Ok(());
         }
-        Err(format!(
-            "calendar: {} windows take {bytes} bytes, the state service holds {value_kb} KiB: \
-             have fewer of them, shorter names, or one weekly rule instead of many moments",
-            self.entries.len()
-        ))
+        Err(RecordError::TooLarge {
+            windows: self.entries.len(),
+            bytes,
+            value_kb,
+        })
     }
 }
 
--- a/crates/calendar/src/settings.rs
+++ b/crates/calendar/src/settings.rs
@@ -6,7 +6,7 @@
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use sorrelhinge_protocol::placement::first_error;
+use sorrelhinge_protocol::invalid::InvalidField;
 use sorrelhinge_protocol::types::{Amount, MachineType};
 
 use crate::when::{current_or_next, next, Span, When};
@@ -116,24 +116,41 @@
         among(&self.types, machine_type) && among(&self.zones, zone)
     }
 
+    fn refused(&self, field: &'static str, reason: String) -> WindowError {
+        WindowError {
+            window: self.name.clone(),
+            field,
+            reason,
+        }
+    }
+
     /// What is wrong with it by itself.
-    pub fn check(&self, at: &str) -> Result<(), String> {
-        self.validate().map_err(|report| first_error(&report, at))?;
+    pub fn check(&self, at: &str) -> Result<(), InvalidField> {
+        self.validate()
+            .map_err(|report| InvalidField::first(&report, at))?;
         let each = self.each();
         if each.cpu <= 0 && each.gpu <= 0 && each.ram <= 0 {
-            return Err(format!("{at}.cpus: a task takes nothing"));
+            return Err(InvalidField::value(
+                format!("{at}.cpus"),
+                "a task takes nothing",
+            ));
         }
         if !self.when.zone_known() {
-            return Err(format!("{at}.when: no such time zone"));
+            return Err(InvalidField::value(
+                format!("{at}.when"),
+                "no such time zone",
+            ));
         }
         match &self.when {
             When::Once(_) => Ok(()),
-            When::Weekly(_) if self.next(EPOCH_MS).is_none() => {
-                Err(format!("{at}.when: it never happens"))
-            }
-            When::Every(every) if every.period.as_secs() < 1 => {
-                Err(format!("{at}.when.every.period: must be at least 1 s"))
-            }
+            When::Weekly(_) if self.next(EPOCH_MS).is_none() => Err(InvalidField::value(
+                format!("{at}.when"),
+                "it never happens",
+            )),
+            When::Every(every) if every.period.as_secs() < 1 => Err(InvalidField::value(
+                format!("{at}.when.every.period"),
+                "must be at least 1 s",
+            )),
             When::Weekly(_) | When::Every(_) => Ok(()),
         }
     }
@@ -172,13 +189,32 @@
     }
 }
 
+/// Why the file can't be read: one line that names the place.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FileError {
+    /// It is not TOML, or not of the format.
+    #[error("line {line}: {reason}")]
+    Toml {
+        /// The line, from 1.
+        line: usize,
+        /// What is wrong there.
+        reason: String,
+    },
+    /// A field is not valid.
+    #[error(transparent)]
+    Field(#[from] InvalidField),
+}
+
 /// Reads the file; the error is one line that names the place.
-pub fn read(text: &str) -> Result<Calendar, String> {
+pub fn read(text: &str) -> Result<Calendar, FileError> {
     let at_line = |e: toml::de::Error| {
         let line = e.span().map_or(0, |span| {
             text[..span.start.min(text.len())].matches('\n').count()
         });
-        format!("line {}: {}", line + 1, e.message().replace('\n', " "))
+        FileError::Toml {
+            line: line + 1,
+            reason: e.message().replace('\n', " "),
+        }
     };
     let file = toml::Deserializer::parse(text).map_err(at_line)?;
     // The same types are read from records, whose unknown fields a later
@@ -189,17 +225,18 @@
     })
     .map_err(at_line)?;
     if let Some(path) = unknown {
-        return Err(format!("calendar{path}: unknown field"));
+        return Err(InvalidField::value(format!("calendar{path}"), "unknown field").into());
     }
     calendar
         .validate()
-        .map_err(|report| first_error(&report, "calendar"))?;
+        .map_err(|report| InvalidField::first(&report, "calendar"))?;
     let mut names = BTreeSet::new();
     for (i, window) in calendar.windows.iter().enumerate() {
         let at = format!("calendar.window[{i}]");
         window.check(&at)?;
         if !names.insert(&window.name) {
-            return Err(format!("{at}.name: {:?} appears twice", window.name));
+            let reason = format!("{:?} appears twice", window.name);
+            return Err(InvalidField::value(format!("{at}.name"), reason).into());
         }
     }
     Ok(calendar)
@@ -240,16 +277,27 @@
     .take(MAX_OCCURRENCES)
 }
 
+/// A window that can't be as it is: one line that names it.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("window {window:?}: {field}: {reason}")]
+pub struct WindowError {
+    /// The window's name.
+    pub window: String,
+    /// The field that is to be changed.
+    pub field: &'static str,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
 /// What can't be, by the controllers' settings; one line that names the window.
-pub fn check(calendar: &Calendar, known: &Known) -> Result<(), String> {
+pub fn check(calendar: &Calendar, known: &Known) -> Result<(), WindowError> {
     check_windows(&calendar.windows, known)
 }
 
 /// The same for windows that are pinned one by one.
-pub fn check_windows(windows: &[Window], known: &Known) -> Result<(), String> {
+pub fn check_windows(windows: &[Window], known: &Known) -> Result<(), WindowError> {
     for window in windows {
-        let wrong =
-            |field: &str, why: String| Err(format!("window {:?}: {field}: {why}", window.name));
+        let wrong = |field, reason: String| Err(window.refused(field, reason));
         let Some(limit) = known.teams.get(&window.team) else {
             return wrong("team", format!("there is no team {:?}", window.team));
         };
@@ -316,11 +364,11 @@
 
 /// The first window that won't happen any more; for whoever has just written
 /// the file, as [`check`] lets it pass.
-pub fn past(calendar: &Calendar, now_ms: i64) -> Result<(), String> {
+pub fn past(calendar: &Calendar, now_ms: i64) -> Result<(), WindowError> {
     let over = |w: &&Window| w.current_or_next(now_ms).is_none();
     match calendar.windows.iter().find(over) {
         None => Ok(()),
-        Some(window) => Err(format!("window {:?}: when: it is over", window.name)),
+        Some(window) => Err(window.refused("when", "it is over".into())),
     }
 }
 
@@ -331,7 +379,7 @@
 
 /// Goes through beginnings and ends of all of a team's occurrences in order of
 /// time, ends first, with what is held then.
-fn overlaps(windows: &[Window], team: &str, limit: Amount, now_ms: i64) -> Result<(), String> {
+fn overlaps(windows: &[Window], team: &str, limit: Amount, now_ms: i64) -> Result<(), WindowError> {
     let mut edges: Vec<(i64, bool, &Window)> = Vec::new();
     for window in windows.iter().filter(|w| w.team == team) {
         for span in occurrences(window, now_ms) {
@@ -351,13 +399,13 @@
         }
         held += needs;
         if !held.fits_team(limit) {
-            return Err(format!(
-                "window {:?}: tasks: together with {} it holds {}, the limit of team {team:?} is {}",
-                window.name,
+            let reason = format!(
+                "together with {} it holds {}, the limit of team {team:?} is {}",
                 open.join(", "),
                 shown(held),
                 shown(limit)
-            ));
+            );
+            return Err(window.refused("tasks", reason));
         }
         open.push(&window.name);
     }
--- a/crates/calendar/tests/settings.rs
+++ b/crates/calendar/tests/settings.rs
@@ -125,12 +125,12 @@
     let twice = window(&[]) + &window(&[]);
     cases.push((twice, "calendar.window[1].name: \"drop\" appears twice"));
     for (text, expected) in cases {
-        let error = read(&file(&text)).expect_err(&text);
+        let error = read(&file(&text)).expect_err(&text).to_string();
         assert!(error.contains(expected), "{error:?} for\n{text}");
         assert!(!error.contains('\n'), "one line: {error:?}");
     }
     let error = read("version = 2\nnumber = 1").expect_err("a later format");
-    assert_eq!(error, "calendar.version: greater than 1");
+    assert_eq!(error.to_string(), "calendar.version: greater than 1");
 }
 
 #[test]
@@ -154,7 +154,8 @@
     cases.push((overlapping("Asia/Ho_Chi_Minh"), two));
     for (text, expected) in cases {
         let read = read(&file(&text)).expect(&text);
-        assert_eq!(check(&read, &known()), Err(expected.to_string()));
+        let said = check(&read, &known()).map_err(|e| e.to_string());
+        assert_eq!(said, Err(expected.to_string()));
     }
     // An hour later in Bangkok's neighbour: one begins as the other ends.
     let next = overlapping("Asia/Singapore").replace("20", "15");
@@ -162,7 +163,8 @@
     let over = calendar(&[window(&[("when", "{ once = \"2026-11-30T19:00:00Z\" }")])]);
     assert_eq!(check(&over, &known()), Ok(()), "a restart after it");
     let said = "window \"drop\": when: it is over";
-    assert_eq!(past(&over, NOW_MS), Err(said.into()));
+    let past = past(&over, NOW_MS).map_err(|e| e.to_string());
+    assert_eq!(past, Err(said.into()));
 }
 
 #[test]
@@ -196,7 +198,7 @@
         .map(|n| window(&[("name", &format!("\"window-{n}\""))]))
         .collect();
     let error = taken(&calendar(&many), None).fits(4);
-    let error = error.expect_err("more than 4 KiB");
+    let error = error.expect_err("more than 4 KiB").to_string();
     assert!(error.starts_with("calendar: 40 windows take "), "{error}");
     assert!(error.contains("holds 4 KiB"), "{error}");
 }
--- a/crates/lanes/src/lanes.rs
+++ b/crates/lanes/src/lanes.rs
@@ -57,11 +57,61 @@
     high: bool,
 }
 
-fn classes(key: &str, value: &str) -> Result<Vec<WildMatch>, String> {
+/// Why properties of lanes can't be read: one line that names the key.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum LanesError {
+    /// The key is no property of a lane.
+    #[error("{0}: no such property")]
+    NoSuchProperty(String),
+    /// The lane's name has other characters.
+    #[error("{0}: a lane's name has letters, digits, - and _ only")]
+    Name(String),
+    /// Two commas without a pattern between them, or none at all.
+    #[error("{key}: an empty pattern in {value:?}")]
+    EmptyPattern {
+        /// The key.
+        key: String,
+        /// Its value.
+        value: String,
+    },
+    /// The order is not a whole number.
+    #[error("{key}: not a whole number: {value:?}")]
+    Order {
+        /// The key.
+        key: String,
+        /// Its value.
+        value: String,
+    },
+    /// The part is not a number within 0 to 1.
+    #[error("{key}: not a number within 0 to 1: {value:?}")]
+    Part {
+        /// The key.
+        key: String,
+        /// Its value.
+        value: String,
+    },
+    /// A value that should be `true` or `false`.
+    #[error("{0}: neither true nor false")]
+    High(String),
+    /// More lanes than are looked at for each job.
+    #[error("{}*: more than {} lanes", PREFIX, MAX_LANES)]
+    TooMany,
+    /// No class belongs to the lane.
+    #[error("{}{}.classes: missing", PREFIX, .0)]
+    NoClasses(String),
+    /// All lanes' parts together.
+    #[error("{}*.part: {} of all lanes is above 1", PREFIX, .0)]
+    Parts(f64),
+}
+
+fn classes(key: &str, value: &str) -> Result<Vec<WildMatch>, LanesError> {
     let patterns = value.split(',').map(str::trim);
     let patterns: Vec<WildMatch> = patterns
         .map(|p| match p {
-            "" => Err(format!("{key}: an empty pattern in {value:?}")),
+            "" => Err(LanesError::EmptyPattern {
+                key: key.to_owned(),
+                value: value.to_owned(),
+            }),
             p => Ok(WildMatch::new(p)),
         })
         .collect::<Result<_, _>>()?;
@@ -75,20 +125,20 @@
     /// (`true`: also all jobs of rank `high` with a deadline). Keys that don't
     /// begin with [`PREFIX`] are not looked at. The error is one line that names
     /// the key.
-    pub fn read<'a>(pairs: impl IntoIterator<Item = (&'a str, &'a str)>) -> Result<Self, String> {
+    pub fn read<'a>(
+        pairs: impl IntoIterator<Item = (&'a str, &'a str)>,
+    ) -> Result<Self, LanesError> {
         let mut raws: BTreeMap<&str, Raw> = BTreeMap::new();
         for (key, value) in pairs {
             let Some(rest) = key.strip_prefix(PREFIX) else {
                 continue;
             };
             let Some((name, what)) = rest.rsplit_once('.') else {
-                return Err(format!("{key}: no such property"));
+                return Err(LanesError::NoSuchProperty(key.to_owned()));
             };
             let good = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
             if name.is_empty() || !name.chars().all(good) {
-                return Err(format!(
-                    "{key}: a lane's name has letters, digits, - and _ only"
-                ));
+                return Err(LanesError::Name(key.to_owned()));
             }
             let raw = raws.entry(name).or_default();
             let value = value.trim();
@@ -96,29 +146,34 @@
                 "classes" => raw.classes = classes(key, value)?,
                 "order" => {
                     let number = value.parse();
-                    raw.order =
-                        number.map_err(|_| format!("{key}: not a whole number: {value:?}"))?;
+                    raw.order = number.map_err(|_| LanesError::Order {
+                        key: key.to_owned(),
+                        value: value.to_owned(),
+                    })?;
                 }
                 "part" => {
                     let part = value.parse().ok();
                     let part = part.filter(|p| (0.0..=1.0).contains(p));
-                    let wrong = || format!("{key}: not a number within 0 to 1: {value:?}");
+                    let wrong = || LanesError::Part {
+                        key: key.to_owned(),
+                        value: value.to_owned(),
+                    };
                     raw.part = Some(part.ok_or_else(wrong)?);
                 }
                 "high" => {
                     let high = value.parse();
-                    raw.high = high.map_err(|_| format!("{key}: neither true nor false"))?;
+                    raw.high = high.map_err(|_| LanesError::High(key.to_owned()))?;
                 }
-                _ => return Err(format!("{key}: no such property")),
+                _ => return Err(LanesError::NoSuchProperty(key.to_owned())),
             }
         }
         if raws.len() > MAX_LANES {
-            return Err(format!("{PREFIX}*: more than {MAX_LANES} lanes"));
+            return Err(LanesError::TooMany);
         }
         let mut lanes = Vec::new();
         for (name, raw) in raws {
             if raw.classes.is_empty() && !raw.high {
-                return Err(format!("{PREFIX}{name}.classes: missing"));
+                return Err(LanesError::NoClasses(name.to_owned()));
             }
             lanes.push(Lane {
                 name: name.to_owned(),
@@ -131,7 +186,7 @@
         // Else two lanes together could keep everybody else waiting.
         let all: f64 = lanes.iter().map(|l| l.bound.part()).sum();
         if all > 1.0 + 1e-9 {
-            return Err(format!("{PREFIX}*.part: {all} of all lanes is above 1"));
+            return Err(LanesError::Parts(all));
         }
         lanes.sort_by(|a, b| (a.order, &a.name).cmp(&(b.order, &b.name)));
         Ok(Self { lanes })
--- a/crates/lanes/src/lib.rs
+++ b/crates/lanes/src/lib.rs
@@ -15,4 +15,4 @@
 pub mod place;
 pub mod shown;
 
-pub use lanes::{Lane, LaneId, Lanes, PREFIX};
+pub use lanes::{Lane, LaneId, Lanes, LanesError, PREFIX};
--- a/crates/lanes/tests/model.rs
+++ b/crates/lanes/tests/model.rs
@@ -332,7 +332,7 @@
 
 fn read(text: &str) -> Result<Lanes, String> {
     let pairs = java_properties::read(text.as_bytes()).map_err(|e| e.to_string())?;
-    Lanes::read(pairs.iter().map(|(k, v)| (k.as_str(), v.as_str())))
+    Lanes::read(pairs.iter().map(|(k, v)| (k.as_str(), v.as_str()))).map_err(|e| e.to_string())
 }
 
 /// The file that operators are given, and what is wrong with others, by key.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -4,6 +4,7 @@
 //! waits or does I/O.
 
 pub mod cloud;
+pub mod invalid;
 pub mod operators;
 pub mod placement;
 pub mod state;
--- a/crates/protocol/src/operators.rs
+++ b/crates/protocol/src/operators.rs
@@ -7,7 +7,7 @@
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
-use crate::placement::first_error;
+use crate::invalid::InvalidField;
 use crate::types::MachineId;
 
 fn one() -> u32 {
@@ -41,9 +41,9 @@
 
 impl DrainAsked {
     /// Whether all values are within their ranges.
-    pub fn check(&self) -> Result<(), String> {
+    pub fn check(&self) -> Result<(), InvalidField> {
         self.validate()
-            .map_err(|report| first_error(&report, "drain"))
+            .map_err(|report| InvalidField::first(&report, "drain"))
     }
 }
 
@@ -196,8 +196,8 @@
 
 impl PinAsked {
     /// Whether all values are within their ranges.
-    pub fn check(&self) -> Result<(), String> {
+    pub fn check(&self) -> Result<(), InvalidField> {
         self.validate()
-            .map_err(|report| first_error(&report, "blocks"))
+            .map_err(|report| InvalidField::first(&report, "blocks"))
     }
 }
--- a/crates/protocol/src/placement.rs
+++ b/crates/protocol/src/placement.rs
@@ -14,6 +14,8 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use crate::invalid::InvalidField;
+
 fn yes() -> bool {
     true
 }
@@ -127,34 +129,30 @@
     }
 
     /// Reads the field `topology` of a job's body; the error names the place.
-    pub fn read(value: &serde_json::Value) -> Result<Option<Self>, String> {
+    pub fn read(value: &serde_json::Value) -> Result<Option<Self>, InvalidField> {
         let Some(field) = value.get("topology").filter(|v| !v.is_null()) else {
             return Ok(None);
         };
-        let rules = Self::deserialize(field).map_err(|error| format!("topology: {error}"))?;
+        let rules = Self::deserialize(field).map_err(|error| InvalidField::Malformed {
+            path: "topology".into(),
+            reason: error.to_string(),
+        })?;
         rules.check("topology")?;
         Ok(Some(rules).filter(|w| !w.is_empty()))
     }
 
     /// Whether all values are within their ranges; `at` is where they stand.
-    pub fn check(&self, at: &str) -> Result<(), String> {
-        self.validate().map_err(|report| first_error(&report, at))?;
+    pub fn check(&self, at: &str) -> Result<(), InvalidField> {
+        self.validate()
+            .map_err(|report| InvalidField::first(&report, at))?;
         for (i, device) in self.devices.iter().enumerate() {
             if self.devices[..i].iter().any(|d| d.kind == device.kind) {
-                return Err(format!("{at}.devices[{i}].kind: named twice"));
+                return Err(InvalidField::value(
+                    format!("{at}.devices[{i}].kind"),
+                    "named twice",
+                ));
             }
         }
         Ok(())
     }
 }
-
-/// The first complaint of a report, with the path to the wrong field below `at`.
-pub fn first_error(report: &garde::Report, at: &str) -> String {
-    report
-        .iter()
-        .next()
-        .map_or_else(String::new, |(path, error)| match path.is_empty() {
-            true => format!("{at}: {error}"),
-            false => format!("{at}.{path}: {error}"),
-        })
-}
--- a/crates/topology/src/finder.rs
+++ b/crates/topology/src/finder.rs
@@ -8,6 +8,17 @@
 use prefix_trie::joint::JointPrefixMap;
 use wildmatch::WildMatch;
 
+/// Something that leads to two entries.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NamedTwice {
+    /// A machine's name.
+    #[error("machine {0:?} is named twice")]
+    Machine(String),
+    /// A network.
+    #[error("network {0} is named twice")]
+    Network(IpNet),
+}
+
 /// Finds a machine's entry.
 #[derive(Debug)]
 pub struct Finder<T> {
@@ -31,9 +42,9 @@
     ///
     /// # Errors
     /// The name leads elsewhere already.
-    pub fn name(&mut self, name: &str, to: T) -> Result<(), String> {
+    pub fn name(&mut self, name: &str, to: T) -> Result<(), NamedTwice> {
         match self.names.insert(name.to_owned(), to.clone()) {
-            Some(before) if before != to => Err(format!("machine {name:?} is named twice")),
+            Some(before) if before != to => Err(NamedTwice::Machine(name.to_owned())),
             _ => Ok(()),
         }
     }
@@ -46,9 +57,9 @@
     ///
     /// # Errors
     /// The network leads elsewhere already.
-    pub fn network(&mut self, network: IpNet, to: T) -> Result<(), String> {
+    pub fn network(&mut self, network: IpNet, to: T) -> Result<(), NamedTwice> {
         match self.networks.insert(network.trunc(), to.clone()) {
-            Some(before) if before != to => Err(format!("network {network} is named twice")),
+            Some(before) if before != to => Err(NamedTwice::Network(network)),
             _ => Ok(()),
         }
     }
--- a/crates/topology/src/settings.rs
+++ b/crates/topology/src/settings.rs
@@ -7,7 +7,8 @@
 use ipnet::IpNet;
 use schemars::JsonSchema;
 use serde::Deserialize;
-use sorrelhinge_protocol::placement::{first_error, PlacementRules};
+use sorrelhinge_protocol::invalid::InvalidField;
+use sorrelhinge_protocol::placement::PlacementRules;
 use wildmatch::WildMatch;
 
 use crate::devices::{Stock, Unit};
@@ -242,14 +243,14 @@
         })?;
         settings
             .validate()
-            .map_err(|report| wrong(first_error(&report, "topology")))?;
+            .map_err(|report| wrong(InvalidField::first(&report, "topology").to_string()))?;
         let mut names = BTreeSet::new();
         if let Some(twice) = settings.levels.iter().find(|l| !names.insert(l.as_str())) {
             return Err(wrong(format!("topology.levels: {twice:?} appears twice")));
         }
         for (i, policy) in settings.policy.iter().enumerate() {
             let at = format!("topology.policy[{i}].wishes");
-            policy.wishes.check(&at).map_err(wrong)?;
+            policy.wishes.check(&at).map_err(|e| wrong(e.to_string()))?;
         }
         Ok(settings)
     }
@@ -278,7 +279,9 @@
                 return Err(at("domain", "not in the tree".into()));
             };
             for name in &place.machines {
-                finder.name(name, domain).map_err(|e| at("machines", e))?;
+                finder
+                    .name(name, domain)
+                    .map_err(|e| at("machines", e.to_string()))?;
             }
             for pattern in &place.patterns {
                 finder.pattern(pattern, domain);
@@ -286,7 +289,7 @@
             for network in &place.networks {
                 finder
                     .network(*network, domain)
-                    .map_err(|e| at("networks", e))?;
+                    .map_err(|e| at("networks", e.to_string()))?;
             }
         }
         Ok(finder)
--- a/crates/topology/src/tree.rs
+++ b/crates/topology/src/tree.rs
@@ -34,6 +34,24 @@
     by_path: HashMap<String, Domain>,
 }
 
+/// Why a path names no domain.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum PathError {
+    /// It has as many names as there are levels, or more.
+    #[error("{path:?} names {named} levels; above the machine there are {above}")]
+    TooDeep {
+        /// The path.
+        path: String,
+        /// How many levels it names.
+        named: usize,
+        /// How many there are above the machine.
+        above: usize,
+    },
+    /// A name in it is empty or has spaces.
+    #[error("{0:?} has a name that is empty or has spaces")]
+    Name(String),
+}
+
 impl Tree {
     /// A tree of the named levels, outermost first, the last one being the
     /// machine itself, with these domains and all that they lie in. A path
@@ -44,23 +62,23 @@
     pub fn new<'a>(
         levels: &[String],
         paths: impl IntoIterator<Item = &'a str>,
-    ) -> Result<Self, String> {
+    ) -> Result<Self, PathError> {
         #[derive(Default)]
         struct Branch(BTreeMap<String, Branch>);
         let mut root = Branch::default();
         for path in paths {
             let names: Vec<&str> = path.split('/').collect();
             if names.len() >= levels.len() {
-                return Err(format!(
-                    "{path:?} names {} levels; above the machine there are {}",
-                    names.len(),
-                    levels.len().saturating_sub(1)
-                ));
+                return Err(PathError::TooDeep {
+                    path: path.to_owned(),
+                    named: names.len(),
+                    above: levels.len().saturating_sub(1),
+                });
             }
             let mut branch = &mut root;
             for name in names {
                 if name.is_empty() || name.chars().any(char::is_whitespace) {
-                    return Err(format!("{path:?} has a name that is empty or has spaces"));
+                    return Err(PathError::Name(path.to_owned()));
                 }
                 branch = branch.0.entry(name.to_owned()).or_default();
             }
--- a/src/api.rs
+++ b/src/api.rs
@@ -177,7 +177,7 @@
     };
     let spec = read_job(value).map_err(String::from).and_then(|spec| {
         Ok(JobSpec {
-            placement: placement?.map(Box::new),
+            placement: placement.map_err(|e| e.to_string())?.map(Box::new),
             ..spec
         })
     });
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -327,7 +327,7 @@
                 away,
                 keep,
             };
-            asked.check()?;
+            asked.check().map_err(|e| e.to_string())?;
             let body = serde_json::to_vec(&asked).map_err(|e| e.to_string())?;
             let begun: NumberBody =
                 ask(&controllers, Method::POST, "/v1/drains", body.into()).await?;
@@ -450,7 +450,7 @@
 
 async fn pin(controllers: &Controllers, block: u32, to: Option<String>) -> Result<(), String> {
     let asked = PinAsked { block, to };
-    asked.check()?;
+    asked.check().map_err(|e| e.to_string())?;
     let body = serde_json::to_vec(&asked).map_err(|e| e.to_string())?;
     let _: serde_json::Value = ask(controllers, Method::POST, "/v1/blocks", body.into()).await?;
     Ok(())
--- a/src/config.rs
+++ b/src/config.rs
@@ -330,7 +330,7 @@
 pub fn lanes(text: &[u8]) -> Result<Lanes, ConfigError> {
     let pairs = java_properties::read(text).map_err(|e| field("properties", e.to_string()))?;
     let pairs = pairs.iter().map(|(k, v)| (k.as_str(), v.as_str()));
-    Lanes::read(pairs).map_err(|why| field("properties", why))
+    Lanes::read(pairs).map_err(|why| field("properties", why.to_string()))
 }
 
 impl Config {
@@ -384,9 +384,10 @@
     pub fn with_calendar(mut self, path: &Path, now_ms: i64) -> Result<Self, ConfigError> {
         let wrong = |why| ConfigError::Toml(path.to_owned(), why);
         let text = String::from_utf8_lossy(&read(path)?).into_owned();
-        let calendar = sorrelhinge_calendar::settings::read(&text).map_err(wrong)?;
+        let calendar =
+            sorrelhinge_calendar::settings::read(&text).map_err(|e| wrong(e.to_string()))?;
         sorrelhinge_calendar::settings::check(&calendar, &self.calendar_known(now_ms))
-            .map_err(wrong)?;
+            .map_err(|e| wrong(e.to_string()))?;
         self.calendar = Some(Arc::new(calendar));
         Ok(self)
     }
--- a/src/control/calendar.rs
+++ b/src/control/calendar.rs
@@ -126,8 +126,9 @@
             ..self.cfg.calendar_known(day_ms())
         };
         let windows: Vec<_> = record.entries.iter().map(|e| e.window.clone()).collect();
-        check_windows(&windows, &known)?;
-        record.fits(self.cfg.value_bytes as u64 / 1024)
+        check_windows(&windows, &known).map_err(|e| e.to_string())?;
+        let fits = record.fits(self.cfg.value_bytes as u64 / 1024);
+        fits.map_err(|e| e.to_string())
     }
 
     /// Records a step, if nobody else has.
@@ -178,7 +179,8 @@
             return Err(Refused::NoCalendar);
         }
         if let CalendarAsked::Pin(pin) = asked {
-            pin.window.check("window").map_err(Refused::Wrong)?;
+            let checked = pin.window.check("window");
+            checked.map_err(|e| Refused::Wrong(e.to_string()))?;
         }
         for _ in 0..4 {
             if !self.fresh().await {
@@ -189,12 +191,12 @@
                 return Err(Refused::Wrong("the calendar's record can't be read".into()));
             }
             let changed = match asked {
-                CalendarAsked::Pin(pin) => {
-                    CalendarRecord::pin(held.value.as_ref(), &pin.window).map_err(Refused::Wrong)?
-                }
+                CalendarAsked::Pin(pin) => CalendarRecord::pin(held.value.as_ref(), &pin.window)
+                    .map_err(|e| Refused::Wrong(e.to_string()))?,
                 CalendarAsked::Unpin(unpin) => {
                     let record = held.value.as_ref().ok_or(Refused::NoWindow)?;
-                    let changed = record.unpin(&unpin.name).map_err(Refused::Wrong)?;
+                    let changed = record.unpin(&unpin.name);
+                    let changed = changed.map_err(|e| Refused::Wrong(e.to_string()))?;
                     Some(changed.ok_or(Refused::NoWindow)?)
                 }
             };
--- a/src/control/drains.rs
+++ b/src/control/drains.rs
@@ -62,7 +62,7 @@
     /// Begins a drain, or changes the one of the same target. The answer comes
     /// once it is recorded, so a takeover can't lose it.
     pub async fn drain(&self, asked: &DrainAsked) -> Result<u64, Refused> {
-        asked.check().map_err(Refused::Wrong)?;
+        asked.check().map_err(|e| Refused::Wrong(e.to_string()))?;
         let what = self.target(&asked.target)?;
         let started_ms = wall_ms();
         let drain = Drain {
--- a/src/control/sharing.rs
+++ b/src/control/sharing.rs
@@ -614,7 +614,7 @@
     /// Pins a block to a controller, or takes its pin off. The answer comes once
     /// it is recorded; the leader does the rest.
     pub async fn pin(&self, asked: &PinAsked) -> Result<(), Refused> {
-        asked.check().map_err(Refused::Wrong)?;
+        asked.check().map_err(|e| Refused::Wrong(e.to_string()))?;
         let to = asked.to.as_deref().map(NodeId::from);
         let all = self.cfg.others.iter().map(|o| &o.node);
         if let Some(to) = &to {
