--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`pressure`]: which resource binds, and what is shed while it does;
 //! - [`fleet_limit`]: how many machines can be served;
 //! - [`renewal`]: who renews leases while the owner of the machines has no time;
+//! - [`freshness`]: how old a view may be while workers are answered by it;
 //! - [`order`]: which report is a copy that came late;
 //! - [`reachability`]: whether a machine that reports also receives what it is told.
 //!
@@ -20,6 +21,7 @@
 pub mod admission;
 pub mod asked;
 pub mod fleet_limit;
+pub mod freshness;
 pub mod order;
 pub mod pace;
 pub mod pressure;
