--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod polls;
 mod renewing;
 mod users;
+pub mod vouching;
 mod workers;
 
 use std::cell::{Cell, RefCell};
