Meetings of two troubles in virtual time: capacity, completion, partition

Cause: the seeded world drew its troubles at random; no test brought two of them together on purpose, and nothing asked whether work goes on afterwards.

Two invariants are new in all worlds: a start outside of the job's rack, and a start whose claim is not in the record.

--- a/tests/rules/invariants.rs
+++ b/tests/rules/invariants.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::StdRng;
 use rand::Rng;
-use serde_json::Value;
+use serde_json::{json, Value};
 use sorrelhinge::state::record::job_key;
 use sorrelhinge::types::JobId;
 
@@ -69,6 +69,11 @@
             job["loaners"] == true || !w.spot,
             "wrong_place: {piece} on spot"
         );
+        assert!(
+            job["rack"].is_null() || job["rack"] == w.zone,
+            "wrong_place: {piece} in {}",
+            w.zone
+        );
         let rule = &job["topology"]["spread"][0];
         if rule["must"] == true && job["pieces"].as_u64() > rule["most"].as_u64() {
             let (_, number) = switch(w);
@@ -103,6 +108,28 @@
         }
     }
 
+    /// A start is sent only once its claim is recorded, and is carried out only while
+    /// the claim is: else the next owner would not count it.
+    pub(crate) fn check_claimed(&self, at: usize, piece: &str, attempt: u64) {
+        let (id, number) = piece.rsplit_once('/').expect("piece");
+        let number: u64 = number.parse().expect("a number");
+        let (_, job) = &self.store.keys[&job_key(&JobId::from(id))];
+        let size = job["k"].as_u64().expect("a chunk's size").max(1);
+        let key = format!("h/task/{id}/{:06}", number / size);
+        let chunk = self.store.keys.get(&key).map(|(_, record)| record);
+        let machine = &self.workers[at].id;
+        let claim = json!([number % size, attempt, machine]);
+        let holders = [Some(&job["i"]), chunk];
+        let mut claims = holders
+            .into_iter()
+            .flatten()
+            .filter_map(|h| h["c"].as_array());
+        assert!(
+            claims.any(|c| c.contains(&claim)),
+            "unrecorded: {piece}, attempt {attempt}, starts on {machine}"
+        );
+    }
+
     /// The rules that hold at any time.
     pub(crate) fn check(&self) {
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -5,11 +5,13 @@
 mod blocks;
 mod commands;
 mod invariants;
+mod meetings;
 mod mistaken;
 mod orders;
 mod random;
 mod recording;
 mod scenes;
+mod service;
 #[path = "../settings/mod.rs"]
 mod settings;
 mod silence;
--- a/tests/rules/orders.rs
+++ b/tests/rules/orders.rs
@@ -29,6 +29,7 @@
                         continue;
                     }
                     self.check_start(at, &piece);
+                    self.check_claimed(at, &piece, attempt);
                     let units = self.check_units(at, &piece, &order["units"]);
                     let left = if piece_job(&self.jobs, &piece)["shape"] == "standing" {
                         f64::INFINITY
--- a/tests/rules/world.rs
+++ b/tests/rules/world.rs
@@ -491,6 +491,16 @@
         }
     }
 
+    /// A worker whose lease is over ends all its tasks and begins a new session.
+    pub(crate) fn end_lease(&mut self, at: usize) {
+        let w = &mut self.workers[at];
+        if self.now - w.renewed > LEASE_S {
+            w.tasks.clear();
+            w.session += 1;
+            w.renewed = self.now;
+        }
+    }
+
     pub(crate) fn step(&mut self, submitting: bool) {
         self.now += STEP_S;
         if submitting && self.rng.random_bool(0.1) {
@@ -547,11 +557,7 @@
                     self.done_tasks.insert(piece.clone());
                 }
             }
-            if self.now - w.renewed > LEASE_S {
-                w.tasks.clear();
-                w.session += 1;
-                w.renewed = self.now;
-            }
+            self.end_lease(at);
             if self.luck(0.003) {
                 self.workers[at].silent_until = self.now + self.rng.random_range(1.0..30.0);
             }
