--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -12,6 +12,7 @@
 mod random;
 mod recording;
 mod scenes;
+mod service;
 #[path = "../settings/mod.rs"]
 mod settings;
 mod silence;
--- a/tests/rules/meetings/mod.rs
+++ b/tests/rules/meetings/mod.rs
@@ -3,8 +3,12 @@
 
 mod cancellation;
 mod cancellation_apart;
+mod capacity;
+mod completion;
+mod day;
 mod leadership;
 mod leadership_late;
+mod partition;
 
 use crate::*;
 
--- a/tests/rules/orders.rs
+++ b/tests/rules/orders.rs
@@ -29,6 +29,7 @@
                         continue;
                     }
                     self.check_start(at, &piece);
+                    self.check_claimed(at, &piece, attempt);
                     if let Some(cancelled) = self.cancelled.get(&job_of(&piece)) {
                         let late_s = self.now - cancelled;
                         self.faults.last_start_s = self.faults.last_start_s.max(late_s);
