--- a/tests/rules/meetings/day.rs
+++ b/tests/rules/meetings/day.rs
@@ -29,7 +29,7 @@
     pub(crate) writes: usize,
     /// This part of all direct commands is held up for 2 to 16 s.
     pub(crate) late_commands: f64,
-    /// This part of the answers to direct commands is lost.
+    /// This part of the answers to direct commands and to reports is lost.
     pub(crate) lost_answers: f64,
     /// Machines that execute nothing until then, and go on.
     pub(crate) hung: BTreeMap<String, f64>,
@@ -222,8 +222,9 @@
         o.core.walk(&machine, now);
         let reply = serde_json::to_value(o.core.reply(&machine, &o.view, now)).expect("reply");
         let baton = reply["baton"].as_u64().expect("baton");
+        let lost = self.world.rng.random_bool(self.lost_answers);
         let w = &mut self.world.workers[at];
-        if w.deaf_until > now.0 || baton < w.token {
+        if lost || w.deaf_until > now.0 || baton < w.token {
             return;
         }
         (w.token, w.renewed) = (baton, now.0);
--- a/tests/rules/meetings/partition.rs
+++ b/tests/rules/meetings/partition.rs
@@ -211,3 +211,23 @@
         day.settle(240.0);
     }
 }
+
+/// Starts are held up on their way while reports arrive whose answers are lost, and
+/// their jobs are cancelled: a report without the task proves nothing before it carries
+/// the token that fences the start, so its room goes to nobody.
+#[test]
+fn starts_are_held_up_while_their_jobs_are_cancelled() {
+    for (seed, blocks) in [(141, 1), (142, 1), (143, 1), (144, 2), (145, 2)] {
+        let mut day = Day::new(seed, blocks);
+        day.run(4.0);
+        (day.late_commands, day.lost_answers) = (1.0, 1.0);
+        let first = day.submit(10, json!({"crew": "red"}));
+        day.lasting.insert(first.clone(), vec![100.0; 10]);
+        day.run(2.0);
+        assert!(!day.world.late.is_empty(), "seed {seed}: no start was sent");
+        day.cancel(&first);
+        day.submit(10, json!({"crew": "red"}));
+        day.run(16.0);
+        day.settle(240.0);
+    }
+}
