--- a/src/control/renewing.rs
+++ b/src/control/renewing.rs
@@ -5,9 +5,8 @@
 
 use sorrelhinge_overload::renewal::{Content, Route};
 
+use super::vouching::vouches;
 use crate::peer::HeardOf;
-use crate::types::TaskId;
-use crate::worker::TaskPhase;
 
 /// How often an owner is told which machines were heard.
 const TELL: Duration = Duration::from_millis(500);
@@ -15,39 +14,19 @@
 impl Node {
     /// Whether this controller's view of the records is new enough to answer
     /// workers without the state service: beyond this, a job may have been
-    /// cancelled elsewhere, and leases must be able to end its tasks in time.
+    /// cancelled elsewhere, and leases must be able to end its tasks in time
+    /// (`sorrelhinge_overload::freshness`). Asked before each answer, for a report
+    /// that has come.
     pub(super) fn knows_the_cancelled(&self) -> bool {
-        let horizon = (self.cfg.cancel_s - self.cfg.lease_s - 3.0).max(1.0);
-        self.view.borrow().loaded && self.fresh_at.get().elapsed().as_secs_f64() <= horizon
+        let (lease_s, cancel_s) = (self.cfg.lease_s, self.cfg.cancel_s);
+        let freshness = self.freshness.get();
+        self.view.borrow().loaded && freshness.may_answer_workers(self.now(), lease_s, cancel_s)
     }
 
-    /// Whether a worker's lease may be renewed without its machine's owner:
-    /// all that runs there is claimed there, by the record, for a job that is
-    /// neither cancelled nor done. The answer carries the token that the worker
+    /// Whether a worker's lease may be renewed without its machine's owner. The answer carries the token that the worker
     /// has, so it commands nothing and fences nobody.
     fn vouched(&self, report: &Report) -> bool {
-        if !self.knows_the_cancelled() || report.baton.0 == 0 {
-            return false;
-        }
-        let view = self.view.borrow();
-        report.pieces.iter().all(|p| {
-            p.phase == TaskPhase::Ended
-                || p.id().is_some_and(|task: TaskId| {
-                    view.job(&task.job).is_some_and(|entry| {
-                        let record = &entry.record.value;
-                        let size = record.chunk.max(1);
-                        let chunk = entry.chunk(task.index / size);
-                        record.phase == Phase::Live
-                            && chunk.is_some_and(|c| {
-                                c.claims.iter().any(|(place, attempt, machine)| {
-                                    *place == task.index % size
-                                        && *attempt == p.attempt
-                                        && *machine == report.machine
-                                })
-                            })
-                    })
-                })
-        })
+        self.knows_the_cancelled() && vouches(&self.view.borrow(), report)
     }
 
     /// The answer that only renews the lease, if that may be given.
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -4,6 +4,7 @@
 
 mod blocks;
 mod commands;
+mod faults;
 mod invariants;
 mod meetings;
 mod mistaken;
@@ -17,10 +18,12 @@
 mod silence;
 mod store;
 mod takeover;
+mod views;
 mod worker;
 mod workload;
 mod world;
 
+pub(crate) use self::faults::*;
 pub(crate) use self::invariants::*;
 pub(crate) use self::scenes::*;
 pub(crate) use self::store::*;
