Submissions and cancellations are passed on when the state service fails here

Cause: api::here_or_there passed them on only while cut_off(), which needs a hint of something new.

Changed: StateClient remembers whether the last request that was sent came to nothing; Node::passes_on lets a 503 be passed on then, and not for 1 s after nobody else could help, as for polls.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod nodes;
 pub mod place;
 pub mod store;
+pub mod users;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/src/api.rs
+++ b/src/api.rs
@@ -330,7 +330,7 @@
         }
     }
     let answer = here.await;
-    if answer.status() == 503 && node.cut_off() {
+    if answer.status() == 503 && node.passes_on() {
         if let Some(answered) = node.pass_on(kind, text).await {
             return passed(answered);
         }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -138,6 +138,8 @@
     /// passed on, as none of them could answer the last one.
     polls_passed: Cell<usize>,
     polls_stay_until: Cell<Instant>,
+    /// The same for submissions and cancellations.
+    changes_stay_until: Cell<Instant>,
 }
 
 /// Duties that look at the whole fleet.
@@ -256,6 +258,7 @@
             asked: RefCell::default(),
             polls_passed: Cell::new(0),
             polls_stay_until: Cell::new(Instant::now()),
+            changes_stay_until: Cell::new(Instant::now()),
             cfg,
         });
         node.set_share();
--- a/src/control/polls.rs
+++ b/src/control/polls.rs
@@ -21,8 +21,8 @@
 /// Polls that may be with other controllers at a time.
 const MOST_PASSED: usize = 128;
 /// If no other could answer one, none is passed on for so long: while the state
-/// service is away for all, each poll would else go through two controllers in vain.
-const IN_VAIN: Duration = Duration::from_secs(1);
+/// service is away for all, each would else go through two controllers in vain.
+pub(super) const IN_VAIN: Duration = Duration::from_secs(1);
 /// Who has not said for so long what it knows may be another version by now.
 const SAID: Duration = Duration::from_secs(3);
 
--- a/src/control/workers.rs
+++ b/src/control/workers.rs
@@ -153,7 +153,16 @@
         behind.is_some_and(|t| t.elapsed() >= CUT_OFF) && self.fresh_at.get().elapsed() >= CUT_OFF
     }
 
-    /// Passes a user's request on to a controller that may be served.
+    /// Whether a submission or cancellation that could not be decided here is passed
+    /// on. Hints tell that others are served only when something changes: while
+    /// nothing did, whoever the state service refused alone turned all of them away,
+    /// so a failed request is reason enough, unless nobody else could help just now.
+    pub fn passes_on(&self) -> bool {
+        let others_may = Instant::now() >= self.changes_stay_until.get();
+        self.cut_off() || self.state.fails() && others_may
+    }
+
+    /// Passes a submission or cancellation on to a controller that may be served.
     pub async fn pass_on(&self, kind: peer::Kind, text: &[u8]) -> Option<peer::Answered> {
         let leader = self.view.borrow().leader.value.clone().map(|l| l.node);
         let mut others: Vec<NodeId> = self.peers.reachable().cloned().collect();
@@ -164,6 +173,7 @@
                 return Some(answered);
             }
         }
+        self.changes_stay_until.set(Instant::now() + polls::IN_VAIN);
         None
     }
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -146,6 +146,8 @@
     pub requests: Budget,
     /// Changes.
     pub writes: Budget,
+    /// The last request that was sent came to nothing.
+    failing: Cell<bool>,
 }
 
 const CONNECT: Duration = Duration::from_millis(800);
@@ -157,9 +159,16 @@
             pool: Pool::new(address),
             requests: Budget::new(rps),
             writes: Budget::new(write_rps),
+            failing: Cell::new(false),
         })
     }
 
+    /// Whether the service did not serve the last request that was sent to it. What
+    /// is over this controller's share is not sent, and shows nothing of it.
+    pub fn fails(&self) -> bool {
+        self.failing.get()
+    }
+
     async fn call(
         &self,
         method: Method,
@@ -189,6 +198,10 @@
             Err(CallError::NotSent(e)) => Err(StateError::Refused(e)),
             Err(CallError::Unknown(e)) => Err(StateError::Unknown(e)),
         };
+        self.failing.set(matches!(
+            result,
+            Err(StateError::Refused(_) | StateError::Unknown(_))
+        ));
         if let Err(error) = &result {
             tracing::debug!(path, %error, "state call");
         }
