--- a/src/control/users.rs
+++ b/src/control/users.rs
@@ -55,6 +55,16 @@
         spec
     }
 
+    /// A job whose record would be over the state service's limit of a value is
+    /// malformed: it was answered 503 again and again, as its write was refused.
+    fn recordable(&self, spec: JobSpec) -> Result<JobSpec, String> {
+        let record = JobRecord::accepted(spec.clone(), wall_ms(), self.cfg.value_bytes);
+        match record.fits(self.cfg.value_bytes) {
+            true => Ok(spec),
+            false => Err("the job's names are too long to be recorded".into()),
+        }
+    }
+
     /// Why a job waits, if this controller places it and knows.
     pub fn why_waits(&self, id: &JobId) -> Option<String> {
         let cores = self.cores.borrow();
@@ -136,7 +146,9 @@
         id: &JobId,
         spec: Result<JobSpec, String>,
     ) -> Result<Submitted, String> {
-        let spec = spec.map(|spec| self.with_class_devices(spec));
+        let spec = spec
+            .map(|spec| self.with_class_devices(spec))
+            .and_then(|spec| self.recordable(spec));
         let refusal = match &spec {
             Err(why) => Some(Err(why.clone())),
             Ok(spec) => match self.never(spec) {
--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -350,12 +350,8 @@
 impl JobRecord {
     /// A job that was just accepted. Values have at most `value_bytes`.
     pub fn accepted(spec: JobSpec, accepted_ms: u64, value_bytes: usize) -> Self {
-        // Units that a claim names take room beside it.
-        let devices = spec.wishes.iter().flat_map(|w| &w.devices);
-        let units: usize = devices
-            .map(|d| d.count as usize * (d.kind.len() + UNIT_BYTES))
-            .sum();
-        let chunk_size = |bytes: usize| chunk_size_of(bytes, CLAIM_BYTES + units);
+        let claim_bytes = claim_bytes(&spec);
+        let chunk_size = |bytes: usize| chunk_size_of(bytes, claim_bytes);
         let chunk = chunk_size(value_bytes);
         let mut record = Self {
             phase: Phase::Live,
@@ -373,6 +369,16 @@
         }
         record
     }
+    /// Whether it can be written, now and with all its claims, if values have at most
+    /// `value_bytes`. One that can't must not be accepted: the state service refuses it.
+    pub fn fits(&self, value_bytes: usize) -> bool {
+        let Ok(record) = serde_json::to_vec(self) else {
+            return false;
+        };
+        let claim = self.spec.as_deref().map_or(CLAIM_BYTES, claim_bytes);
+        let claims = self.inline.as_ref().map_or(0, |_| self.tasks as usize);
+        record.len() + OWN_BYTES + claims * claim <= value_bytes
+    }
     /// The record of the same job once it is done.
     pub fn done(&self) -> Self {
         Self {
@@ -425,10 +431,22 @@
 /// Bytes of a unit that a claim names, but for its kind: a name has at most 40.
 const UNIT_BYTES: usize = 56;
 
+/// Bytes left out for a chunk's own fields, and in a job's record for its place, which
+/// comes later: it must not make the record too large to write.
+const OWN_BYTES: usize = 128;
+
+/// Bytes of a claim of such a job's task: units that it names take room beside it.
+fn claim_bytes(spec: &JobSpec) -> usize {
+    let sealed = spec.seal.iter().flat_map(|seal| &seal.wishes);
+    let devices = spec.wishes.iter().chain(sealed).flat_map(|w| &w.devices);
+    let units: usize = devices
+        .map(|d| d.count as usize * (d.kind.len() + UNIT_BYTES))
+        .sum();
+    CLAIM_BYTES + units
+}
+
 fn chunk_size_of(value_bytes: usize, claim_bytes: usize) -> u32 {
-    // What is left out takes the chunk's own fields, and in a job's record its
-    // place, which comes later: it must not make the record too large to write.
-    (value_bytes.saturating_sub(128) / claim_bytes).clamp(1, 64) as u32
+    (value_bytes.saturating_sub(OWN_BYTES) / claim_bytes).clamp(1, 64) as u32
 }
 
 /// Tasks that fit into a chunk when values have at most `value_bytes`.
