--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 mod plan;
 mod site;
 pub mod store;
+pub mod users;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
