--- a/crates/agent/src/hand_on.rs
+++ b/crates/agent/src/hand_on.rs
@@ -400,7 +400,9 @@
 
 #[cfg(test)]
 mod tests {
-    use super::*;
+    use sorrelhinge_protocol::types::Time;
+
+    use super::{span, Rate};
 
     #[test]
     fn ranges() {
--- a/crates/agent/src/images.rs
+++ b/crates/agent/src/images.rs
@@ -306,9 +306,12 @@
 
 #[cfg(test)]
 mod tests {
-    use super::*;
+    use sha2::{Digest, Sha256};
     use sorrelhinge_protocol::types::Attempt;
 
+    use super::{there, unpack, Cache, Image, Step};
+    use crate::core::Key;
+
     fn key(n: u64) -> Key {
         Key {
             piece: format!("run-1/{n}"),
--- a/crates/agent/src/journal.rs
+++ b/crates/agent/src/journal.rs
@@ -286,10 +286,12 @@
 
 #[cfg(test)]
 mod tests {
-    use super::*;
-    use sorrelhinge_protocol::types::Attempt;
+    use sorrelhinge_protocol::types::{Attempt, Session, Token};
     use sorrelhinge_protocol::worker::Why;
 
+    use super::{read, Entries, Journal, State};
+    use crate::core::{Key, Note};
+
     fn notes() -> Vec<Note> {
         let key = |n: u64| Key {
             piece: format!("run-1/{n}"),
--- a/crates/agent/src/sources.rs
+++ b/crates/agent/src/sources.rs
@@ -216,7 +216,11 @@
 
 #[cfg(test)]
 mod tests {
-    use super::*;
+    use std::net::SocketAddr;
+
+    use sorrelhinge_protocol::types::Time;
+
+    use super::{Outcome, Sources, Whom, MAX_ORIGIN_FAILURES};
 
     fn at(n: u16) -> SocketAddr {
         SocketAddr::from(([10, 0, 0, 1], n))
--- a/crates/agent/src/sums.rs
+++ b/crates/agent/src/sums.rs
@@ -159,7 +159,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::*;
+    use super::{sha256, Sums};
 
     #[test]
     fn sums_that_do_not_go_together_are_refused() {
--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -182,7 +182,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::*;
+    use super::{Command, Report};
 
     /// A worker or a controller of the version before would be disturbed by a
     /// field that it never had: without sources and images there is none.
