--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -437,7 +437,7 @@
 
 /// Bytes of a claim of such a job's task: units that it names take room beside it.
 fn claim_bytes(spec: &JobSpec) -> usize {
-    let sealed = spec.seal.iter().flat_map(|seal| &seal.wishes);
+    let sealed = spec.seal.iter().flat_map(|seal| &seal.placement);
     let devices = spec.placement.iter().chain(sealed).flat_map(|w| &w.devices);
     let units: usize = devices
         .map(|d| d.count as usize * (d.kind.len() + UNIT_BYTES))
