A cancelled job's chunk stays while another block's tasks of it may run

The block that places a job deleted its chunks once it was over there, also while another block's claims in them were not provably gone. The chunk now stays until each block has taken its own claims out, then its own block deletes it.

--- a/src/control/core/job_changes.rs
+++ b/src/control/core/job_changes.rs
@@ -4,7 +4,7 @@
 use crate::control::pending::ChunkId;
 use crate::sched::{Claim, Sent};
 use crate::state::record::Phase;
-use crate::state::view::View;
+use crate::state::view::{JobEntry, View};
 use crate::types::{JobId, TaskId, Time};
 
 impl Core {
@@ -43,6 +43,10 @@
         let Some(entry) = view.job(id) else { return };
         let over = entry.record.value.phase != Phase::Live;
         let Some(job) = self.cluster_state.job(id) else {
+            // Other blocks may have taken out the last that kept its chunks.
+            if over && self.shard.is_part() && self.shard.homes(id) {
+                self.drop_chunks(id, entry, now);
+            }
             return;
         };
         let homed = job.tasks.at_home();
@@ -61,10 +65,15 @@
             self.pending.released((id.clone(), 0), now);
             return;
         }
+        self.drop_chunks(id, entry, now);
+        self.cluster_state.remove_job(id);
+    }
+
+    /// Nothing needs the chunks of a job that is over.
+    fn drop_chunks(&mut self, id: &JobId, entry: &JobEntry, now: Time) {
         for &chunk in entry.chunks.keys() {
             self.pending.useless((id.clone(), chunk), now);
         }
-        self.cluster_state.remove_job(id);
     }
 
     /// Drops claims of a cancelled job, or of tasks to be stopped, whose start
--- a/src/control/core/record.rs
+++ b/src/control/core/record.rs
@@ -81,6 +81,13 @@
         })
     }
 
+    /// Whether a chunk's record claims tasks on machines of this block, or, if not
+    /// `here`, of other blocks.
+    fn claims_in(&self, chunk: &ChunkRecord, here: bool) -> bool {
+        let mut claims = chunk.claims.iter();
+        claims.any(|(_, _, machine)| self.shard.covers(machine) == here)
+    }
+
     /// The next transaction, if anything is to be recorded. Every one is
     /// guarded by the grant, the jobs' records and the chunks. `spare`: there
     /// are more changes left than urgent ones need.
@@ -153,10 +160,15 @@
                 }
                 (None, Due::Chunk((_, chunk))) => {
                     let over = held.phase != Phase::Live;
+                    let cancelled = held.phase == Phase::Cancelled;
                     let held = entry.chunks.get(&chunk);
+                    // Another block takes what it claimed out of the record, and the
+                    // job's own block then deletes that.
+                    let kept_for_owner = !self.shard.homes(&id)
+                        && held.is_some_and(|h| self.claims_in(&h.value, true));
                     let keep = self
                         .snapshot(&id, chunk, held.map(|h| &h.value))
-                        .filter(|r| !over || !r.claims.is_empty());
+                        .filter(|r| !over || !r.claims.is_empty() || kept_for_owner);
                     let change = match &keep {
                         Some(record) if held.is_some_and(|h| h.value == *record) => None,
                         Some(record) => Some(Change::write(chunk_key(&id, chunk), record, None)),
@@ -166,6 +178,13 @@
                         // deleted what others still claimed in the chunk, and
                         // they were started twice (hunt, day `apart`).
                         None if !over || !self.shard.homes(&id) => None,
+                        // Nor while another block's tasks of a cancelled job are not
+                        // provably gone: its next owner would not count them.
+                        None if cancelled
+                            && held.is_some_and(|h| self.claims_in(&h.value, false)) =>
+                        {
+                            None
+                        }
                         None => Some(Change::Delete {
                             delete: chunk_key(&id, chunk),
                         }),
