--- a/src/config.rs
+++ b/src/config.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use sorrelhinge_calendar::settings::{Calendar, Known};
 use sorrelhinge_lanes::Lanes;
+use sorrelhinge_overload::freshness::horizon_s;
 
 use crate::state::record::JobRecord;
 use crate::types::{Amount, NodeId, Zone};
@@ -470,6 +471,11 @@
         if p.zones.is_empty() {
             return Err(field("params.zones", "no zone is named"));
         }
+        // No answer to a report is safe then, so none would be given.
+        if horizon_s(p.workers.lease_s, p.workers.cancel_s) <= 0.0 {
+            let why = "has to be longer than a lease, or cancelled tasks could outlast it";
+            return Err(field("params.workers.cancel_s", why));
+        }
         if p.state.txn_ops < 2 {
             return Err(field(
                 "params.state.txn_ops",
--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -65,6 +65,7 @@
     for (from, to, named) in [
         ("rps = 100.0", "rps = -1.0", "params.state.rps"),
         ("lease_s = 20.0", "", "lease_s"),
+        ("cancel_s = 40.0", "cancel_s = 20.0", "cancel_s"),
         ("cpus = 6.0", "cpus = \"six\"", "cpus"),
         ("txn_ops = 4", "txn_ops = 1", "params.state.txn_ops"),
         ("zones = [\"za\"]", "zones = []", "params.zones"),
