--- a/tests/rules/meetings/cancellation.rs
+++ b/tests/rules/meetings/cancellation.rs
@@ -3,6 +3,16 @@
 use super::meet;
 use crate::*;
 
+/// Another controller confirms cancellations, and then nobody is served for longer
+/// than `cancel_s`.
+fn cancelled_then_out_for_all(world: &mut World) {
+    world.run_for(1.0);
+    world.confirm_all_cancelled();
+    world.run_for(1.0);
+    world.outage(CANCEL_S + 28.0);
+    world.run_for(CANCEL_S + 28.0);
+}
+
 /// The owner is refused alone, others confirm cancellations, then nobody is served
 /// for longer than `cancel_s`: the tasks end within it, as the owner lets leases go.
 #[test]
@@ -10,11 +20,7 @@
     meet(|world| {
         world.fill_red();
         world.cut_owners(14.0);
-        world.run_for(1.0);
-        world.confirm_all_cancelled();
-        world.run_for(1.0);
-        world.outage(CANCEL_S + 28.0);
-        world.run_for(CANCEL_S + 28.0);
+        cancelled_then_out_for_all(world);
     });
 }
 
@@ -27,11 +33,7 @@
         for at in 0..3 {
             world.hang(at, 8.0 + 5.0 * at as f64);
         }
-        world.run_for(1.0);
-        world.confirm_all_cancelled();
-        world.run_for(1.0);
-        world.outage(CANCEL_S + 28.0);
-        world.run_for(CANCEL_S + 28.0);
+        cancelled_then_out_for_all(world);
     });
 }
 
--- a/tests/rules/world.rs
+++ b/tests/rules/world.rs
@@ -170,10 +170,7 @@
         let key = format!("h/block/{block}");
         self.store
             .write(&key, serde_json::to_value(&record).expect("record"));
-        let mut view = View::default();
-        view.replace(Revision(0), Vec::new());
-        self.store.follow(&mut view);
-        view.take_changed();
+        let view = self.whole_view();
         let block = BlockId(block);
         let shard = Shard { block, of: self.of };
         let grant = (self.grants, view.blocks[&block].stamp);
@@ -186,6 +183,26 @@
             Time(self.now),
             0,
         );
+        self.add_owner(core, view);
+        let same = self.owners.iter().filter(|o| o.core.shard == shard);
+        if same.count() > 2 {
+            let first = self.owners.iter().position(|o| o.core.shard == shard);
+            self.owners.remove(first.expect("one of them"));
+        }
+        self.deliver_kept();
+    }
+
+    /// All that the state service holds, as a new owner reads it.
+    fn whole_view(&self) -> View {
+        let mut view = View::default();
+        view.replace(Revision(0), Vec::new());
+        self.store.follow(&mut view);
+        view.take_changed();
+        view
+    }
+
+    /// A new owner, which has just read everything.
+    fn add_owner(&mut self, core: Core, view: View) {
         self.owners.push(Owner {
             core,
             view,
@@ -196,12 +213,6 @@
             cut_until: 0.0,
             apart_until: 0.0,
         });
-        let same = self.owners.iter().filter(|o| o.core.shard == shard);
-        if same.count() > 2 {
-            let first = self.owners.iter().position(|o| o.core.shard == shard);
-            self.owners.remove(first.expect("one of them"));
-        }
-        self.deliver_kept();
     }
 
     pub(crate) fn take_over(&mut self) {
@@ -217,10 +228,7 @@
         };
         self.store
             .write(GRANT, serde_json::to_value(&grant).expect("record"));
-        let mut view = View::default();
-        view.replace(Revision(0), Vec::new());
-        self.store.follow(&mut view);
-        view.take_changed();
+        let view = self.whole_view();
         let core = Core::load(
             self.config(),
             &kinds(),
@@ -230,16 +238,7 @@
             Time(self.now),
             0,
         );
-        self.owners.push(Owner {
-            core,
-            view,
-            pending: None,
-            gift: None,
-            paused_until: 0.0,
-            freshness: Freshness::replaced(Time(self.now)),
-            cut_until: 0.0,
-            apart_until: 0.0,
-        });
+        self.add_owner(core, view);
         if self.owners.len() > 2 {
             self.owners.remove(0);
         }
