Jobs that waited for long take reserved room; watches shorter than the bounds on a view

A job waited beside room for as long as a load lasted: the part of a team's limit left to jobs with a start aim, room kept on ordinary machines for replicas to come, and large machines left to larger work had no bound in time (12 to 16 CPUs of the large type free for 150 s beside 200 jobs that fit only it). Now a job of which nothing was placed for 60 s takes such room, one task at a time; nothing is stopped to make it.

A watch of the state service waited for 4 s whatever the bounds on a view's age are. A view counts from when its read was sent, so in quiet times it was over 8 s old again and again: no start for 2 s of every 4, and with cancel_s of a lease and 9 s every report was turned away as long. A watch now waits for a quarter of the shortest bound.

--- a/crates/overload/src/freshness.rs
+++ b/crates/overload/src/freshness.rs
@@ -41,9 +41,17 @@
 /// long if that is safe, in seconds: usually a read is not older.
 const LEAST_S: f64 = 1.0;
 
-/// A task is started only by a view that was read at most so long ago, in seconds: in
-/// quiet times a watch renews it about every 4 s.
+/// A task is started only by a view that was read at most so long ago, in seconds.
 const START_VIEW_S: f64 = 6.0;
+/// A watch waits for changes for this part of the shortest bound on the view's age.
+///
+/// A watch that nothing changes is answered at its end and shows what was so when it was
+/// sent, and only the answer to the next one renews that: in quiet times the view is up
+/// to two watches old. So half of the bound is left for answers that are late.
+const WATCH_PART: f64 = 0.25;
+/// A watch waits for at least and at most so long, in seconds: it counts as a request.
+const WATCH_LEAST_S: f64 = 0.1;
+const WATCH_MOST_S: f64 = 4.0;
 
 /// The moment as of which a view shows all changes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -100,6 +108,16 @@
     usual.min(longest_safe_s(lease_s, cancel_s))
 }
 
+/// For how long a watch of the state service may wait for changes, in seconds.
+///
+/// It waited for 4 s, whatever the bounds were. In quiet times the view was then more
+/// than 8 s old again and again: reports were turned away where `cancel_s` is less than
+/// a lease and 11 s, until leases ended, and no task was started for 2 s of every 4.
+pub fn watch_s(lease_s: f64, cancel_s: f64) -> f64 {
+    let bound_s = START_VIEW_S.min(horizon_s(lease_s, cancel_s));
+    (WATCH_PART * bound_s).clamp(WATCH_LEAST_S, WATCH_MOST_S)
+}
+
 /// The largest bound for which the proof above holds: the controller's and the
 /// worker's clock may be slow, the one that counts `cancel_s` fast.
 fn longest_safe_s(lease_s: f64, cancel_s: f64) -> f64 {
--- a/crates/overload/tests/freshness.rs
+++ b/crates/overload/tests/freshness.rs
@@ -1,7 +1,7 @@
 //! The bound on answers to workers, against the rule that it is for.
 
 use proptest::prelude::*;
-use sorrelhinge_overload::freshness::{horizon_s, Freshness, CLOCK_DRIFT};
+use sorrelhinge_overload::freshness::{horizon_s, watch_s, Freshness, CLOCK_DRIFT};
 use sorrelhinge_protocol::types::Time;
 
 /// As the settings of larger sites have it: the whole margin is kept.
@@ -28,6 +28,42 @@
     assert_eq!(Freshness::replaced(Time(6.0)).age_s(Time(8.0)), 2.0);
 }
 
+/// The longest pause between two watches, and what a slow answer takes, in seconds.
+const BETWEEN_WATCHES_S: f64 = 0.2;
+const SLOW_ANSWER_S: f64 = 0.3;
+
+/// Nothing changes: each watch is answered at its end, and shows what was so when it was
+/// sent. With watches of 4 s the view was too old for answers for 2 s of every 4 where
+/// `cancel_s` is a lease and 9 s, and too old for starts everywhere.
+#[test]
+fn in_quiet_times_a_watch_renews_the_view_in_time() {
+    for (lease_s, cancel_s) in [(3.0, 12.0), (28.0, 48.0), (36.0, 56.0), (20.0, 26.0)] {
+        let watch_s = watch_s(lease_s, cancel_s);
+        let mut fresh = Freshness::replaced(Time(0.0));
+        let mut now = Time(0.0);
+        for _ in 0..20 {
+            let sent_at = now;
+            now = now.after(watch_s + SLOW_ANSWER_S);
+            // Just before the answer is taken in.
+            assert!(
+                fresh.may_answer_workers(now, lease_s, cancel_s),
+                "{watch_s}"
+            );
+            assert!(now <= fresh.may_start_until(lease_s, cancel_s), "{watch_s}");
+            fresh = fresh.read(sent_at);
+            now = now.after(BETWEEN_WATCHES_S);
+        }
+    }
+}
+
+/// A bound that is next to nothing costs no flood of requests.
+#[test]
+fn a_watch_waits_for_a_moment_whatever_the_bounds_are() {
+    assert!(watch_s(20.0, 20.1) >= 0.1);
+    assert!(watch_s(20.0, 19.0) >= 0.1);
+    assert!(watch_s(1.0, 1000.0) <= 4.0);
+}
+
 proptest! {
     /// The worst case of the proof: confirmed right after the read was sent, checked
     /// as late as allowed, by the slowest clocks.
--- a/crates/standins/src/nodes.rs
+++ b/crates/standins/src/nodes.rs
@@ -59,6 +59,8 @@
     pub wrong: Vec<String>,
     /// Starts that were carried out.
     pub starts: usize,
+    /// Reports that a controller answered with 503.
+    pub refused_reports: usize,
     /// Machines with workers of their own, as the cloud lists them.
     pub others: BTreeMap<String, Value>,
     /// Tasks that ended `done`.
@@ -110,6 +112,7 @@
             encoders: BTreeMap::new(),
             wrong: Vec::new(),
             starts: 0,
+            refused_reports: 0,
             others: BTreeMap::new(),
             done: BTreeSet::new(),
             turned_away: BTreeSet::new(),
--- a/crates/standins/src/nodes/worker.rs
+++ b/crates/standins/src/nodes/worker.rs
@@ -202,6 +202,7 @@
             continue;
         }
         let told = told.filter(|_| !n.is_deaf(&id, |(c, _)| c == target));
+        n.refused_reports += usize::from(told.as_ref().is_some_and(|(status, _)| *status == 503));
         let node = n.all.get_mut(&id).expect("it is there");
         match told {
             Some((200, body)) => {
--- a/src/control/core/load.rs
+++ b/src/control/core/load.rs
@@ -264,8 +264,14 @@
             }
         }
         let started = !claims.is_empty() || job.tasks.done() > 0;
-        self.cluster_state
-            .add_job(id.clone(), Job { started, ..job });
+        self.cluster_state.add_job(
+            id.clone(),
+            Job {
+                started,
+                last_placed: started.then_some(now),
+                ..job
+            },
+        );
         if homed && !over {
             self.largest_came(id, now);
         }
--- a/src/control/following.rs
+++ b/src/control/following.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+use sorrelhinge_overload::freshness::watch_s;
+
 impl Node {
     /// Whether requests can be taken: not while the others are served by the
     /// state service and this controller is not. While nobody is, users are
@@ -74,8 +76,9 @@
 
     /// Waits for changes, so that the view is never old for long.
     pub(super) async fn follow(self: Rc<Self>) {
+        let wait = Duration::from_secs_f64(watch_s(self.cfg.lease_s, self.cfg.cancel_s));
         loop {
-            let ok = self.read_new(FOLLOW).await;
+            let ok = self.read_new(wait).await;
             let leading = !self.cores.borrow().is_empty();
             let pause = match (ok, leading) {
                 (false, _) => 250,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -187,7 +187,6 @@
 const FRESH: Duration = Duration::from_millis(1400);
 const SYNC_GAP: Duration = Duration::from_millis(20);
 const SYNC_GAP_MOST: Duration = Duration::from_millis(300);
-const FOLLOW: Duration = Duration::from_secs(4);
 /// How often the fleet is planned.
 const FLEET_EVERY: Duration = Duration::from_millis(700);
 /// Machines that are read from the list a second.
--- a/src/sched/best_machine.rs
+++ b/src/sched/best_machine.rs
@@ -65,7 +65,7 @@
         needy: &OnceCell<Needy>,
         now: Time,
     ) -> Option<Offer> {
-        if !self.limit_allows(job) {
+        if !self.limit_allows(job, now) {
             return None;
         }
         let ask = Ask {
@@ -90,13 +90,14 @@
         now: Time,
     ) -> Option<Offer> {
         let spec = &job.spec;
+        let leaves_kept = job.leaves_kept_room(now);
         let zones = self.zones_of(id, job, ask.leave_out)?;
         let site = self.site(job, reach, ask.leave_out);
         let pass = |place: Domain, m_id: &MachineId| {
             let fits = (job.avoid.is_empty()
                 || job.avoid.get(m_id).is_none_or(|until| now >= *until))
                 && (!self.is_spoken_for(m_id)
-                    || spec.each.fits(self.room_for(id, spec.spot, m_id, now)));
+                    || spec.each.fits(self.room_for(id, leaves_kept, m_id, now)));
             match &site {
                 _ if !fits => Err(place.0 + 1),
                 Some(site) => self.site_passes(site, ask, place, m_id, now),
@@ -134,7 +135,7 @@
                 let found = self.capacity_index.first(
                     key,
                     group,
-                    (spec.each, spec.spot),
+                    (spec.each, leaves_kept),
                     (&spec.image, near),
                     &pass,
                 );
--- a/src/sched/capacity_index.rs
+++ b/src/sched/capacity_index.rs
@@ -264,12 +264,12 @@
         &self,
         key: &GroupKey,
         group: &Group,
-        (each, spot): (Amount, bool),
+        (each, leaves_kept): (Amount, bool),
         (image, near): (&Image, Nearness),
         pass: Pass<'_>,
     ) -> Option<(Size, Domain, MachineId)> {
         self.steps.set(self.steps.get() + 1);
-        let shelves = if key.keeps && spot {
+        let shelves = if key.keeps && leaves_kept {
             &group.open
         } else {
             &group.own
--- a/src/sched/gangs.rs
+++ b/src/sched/gangs.rs
@@ -90,7 +90,7 @@
             {
                 continue;
             }
-            let room = self.room_for(id, spec.spot, m_id, now);
+            let room = self.room_for(id, job.leaves_kept_room(now), m_id, now);
             let fit = |amount: Amount| spec.each.how_many(amount).min(spec.tasks);
             let mut lasting = Amount::default();
             let mut stays = Held::default();
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -77,6 +77,10 @@
 const AGED_S: f64 = 150.0;
 /// It has this part of its team's limit at most in this way.
 const AGED_PART: f64 = 0.5;
+/// A job of which nothing was placed for so long, in seconds, may take room that is
+/// reserved for work that is only expected: the users' rule is that no job waits for
+/// 90 s beside room that fits it, below its team's limit. The rest is for a takeover.
+const RESERVATION_WAIT_S: f64 = 60.0;
 
 /// The variables of delay scheduling.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -138,6 +142,8 @@
     pub try_at: Time,
     /// A task of it has been placed.
     pub started: bool,
+    /// When a task of it was placed last, as far as this owner knows.
+    pub last_placed: Option<Time>,
     /// It has waited for too long to begin, see [`ClusterState::look_at_dues`].
     pub aged: bool,
     /// Its standing in its lane, if it is in one.
@@ -167,6 +173,7 @@
             policy: Rc::default(),
             try_at: Time(0.0),
             started: false,
+            last_placed: None,
             aged: false,
             lane: None,
         }
@@ -200,6 +207,17 @@
         self.blocked_since
             .is_some_and(|t| now.since(t) > self.late_s)
     }
+    /// Whether it has waited so long for its next task to be placed that room reserved
+    /// for expected work is open to it. Placing a task begins the wait anew, so that of
+    /// a large job one task at a time takes such room and the others leave it.
+    pub fn outwaits_reservations(&self, now: Time) -> bool {
+        now.since(self.last_placed.unwrap_or(self.submitted)) >= RESERVATION_WAIT_S
+    }
+    /// Whether room kept on ordinary machines for work that can't use spot ones is
+    /// withheld from it.
+    pub(super) fn leaves_kept_room(&self, now: Time) -> bool {
+        self.spec.spot && !self.outwaits_reservations(now)
+    }
     /// When it should be done: the earliest aim that it can still meet. One
     /// that can meet none any more waits for those that can, yet not for ever.
     fn due_now(&self, now: Time) -> Time {
--- a/src/sched/placement_pass.rs
+++ b/src/sched/placement_pass.rs
@@ -51,6 +51,7 @@
             anywhere: !cached,
             skipped_since: None,
         };
+        job.last_placed = Some(now);
         Some(Launch {
             task,
             machine: m_id.clone(),
@@ -129,12 +130,12 @@
                 && job
                     .spec
                     .each
-                    .fits(self.room_for(id, job.spec.spot, m_id, now))
+                    .fits(self.room_for(id, job.leaves_kept_room(now), m_id, now))
                 && job.avoid.get(m_id).is_none_or(|until| now >= *until)
                 && self
                     .zones_of(id, job, None)
                     .is_some_and(|zones| Self::zone_allows(job, &zones, &machine.zone))
-                && self.limit_allows(job);
+                && self.limit_allows(job, now);
             let group = (machine.spot, &*machine.kind, &machine.zone);
             if !placeable
                 || self.left_to_others((id, job), group, needy, now)
--- a/src/sched/placement_rules.rs
+++ b/src/sched/placement_rules.rs
@@ -70,10 +70,16 @@
         }
     }
 
-    /// Whether one more task of a job stays within its team's limit.
-    pub fn limit_allows(&self, job: &Job) -> bool {
-        let left = self.limit_to_start(job) - self.teams[job.team].used;
-        job.spec.each.fits_team(left)
+    /// Whether one more task of a job stays within its team's limit. A job that has
+    /// waited for long leaves no part of it to others: under constant load such jobs
+    /// waited beside that part for as long as the load lasted (`tests/reservations.rs`).
+    pub fn limit_allows(&self, job: &Job, now: Time) -> bool {
+        let limit = if job.outwaits_reservations(now) {
+            self.limit_for(job)
+        } else {
+            self.limit_to_start(job)
+        };
+        job.spec.each.fits_team(limit - self.teams[job.team].used)
     }
 
     /// Whether a task of a job may be claimed now: not while its rank is held
@@ -120,8 +126,15 @@
         self.teams[team].held_back = amount;
     }
 
-    /// Room on a machine for a job, less what is kept or reserved for others.
-    pub(super) fn room_for(&self, id: &JobId, spot: bool, m_id: &MachineId, now: Time) -> Amount {
+    /// Room on a machine for a job, less what is reserved for others, and less what is
+    /// kept there for work that can't use spot machines if the job `leaves_kept`.
+    pub(super) fn room_for(
+        &self,
+        id: &JobId,
+        leaves_kept: bool,
+        m_id: &MachineId,
+        now: Time,
+    ) -> Amount {
         let Some(machine) = self.machines.get(m_id) else {
             return Amount::default();
         };
@@ -138,7 +151,7 @@
                 free -= *amount;
             }
         }
-        if spot {
+        if leaves_kept {
             free -= machine.kept;
         }
         free - self.held_from(id, m_id, now)
@@ -173,7 +186,10 @@
         needy: &OnceCell<Needy>,
         now: Time,
     ) -> bool {
-        if job.start_within.is_some() || self.needs(job.spec.each, kind) {
+        if job.start_within.is_some()
+            || self.needs(job.spec.each, kind)
+            || job.outwaits_reservations(now)
+        {
             return false;
         }
         let waited = job.blocked_since.map_or(0.0, |t| now.since(t));
@@ -206,7 +222,7 @@
             for (key, group) in self.capacity_index.groups() {
                 if Self::kind_suits(&job.spec, key.spot, &group.kind, &key.zone)
                     && self.needs(job.spec.each, &group.kind)
-                    && self.limit_allows(job)
+                    && self.limit_allows(job, now)
                 {
                     let ids = needy
                         .entry((key.spot, key.kind.clone(), key.zone.clone()))
--- a/src/sched/topology_rules.rs
+++ b/src/sched/topology_rules.rs
@@ -230,7 +230,7 @@
     pub fn why_waits(&self, id: &JobId, now: Time) -> Option<String> {
         let job = self.jobs.get(id).filter(|j| j.wants(now))?;
         job.blocked_since?;
-        if !self.limit_allows(job) {
+        if !self.limit_allows(job, now) {
             return Some("its team is at its limit".into());
         }
         let gang_claims = job.spec.kind == crate::types::Kind::Gang;
@@ -246,7 +246,7 @@
             if !job
                 .spec
                 .each
-                .fits(self.room_for(id, job.spec.spot, m_id, now))
+                .fits(self.room_for(id, job.leaves_kept_room(now), m_id, now))
             {
                 continue;
             }
