--- a/crates/standins/src/place.rs
+++ b/crates/standins/src/place.rs
@@ -147,7 +147,9 @@
 
 #[cfg(test)]
 mod tests {
-    use super::*;
+    use std::net::{Ipv4Addr, TcpListener};
+
+    use super::{Place, GUARD};
 
     /// Two that live at the same time never share an address, and what was let go
     /// can be claimed again.
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,187 @@
+//! The platform's settings (TOML) and the operators' own (Java properties).
+
+mod platform;
+mod properties;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use sorrelhinge_calendar::settings::{Calendar, Known};
+use sorrelhinge_lanes::Lanes;
+
+pub use properties::{lanes, Tuning};
+
+use crate::state::record::JobRecord;
+use crate::types::{Amount, NodeId, Zone};
+
+/// What is wrong with the settings, in one line that names the field.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The file can't be read.
+    #[error("{0}: {1}")]
+    Read(PathBuf, std::io::Error),
+    /// The file is not TOML, or a field is missing or of the wrong type.
+    #[error("{0}: {1}")]
+    Toml(PathBuf, String),
+    /// A field's value is out of range.
+    #[error("{0}: {1}")]
+    Field(String, String),
+}
+
+fn field(name: impl Into<String>, why: impl Into<String>) -> ConfigError {
+    ConfigError::Field(name.into(), why.into())
+}
+
+/// A number that has to be within bounds.
+fn in_range(key: &str, value: f64, least: f64, most: f64) -> Result<f64, ConfigError> {
+    if value.is_finite() && (least..=most).contains(&value) {
+        Ok(value)
+    } else {
+        Err(field(
+            key,
+            format!("{value} is not within {least} to {most}"),
+        ))
+    }
+}
+
+/// A team's guarantee and limit.
+#[derive(Clone, Debug)]
+pub struct TeamConfig {
+    /// Name.
+    pub name: Arc<str>,
+    /// Guaranteed amount.
+    pub guarantee: Amount,
+    /// The most that its tasks may use at any time.
+    pub limit: Amount,
+}
+
+/// Another controller.
+#[derive(Clone, Debug)]
+pub struct Other {
+    /// Its name.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: Zone,
+    /// Its address for the exchange between controllers.
+    pub address: SocketAddr,
+}
+
+/// Everything that the service is told, checked.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// This controller.
+    pub node: NodeId,
+    /// Its zone.
+    pub zone: Zone,
+    /// Where users and workers reach it.
+    pub bind: SocketAddr,
+    /// Where other controllers reach it.
+    pub peer_bind: SocketAddr,
+    /// The other controllers.
+    pub others: Vec<Other>,
+    /// The cloud.
+    pub cloud: SocketAddr,
+    /// The state service.
+    pub state: SocketAddr,
+    /// All zones.
+    pub zones: Vec<Zone>,
+    /// All teams.
+    pub teams: Vec<TeamConfig>,
+    /// The shortest time that an aim allows a class to start in.
+    pub start_aims: HashMap<Arc<str>, f64>,
+    /// The times that aims allow a class to finish in, the shortest first.
+    pub finish_aims: HashMap<Arc<str>, Vec<f64>>,
+    /// The multiples of its deadline that aims allow a class.
+    pub deadline_aims: HashMap<Arc<str>, Vec<f64>>,
+    /// Usual time between a worker's reports.
+    pub report_s: f64,
+    /// A worker's lease.
+    pub lease_s: f64,
+    /// From cancelling a job to its last task gone.
+    pub cancel_s: f64,
+    /// State service requests per second, all controllers together.
+    pub state_rps: f64,
+    /// State service changes per second, all controllers together.
+    pub state_write_rps: f64,
+    /// Largest value, in bytes.
+    pub value_bytes: usize,
+    /// Most changes in a transaction.
+    pub txn_ops: usize,
+    /// Cloud requests per second, all controllers together.
+    pub cloud_rps: f64,
+    /// How late the machine list is.
+    pub list_lag_s: f64,
+    /// Most sockets of this process.
+    pub max_sockets: usize,
+    /// The operators' own settings.
+    pub tuning: Tuning,
+    /// Priority lanes, see `docs/lanes.md`.
+    pub lanes: Lanes,
+    /// By how much the time of day may be wrong, in milliseconds.
+    pub clock_off_ms: f64,
+    /// The operators' file of windows, if the feature is on: see
+    /// `docs/calendar.md`.
+    pub calendar: Option<Arc<Calendar>>,
+}
+
+impl Config {
+    /// Whether a recorded job is in a lane.
+    pub fn in_lane(&self, job: &JobRecord) -> bool {
+        job.spec.as_ref().is_some_and(|s| {
+            let lane = self.lanes.of(&s.class, s.priority, s.deadline_s.is_some());
+            lane.is_some()
+        })
+    }
+    /// Seconds that a machine may be silent before it is given back.
+    pub fn silent_s(&self) -> f64 {
+        self.tuning.silent_s.unwrap_or(self.lease_s + 0.5)
+    }
+}
+
+fn read(path: &Path) -> Result<Vec<u8>, ConfigError> {
+    std::fs::read(path).map_err(|e| ConfigError::Read(path.to_owned(), e))
+}
+
+impl Config {
+    /// Reads and checks the platform's file and, if given, the properties.
+    pub fn load(path: &Path, properties: Option<&Path>) -> Result<Self, ConfigError> {
+        let text = String::from_utf8_lossy(&read(path)?).into_owned();
+        let mut config = Self::parse(&text).map_err(|e| match e {
+            ConfigError::Toml(_, why) => ConfigError::Toml(path.to_owned(), why),
+            other => other,
+        })?;
+        if let Some(file) = properties {
+            let text = read(file)?;
+            config.tuning = Tuning::parse(&text)?;
+            config.lanes = lanes(&text)?;
+        }
+        Ok(config)
+    }
+
+    /// What a calendar is checked by, but for machine types, which only the cloud
+    /// tells. `now_ms`: the time of day.
+    pub fn calendar_known(&self, now_ms: i64) -> Known {
+        let teams = self.teams.iter();
+        Known {
+            teams: teams.map(|t| (t.name.to_string(), t.limit)).collect(),
+            zones: self.zones.iter().map(|z| z.as_str().to_owned()).collect(),
+            types: Vec::new(),
+            now_ms,
+        }
+    }
+
+    /// Reads and checks the operators' file of windows, and turns the feature on.
+    /// The error is one line that names the file.
+    pub fn with_calendar(mut self, path: &Path, now_ms: i64) -> Result<Self, ConfigError> {
+        let wrong = |why| ConfigError::Toml(path.to_owned(), why);
+        let text = String::from_utf8_lossy(&read(path)?).into_owned();
+        let calendar =
+            sorrelhinge_calendar::settings::read(&text).map_err(|e| wrong(e.to_string()))?;
+        sorrelhinge_calendar::settings::check(&calendar, &self.calendar_known(now_ms))
+            .map_err(|e| wrong(e.to_string()))?;
+        self.calendar = Some(Arc::new(calendar));
+        Ok(self)
+    }
+}
--- /dev/null
+++ b/src/config/platform.rs
@@ -0,0 +1,257 @@
+//! The platform's settings, a TOML file (DEPLOY).
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use sorrelhinge_lanes::Lanes;
+use sorrelhinge_overload::freshness::horizon_s;
+
+use super::{field, in_range, Config, ConfigError, Other, TeamConfig, Tuning};
+use crate::types::{Amount, NodeId, Zone};
+
+/// A line of the file that an error shows is cut after so many characters.
+const LINE_SHOWN: usize = 80;
+
+#[derive(Deserialize)]
+struct RawOther {
+    node: String,
+    #[serde(default)]
+    area: String,
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct RawOutside {
+    cloud: SocketAddr,
+    state: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct RawTeam {
+    name: String,
+    #[serde(default)]
+    cpus: f64,
+    #[serde(default)]
+    cpus_max: f64,
+    #[serde(default)]
+    gpus: f64,
+    #[serde(default)]
+    gpus_max: f64,
+}
+
+#[derive(Deserialize)]
+struct RawObjective {
+    kind: String,
+    class: Option<String>,
+    within_s: Option<f64>,
+    times: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct RawWorkers {
+    report_s: f64,
+    lease_s: f64,
+    cancel_s: f64,
+}
+
+#[derive(Deserialize)]
+struct RawState {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: usize,
+}
+
+#[derive(Deserialize)]
+struct RawCloud {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Deserialize)]
+struct RawLimits {
+    max_sockets: usize,
+}
+
+#[derive(Deserialize)]
+struct RawParams {
+    zones: Vec<String>,
+    #[serde(default)]
+    clock_off_ms: f64,
+    #[serde(default)]
+    teams: Vec<RawTeam>,
+    #[serde(default)]
+    objectives: Vec<RawObjective>,
+    workers: RawWorkers,
+    state: RawState,
+    cloud: RawCloud,
+    machine_limits: Option<RawLimits>,
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    node: String,
+    area: String,
+    bind: SocketAddr,
+    peer_bind: SocketAddr,
+    #[serde(default)]
+    others: Vec<RawOther>,
+    outside: RawOutside,
+    params: RawParams,
+}
+
+/// A team's limit as the platform hands it over. "A value of 0 means none"
+/// (DEPLOY): a team that is listed with 0 has no limit of its own. It was taken
+/// for a limit of nothing once, and all that a guest team submitted was refused.
+fn limit(cpus: f64, gpus: f64) -> Amount {
+    let given = Amount::new(cpus, gpus, 0.0);
+    let or_none = |given| if given == 0 { Amount::NO_LIMIT } else { given };
+    Amount {
+        cpu: or_none(given.cpu),
+        gpu: or_none(given.gpu),
+        ram: 0,
+    }
+}
+
+/// Says where the file is wrong: the line itself names the field, the message alone may
+/// not.
+fn toml_error(text: &str, error: &toml::de::Error) -> ConfigError {
+    let at = error
+        .span()
+        .map_or(0, |span| text[..span.start].matches('\n').count());
+    let line = text.lines().nth(at).unwrap_or("").trim();
+    let line: String = line.chars().take(LINE_SHOWN).collect();
+    let message = error.message().replace('\n', " ");
+    let why = format!("line {} ({line}): {message}", at + 1);
+    ConfigError::Toml(PathBuf::new(), why)
+}
+
+fn teams(raw: Vec<RawTeam>) -> Result<Vec<TeamConfig>, ConfigError> {
+    let mut teams: Vec<TeamConfig> = Vec::new();
+    for team in raw {
+        for (key, value) in [
+            ("cpus", team.cpus),
+            ("cpus_max", team.cpus_max),
+            ("gpus", team.gpus),
+            ("gpus_max", team.gpus_max),
+        ] {
+            let name = format!("params.teams.{}.{key}", team.name);
+            in_range(&name, value, 0.0, 1e9)?;
+        }
+        if teams.iter().any(|t| *t.name == *team.name) {
+            let why = format!("{:?} appears twice", team.name);
+            return Err(field("params.teams.name", why));
+        }
+        teams.push(TeamConfig {
+            name: Arc::from(team.name.as_str()),
+            guarantee: Amount::new(team.cpus, team.gpus, 0.0),
+            limit: limit(team.cpus_max, team.gpus_max),
+        });
+    }
+    Ok(teams)
+}
+
+/// What the objectives ask of each class.
+#[derive(Default)]
+struct Aims {
+    start: HashMap<Arc<str>, f64>,
+    finish: HashMap<Arc<str>, Vec<f64>>,
+    deadline: HashMap<Arc<str>, Vec<f64>>,
+}
+
+impl Aims {
+    fn of(objectives: Vec<RawObjective>) -> Self {
+        let mut aims = Self::default();
+        for objective in objectives {
+            let Some(class) = objective.class.map(Arc::<str>::from) else {
+                continue;
+            };
+            match (objective.kind.as_str(), objective.within_s, objective.times) {
+                ("wait", Some(within), _) => {
+                    let least = aims.start.entry(class).or_insert(within);
+                    *least = least.min(within);
+                }
+                ("finished", Some(within), _) => {
+                    aims.finish.entry(class).or_default().push(within);
+                }
+                ("deadline", _, Some(times)) => {
+                    aims.deadline.entry(class).or_default().push(times);
+                }
+                _ => {}
+            }
+        }
+        for times in aims.finish.values_mut().chain(aims.deadline.values_mut()) {
+            times.sort_by(f64::total_cmp);
+        }
+        aims
+    }
+}
+
+/// What has to hold between fields.
+fn check(params: &RawParams) -> Result<(), ConfigError> {
+    if params.zones.is_empty() {
+        return Err(field("params.zones", "no zone is named"));
+    }
+    // No answer to a report is safe then, so none would be given.
+    if horizon_s(params.workers.lease_s, params.workers.cancel_s) <= 0.0 {
+        let why = "has to be longer than a lease, or cancelled tasks could outlast it";
+        return Err(field("params.workers.cancel_s", why));
+    }
+    if params.state.txn_ops < 2 {
+        let why = "a transaction needs at least 2 changes";
+        return Err(field("params.state.txn_ops", why));
+    }
+    Ok(())
+}
+
+impl Config {
+    /// Reads and checks the platform's settings.
+    pub fn parse(text: &str) -> Result<Self, ConfigError> {
+        let raw: Raw = toml::from_str(text).map_err(|e| toml_error(text, &e))?;
+        let p = raw.params;
+        check(&p)?;
+        let positive = |key: &str, value: f64| in_range(key, value, 1e-3, 1e9);
+        let teams = teams(p.teams)?;
+        let aims = Aims::of(p.objectives);
+        Ok(Self {
+            node: NodeId::from(raw.node.as_str()),
+            zone: Zone::from(raw.area.as_str()),
+            bind: raw.bind,
+            peer_bind: raw.peer_bind,
+            others: raw
+                .others
+                .into_iter()
+                .map(|o| Other {
+                    node: NodeId::from(o.node.as_str()),
+                    zone: Zone::from(o.area.as_str()),
+                    address: o.address,
+                })
+                .collect(),
+            cloud: raw.outside.cloud,
+            state: raw.outside.state,
+            zones: p.zones.iter().map(|z| Zone::from(z.as_str())).collect(),
+            teams,
+            start_aims: aims.start,
+            finish_aims: aims.finish,
+            deadline_aims: aims.deadline,
+            report_s: positive("params.workers.report_s", p.workers.report_s)?,
+            lease_s: positive("params.workers.lease_s", p.workers.lease_s)?,
+            cancel_s: positive("params.workers.cancel_s", p.workers.cancel_s)?,
+            state_rps: in_range("params.state.rps", p.state.rps, 5.0, 1e9)?,
+            state_write_rps: in_range("params.state.write_rps", p.state.write_rps, 1.0, 1e9)?,
+            value_bytes: (in_range("params.state.value_kb", p.state.value_kb, 1.0, 1e6)? * 1024.0)
+                as usize,
+            txn_ops: p.state.txn_ops,
+            cloud_rps: in_range("params.cloud.rps", p.cloud.rps, 0.1, 1e9)?,
+            list_lag_s: in_range("params.cloud.list_lag_s", p.cloud.list_lag_s, 0.0, 3600.0)?,
+            max_sockets: p.machine_limits.map_or(1000, |l| l.max_sockets.max(100)),
+            tuning: Tuning::default(),
+            lanes: Lanes::default(),
+            clock_off_ms: in_range("params.clock_off_ms", p.clock_off_ms, 0.0, 3.6e6)?,
+            calendar: None,
+        })
+    }
+}
--- /dev/null
+++ b/src/config/properties.rs
@@ -0,0 +1,116 @@
+//! The operators' own settings: Java properties.
+
+use sorrelhinge_lanes::Lanes;
+
+use super::{field, in_range, ConfigError};
+
+/// The operators' own settings, see `docs/operations.md`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    /// T1+T2 as a multiple of the time that the image's fetch takes.
+    pub delay_fetches: f64,
+    /// Upper bound of T1+T2 in seconds.
+    pub delay_max_s: f64,
+    /// Life of the leader's lease in the state service, in seconds.
+    pub leader_lease_s: f64,
+    /// Seconds that a machine may be silent before it is given back; none:
+    /// the lease, for as long as its tasks may run on unheard. One that the
+    /// machine list does not show any more is given back earlier.
+    pub silent_s: Option<f64>,
+    /// Seconds that a machine stays idle before it is given back.
+    pub idle_s: f64,
+    /// Room kept free for work to come: this many typical jobs of each class.
+    pub headroom: f64,
+    /// Machines are kept for this part of what all teams are guaranteed.
+    pub floor: f64,
+    /// Whether lower priorities and borrowers are stopped for others.
+    pub preempt: bool,
+    /// The machines are divided into at least so many blocks.
+    pub blocks_least: u32,
+    /// A block moves to another controller so often, in seconds, even if nothing
+    /// asks for it; none: only if something does.
+    pub move_every_s: Option<f64>,
+    /// Images of at least so many GB go from machine to machine; none: all come
+    /// from their origin.
+    pub staging_least_gb: Option<f64>,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            delay_fetches: 0.05,
+            delay_max_s: 5.0,
+            leader_lease_s: 2.5,
+            silent_s: None,
+            idle_s: 40.0,
+            headroom: 0.5,
+            floor: 0.35,
+            preempt: true,
+            blocks_least: 1,
+            move_every_s: None,
+            staging_least_gb: None,
+        }
+    }
+}
+
+fn number(key: &str, text: &str, least: f64, most: f64) -> Result<f64, ConfigError> {
+    let value: f64 = text
+        .trim()
+        .parse()
+        .map_err(|_| field(key, format!("not a number: {text:?}")))?;
+    in_range(key, value, least, most)
+}
+
+impl Tuning {
+    /// Reads the operators' properties, but for those of lanes; a key that is not
+    /// known is refused.
+    pub fn parse(text: &[u8]) -> Result<Self, ConfigError> {
+        let pairs = java_properties::read(text).map_err(|e| field("properties", e.to_string()))?;
+        let mut tuning = Self::default();
+        for (key, value) in &pairs {
+            // Read by `lanes`, which refuses those that it doesn't know.
+            if key.starts_with(sorrelhinge_lanes::PREFIX) {
+                continue;
+            }
+            let t = &mut tuning;
+            match key.as_str() {
+                "delay.fetches" => t.delay_fetches = number(key, value, 0.0, 100.0)?,
+                "delay.max.s" => t.delay_max_s = number(key, value, 0.0, 600.0)?,
+                "leader.lease.s" => t.leader_lease_s = number(key, value, 1.0, 60.0)?,
+                "machine.silent.s" => t.silent_s = Some(number(key, value, 5.0, 600.0)?),
+                "fleet.idle.s" => t.idle_s = number(key, value, 0.0, 86_400.0)?,
+                "fleet.headroom" => t.headroom = number(key, value, 0.0, 10.0)?,
+                "fleet.floor" => t.floor = number(key, value, 0.0, 10.0)?,
+                "blocks.least" => {
+                    let most = f64::from(sorrelhinge_blocks::shard::MAX_BLOCKS);
+                    let least = number(key, value, 1.0, most)?;
+                    if least.fract() != 0.0 {
+                        return Err(field(key, format!("{least} is not a whole number")));
+                    }
+                    t.blocks_least = least as u32;
+                }
+                "blocks.move.every.s" => {
+                    t.move_every_s = Some(number(key, value, 2.0, 86_400.0)?);
+                }
+                "staging.least.gb" => {
+                    t.staging_least_gb = Some(number(key, value, 0.001, 1e6)?);
+                }
+                "preempt" => {
+                    t.preempt = value
+                        .trim()
+                        .parse()
+                        .map_err(|_| field(key, "neither true nor false"))?;
+                }
+                _ => return Err(field(key, "no such property")),
+            }
+        }
+        Ok(tuning)
+    }
+}
+
+/// Reads the lanes in the operators' properties.
+pub fn lanes(text: &[u8]) -> Result<Lanes, ConfigError> {
+    let pairs = java_properties::read(text).map_err(|e| field("properties", e.to_string()))?;
+    let pairs = pairs.iter().map(|(k, v)| (k.as_str(), v.as_str()));
+    Lanes::read(pairs).map_err(|why| field("properties", why.to_string()))
+}
--- a/src/control/block_grants.rs
+++ b/src/control/block_grants.rs
@@ -13,7 +13,7 @@
 use crate::types::{Revision, Term};
 
 /// How often the leader looks at who owns what.
-pub(super) const LOOK: Duration = Duration::from_millis(300);
+pub(super) const GRANT_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
 impl Node {
     /// Whether this controller leads.
@@ -28,7 +28,7 @@
     pub(super) async fn share_out(self: Rc<Self>) {
         let mut divide_at = None;
         loop {
-            let _ = timeout(LOOK, self.shares_changed.notified()).await;
+            let _ = timeout(GRANT_CHECK_INTERVAL, self.shares_changed.notified()).await;
             let (loaded, blocks, leaderless) = {
                 let view = self.view.borrow();
                 let leaderless = view.leader.value.is_none();
--- a/src/control/block_needs.rs
+++ b/src/control/block_needs.rs
@@ -13,9 +13,9 @@
 use crate::types::{MachineId, NodeId};
 
 /// How often owners tell what they use and want.
-pub(super) const TELL: Duration = Duration::from_millis(700);
+pub(super) const NEEDS_INTERVAL: Duration = Duration::from_millis(700);
 /// What is known of another block's needs is of use for so long.
-pub(super) const KNOWN: Duration = Duration::from_secs(3);
+pub(super) const NEEDS_VALID_FOR: Duration = Duration::from_secs(3);
 
 impl Node {
     pub(super) fn others_known(&self) -> Vec<NodeId> {
@@ -33,7 +33,7 @@
     pub(super) async fn tell_needs(self: Rc<Self>) {
         let mut gave = Instant::now();
         loop {
-            sleep(TELL).await;
+            sleep(NEEDS_INTERVAL).await;
             if self.view_blocks() == 1 || self.cores.borrow().is_empty() {
                 continue;
             }
--- a/src/control/blocks_shown.rs
+++ b/src/control/blocks_shown.rs
@@ -1,15 +1,20 @@
 //! Blocks as operators see them, and pinning one to a controller.
 
+use std::time::Duration;
+
 use sorrelhinge_blocks::shard::BlockId;
 use sorrelhinge_protocol::operators::{BlockShown, BlocksShown, PinAsked, TeamShown};
 
-use super::block_needs::KNOWN;
+use super::block_needs::NEEDS_VALID_FOR;
 use super::drains::Refused;
 use super::Node;
 use crate::state::record::{block_key, BlockRecord};
 use crate::state::{Change, Outcome};
 use crate::types::NodeId;
 
+/// For how long a change that an operator asked for is tried.
+const CHANGE_PATIENCE: Duration = Duration::from_secs(3);
+
 impl Node {
     /// Blocks, owners, machines, parts of limits and moves under way.
     pub fn show_blocks(&self) -> BlocksShown {
@@ -21,7 +26,9 @@
             let b = &held.value;
             let member = view.members.get(&b.owner);
             let alive = member.is_some_and(|m| m.value.run == b.run);
-            let told = told.get(block).filter(|(at, _)| at.elapsed() < KNOWN);
+            let told = told
+                .get(block)
+                .filter(|(at, _)| at.elapsed() < NEEDS_VALID_FOR);
             let told = told.map(|(_, needs)| needs);
             let cpus = |milli: i64| milli as f64 / 1000.0;
             let teams = self.cfg.teams.iter().map(|t| {
@@ -101,7 +108,7 @@
                 (block_key(block), held.stamp, record)
             };
             let change = Change::write(key.clone(), &record, None);
-            match self.state.change(key, stamp, change, KNOWN).await {
+            match self.state.change(key, stamp, change, CHANGE_PATIENCE).await {
                 Ok(Outcome::Done(revision)) => {
                     self.peers.announce(revision);
                     return Ok(());
--- a/src/control/calendar.rs
+++ b/src/control/calendar.rs
@@ -1,13 +1,21 @@
 //! The release calendar: the file, the steps of windows, operators' requests.
 
+use std::rc::Rc;
+use std::time::Duration;
+
+use sorrelhinge_blocks::shard::BlockId;
 use sorrelhinge_calendar::record::{CalendarRecord, Taken, CALENDAR_KEY};
 use sorrelhinge_calendar::settings::{check_windows, Known};
 use sorrelhinge_calendar::shown::{CalendarShown, PinWindow, UnpinWindow};
+use tokio::time::sleep;
 
-use super::*;
+use super::drains::Refused;
+use super::{core, wall_ms, Node};
+use crate::state::{Change, Outcome, Urgency};
+use crate::types::Revision;
 
 /// How often windows are looked at.
-const LOOK: Duration = Duration::from_secs(1);
+const CALENDAR_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a change may take.
 const PATIENCE: Duration = Duration::from_millis(1500);
 
@@ -34,7 +42,7 @@
         };
         let mut told = false;
         loop {
-            sleep(LOOK).await;
+            sleep(CALENDAR_INTERVAL).await;
             if !self.view.borrow().loaded {
                 continue;
             }
--- a/src/control/core/largest_jobs.rs
+++ b/src/control/core/largest_jobs.rs
@@ -15,7 +15,7 @@
         let cpu = job.spec.each.times(i64::from(job.spec.tasks)).cpu;
         let (class, _) = job.sort();
         let begun = job.started;
-        if self.largest.came(id, &class, cpu) {
+        if self.largest_jobs.came(id, &class, cpu) {
             // When it began was told by the owner that placed it.
             let state = if begun { "begun" } else { "came" };
             self.tell_largest(id, state, None, now);
@@ -24,14 +24,14 @@
 
     /// A job's first task was placed here, after so many seconds.
     pub(super) fn largest_began(&self, id: &JobId, wait_s: f64, now: Time) {
-        if self.largest.is(id) {
+        if self.largest_jobs.is(id) {
             self.tell_largest(id, "begun", Some(wait_s), now);
         }
     }
 
     /// A job is over.
     pub(super) fn largest_over(&mut self, id: &JobId, state: &str, now: Time) {
-        if self.largest.over(id) {
+        if self.largest_jobs.over(id) {
             self.tell_largest(id, state, None, now);
         }
     }
@@ -40,11 +40,11 @@
     /// they begin, nothing else would tell.
     pub(super) fn largest_late(&mut self, now: Time) {
         let waits = self.cluster_state.wanting().filter(|(_, j)| !j.started);
-        let late =
-            waits.filter(|(id, j)| self.largest.is(id) && now.since(j.submitted) > BEGIN_WITHIN_S);
+        let late = waits
+            .filter(|(id, j)| self.largest_jobs.is(id) && now.since(j.submitted) > BEGIN_WITHIN_S);
         let late: Vec<JobId> = late.map(|(id, _)| id.clone()).collect();
         for id in late {
-            if self.largest.late(&id) {
+            if self.largest_jobs.late(&id) {
                 self.tell_largest(&id, "late", None, now);
             }
         }
--- a/src/control/core/load.rs
+++ b/src/control/core/load.rs
@@ -83,7 +83,7 @@
             sharing: sharing::Sharing::default(),
             places,
             served: Served::default(),
-            largest: Largest::default(),
+            largest_jobs: Largest::default(),
             last_served: now,
             starved: BTreeSet::new(),
             types: HashMap::new(),
@@ -113,7 +113,7 @@
             listed: false,
             arrivals: BTreeMap::new(),
             deleted: BTreeMap::new(),
-            gone: DeletedMachines::load(view, shard),
+            deleted_machines: DeletedMachines::load(view, shard),
             gone_before: view
                 .gone
                 .values()
--- a/src/control/core/machine_list.rs
+++ b/src/control/core/machine_list.rs
@@ -159,7 +159,7 @@
             }
             self.walk_all = true;
             self.deleted.insert(id.clone(), now);
-            self.gone.add(id, now);
+            self.deleted_machines.add(id, now);
             self.links.remove(id);
             self.coming.remove(id);
             self.missing.remove(id);
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -113,7 +113,7 @@
     sharing: sharing::Sharing,
     places: Places,
     served: Served,
-    largest: Largest,
+    largest_jobs: Largest,
     last_served: Time,
     /// Who starved when that was last told.
     starved: BTreeSet<Sort>,
@@ -162,7 +162,7 @@
     /// show.
     deleted: BTreeMap<MachineId, Time>,
     /// Those to note for later owners, and those that earlier ones noted.
-    gone: DeletedMachines,
+    deleted_machines: DeletedMachines,
     gone_before: BTreeSet<MachineId>,
     started: Time,
     /// The time of day when it started, in milliseconds.
--- a/src/control/core/record.rs
+++ b/src/control/core/record.rs
@@ -221,7 +221,7 @@
             }
         }
         if batch.txn.apply.len() < most_ops {
-            let change = self.gone.change(self.cfg.value_bytes, now);
+            let change = self.deleted_machines.change(self.cfg.value_bytes, now);
             batch.txn.apply.extend(change);
         }
         (!batch.txn.apply.is_empty()).then_some(batch)
--- a/src/control/core/renting.rs
+++ b/src/control/core/renting.rs
@@ -206,7 +206,7 @@
             tracing::info!(machine = %id, "it reports and hears nothing: given back");
             self.give_back(&id);
         }
-        let mut gone = Vec::new();
+        let mut to_delete = Vec::new();
         for (id, link) in &mut self.links {
             let machine = self.cluster_state.machines().get(id);
             let empty = machine.is_none_or(|m| m.claims.is_empty());
@@ -224,7 +224,7 @@
                 link.deleting = true;
             }
             if link.deleting {
-                gone.push(id.clone());
+                to_delete.push(id.clone());
             }
         }
         let types = &self.types;
@@ -233,13 +233,13 @@
             let stuck = now.since(c.since) > 2.5 * boot + 10.0;
             let missing = self.missing.get(id).is_some_and(|n| *n >= 2);
             if stuck || missing {
-                gone.push(id.clone());
+                to_delete.push(id.clone());
             }
         }
         let coming: Vec<fleet::Coming> = self
             .coming
             .iter()
-            .filter(|(id, _)| !gone.contains(id))
+            .filter(|(id, _)| !to_delete.contains(id))
             .filter_map(|(_, c)| {
                 Some(fleet::Coming {
                     kind: types.get(&c.kind)?.clone(),
@@ -252,7 +252,7 @@
         offered.sort_by(|a, b| a.name.cmp(&b.name));
         let settled = now.since(self.started) > 2.0 * self.cfg.report_s;
         if !settled || self.renting > 0 {
-            return (gone, Vec::new());
+            return (to_delete, Vec::new());
         }
         // Nothing to do and nothing asked for: the next job finds a new
         // machine, rather than its like all being paid for until it comes.
@@ -380,7 +380,7 @@
                 number: want.count,
             });
         }
-        (gone, rentals)
+        (to_delete, rentals)
     }
 
     /// A rental's outcome: the machines, or none if there is no capacity or
--- a/src/control/drains.rs
+++ b/src/control/drains.rs
@@ -1,12 +1,16 @@
 //! Operators' requests: drains, and what the topology shows.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use sorrelhinge_protocol::operators::{DomainShown, DrainAsked, DrainShown, Target, TopologyShown};
 use sorrelhinge_topology::drain::{Drain, Target as What};
 
-use super::*;
+use super::core::Core;
+use super::{wall_ms, Node};
 use crate::state::record::drain_key;
+use crate::state::{Change, Outcome};
+use crate::types::{MachineId, NodeId, Revision};
 
 /// Most drains at a time: each is a key that all controllers hold.
 const MOST_DRAINS: usize = 1000;
--- a/src/control/following.rs
+++ b/src/control/following.rs
@@ -1,8 +1,14 @@
 //! The local view: kept fresh, and told apart from what may be old.
 
-use super::*;
+use std::rc::Rc;
+use std::time::Duration;
 
 use sorrelhinge_overload::freshness::watch_s;
+use tokio::time::{sleep, timeout, Instant};
+
+use super::{wall_ms, Node, BEHIND, FRESH, STALE, SYNC_GAP, SYNC_GAP_MOST};
+use crate::state::{StateError, Urgency};
+use crate::types::Revision;
 
 impl Node {
     /// Whether requests can be taken: not while the others are served by the
--- a/src/control/leading.rs
+++ b/src/control/leading.rs
@@ -1,6 +1,18 @@
 //! Leadership: standing for it, the grant, and standing down.
 
-use super::*;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sorrelhinge_blocks::reach::Reach;
+use sorrelhinge_blocks::shard::BlockId;
+use tokio::time::{sleep, timeout, Instant};
+
+use super::core::Core;
+use super::{wall_ms, Node, LEADER_CHANGES, LEADER_REQUESTS, UNFIT, UNFIT_WAIT};
+use crate::state::record::{GrantRecord, LeaderRecord, GRANT, LEADER};
+use crate::state::view::Versioned;
+use crate::state::{Change, Outcome, StateError, Txn, Urgency, When};
+use crate::types::{Revision, Term};
 
 impl Node {
     /// Becomes leader whenever there is none, and stays it.
--- a/src/control/limit_transfers.rs
+++ b/src/control/limit_transfers.rs
@@ -7,7 +7,7 @@
 use sorrelhinge_blocks::slices::{next_transfer, Need};
 use tokio::time::sleep;
 
-use super::block_needs::KNOWN;
+use super::block_needs::NEEDS_VALID_FOR;
 use super::Node;
 use crate::state::record::{block_key, slice_key, SliceRecord};
 use crate::state::{Change, Outcome, Txn, Urgency, When};
@@ -24,7 +24,9 @@
             .map(|b| {
                 let block = BlockId(b);
                 let slices = &view.slices.get(&block)?.value;
-                let (_, needs) = known.get(&block).filter(|(at, _)| at.elapsed() < KNOWN)?;
+                let (_, needs) = known
+                    .get(&block)
+                    .filter(|(at, _)| at.elapsed() < NEEDS_VALID_FOR)?;
                 let team = |t: &crate::config::TeamConfig| {
                     let need = needs.teams.iter().find(|(name, _)| **name == *t.name);
                     Need {
--- a/src/control/load.rs
+++ b/src/control/load.rs
@@ -1,15 +1,23 @@
 //! What this controller is asked for, what it serves, and which resource
 //! binds; what follows is decided in `sorrelhinge-overload`.
 
-use super::*;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
 
 use sorrelhinge_overload::fleet_limit::FleetLimit;
 use sorrelhinge_overload::pressure::{Level, Pressure, Resource, Sample};
 use sorrelhinge_overload::renewal::Relief;
 use sorrelhinge_overload::report_offload::{ReportLoad, ReportOffload};
+use tokio::time::{sleep, Instant};
+
+use super::core::Core;
+use super::{Node, SentOn, MOST_SENT_ON};
+use crate::peer;
+use crate::types::{MachineId, NodeId};
 
 /// How often it is measured.
-const LOOK: Duration = Duration::from_millis(500);
+const LOAD_SAMPLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Claims may wait for so long to be recorded, in seconds, before no more are
 /// made.
 const CLAIMS_S: f64 = 2.5;
@@ -178,7 +186,7 @@
         let mut logged = Instant::now();
         let mut late_before = 0;
         loop {
-            sleep(LOOK).await;
+            sleep(LOAD_SAMPLE_INTERVAL).await;
             let passed = last.elapsed().as_secs_f64().max(1e-3);
             last = Instant::now();
             let now = self.now();
@@ -195,7 +203,7 @@
                 wait_s: self
                     .connections
                     .wait_s()
-                    .max(passed - LOOK.as_secs_f64() - 0.02),
+                    .max(passed - LOAD_SAMPLE_INTERVAL.as_secs_f64() - 0.02),
                 sockets: self.connections.used(),
                 change_wait_s: self
                     .cores
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -40,18 +40,17 @@
 use sorrelhinge_topology::Topology;
 use tokio::sync::{watch, Notify};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::Instant;
 
-use self::core::{Core, Source};
-use crate::cloud::{CloudClient, CloudError};
+use self::core::Core;
+use crate::cloud::CloudClient;
 use crate::config::Config;
 use crate::connections::Connections;
 use crate::peer::{self, Peers};
-use crate::state::record::{job_key, GrantRecord, JobRecord, LeaderRecord, Phase, GRANT, LEADER};
-use crate::state::view::{Summary, Versioned, View};
-use crate::state::{Change, Outcome, StateClient, StateError, Txn, Urgency, When};
-use crate::types::{JobId, JobSpec, LeaseId, MachineId, MachineType, NodeId, Revision, Term, Time};
-use crate::worker::{send_orders, Reply, Report, Sending};
+use crate::state::view::{Summary, View};
+use crate::state::StateClient;
+use crate::types::{LeaseId, MachineId, MachineType, NodeId, Revision, Time};
+use crate::worker::Reply;
 
 pub use calendar::{day_ms, CalendarAsked};
 pub use drains::Refused;
--- a/src/control/owning.rs
+++ b/src/control/owning.rs
@@ -1,6 +1,20 @@
 //! The block owner's duties: the loops that drive the core.
 
-use super::*;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sorrelhinge_blocks::shard::BlockId;
+use sorrelhinge_overload::pace::Pace;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout, Instant};
+
+use super::core::Core;
+use super::{core, Node, FLEET_EVERY, LISTED_A_SECOND, TICK};
+use crate::cloud::CloudError;
+use crate::state::{Outcome, Urgency};
+use crate::types::{MachineId, Time};
+use crate::worker::{send_orders, Sending};
 
 /// A look at the whole fleet that takes so long, in seconds, is told of in the
 /// log: everything else waits for it.
@@ -296,14 +310,14 @@
             if !self.paces.fleet.borrow().due(now) {
                 continue;
             }
-            let mut gone: Vec<MachineId> = Vec::new();
+            let mut to_delete: Vec<MachineId> = Vec::new();
             let mut rentals = Vec::new();
             for (block, c) in self.cores.borrow_mut().iter_mut() {
                 let plan = self.timed("fleet", &self.paces.fleet, || c.fleet(now));
-                gone.extend(plan.0);
+                to_delete.extend(plan.0);
                 rentals.extend(plan.1.into_iter().map(|r| (*block, c.grant, r)));
             }
-            for machines in gone.chunks(100) {
+            for machines in to_delete.chunks(100) {
                 match self.cloud.delete(machines).await {
                     Ok(()) => {
                         tracing::info!(?machines, "deleted");
--- a/src/control/polls.rs
+++ b/src/control/polls.rs
@@ -1,10 +1,18 @@
 //! Polls: which are answered while not all can be, and who answers one that
 //! this controller can't confirm.
 
-use super::*;
+use std::cell::Cell;
+use std::time::Duration;
 
 use sorrelhinge_overload::asked::{Poll, Verdict};
 use sorrelhinge_overload::pressure::Level;
+use tokio::time::Instant;
+
+use super::Node;
+use crate::peer;
+use crate::state::record::Phase;
+use crate::state::view::Summary;
+use crate::types::{JobId, NodeId};
 
 /// A user waits 2 s: an answer after this comes too late.
 const ANSWERED: Duration = Duration::from_millis(1900);
--- a/src/control/renewing.rs
+++ b/src/control/renewing.rs
@@ -1,15 +1,22 @@
 //! Leases renewed for an owner that has no time; what may be answered so is
 //! decided in `sorrelhinge_overload::renewal`.
 
-use super::*;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
 
 use sorrelhinge_overload::renewal::{Content, Route};
+use tokio::time::sleep;
 
 use super::vouching::vouches;
+use super::{load, Beat, Node};
+use crate::peer;
 use crate::peer::HeardOf;
+use crate::types::{NodeId, Time};
+use crate::worker::{Reply, Report};
 
 /// How often an owner is told which machines were heard.
-const TELL: Duration = Duration::from_millis(500);
+const HEARD_NOTICE_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Node {
     /// Whether this controller's view of the records is new enough to answer
@@ -85,7 +92,7 @@
     /// Tells owners which machines were heard for them.
     pub(super) async fn tell_heard(self: Rc<Self>) {
         loop {
-            sleep(TELL).await;
+            sleep(HEARD_NOTICE_INTERVAL).await;
             let mut by_owner: HashMap<NodeId, Vec<HeardOf>> = HashMap::new();
             for (owner, heard) in self.heard_for.borrow_mut().drain(..) {
                 by_owner.entry(owner).or_default().push(heard);
--- a/src/control/users.rs
+++ b/src/control/users.rs
@@ -1,10 +1,17 @@
 //! Users' requests: submissions, polls and cancellations.
 
+use std::time::Duration;
+
 use sorrelhinge_lanes::shown::LanesShown;
 use sorrelhinge_protocol::users::read_job;
 
-use super::*;
+use super::drains::Refused;
+use super::{wall_ms, Node, Submitted, FRESH, MOST_SUBMISSIONS};
 use crate::sched::ClusterState;
+use crate::state::record::{job_key, JobRecord, Phase};
+use crate::state::view::{Summary, Versioned};
+use crate::state::{Change, Outcome, StateError};
+use crate::types::{JobId, JobSpec, Revision};
 
 impl Node {
     /// Why a job can never run, if that is so; none if it can't be told yet.
--- a/src/control/workers.rs
+++ b/src/control/workers.rs
@@ -1,8 +1,16 @@
 //! Workers' reports: taken as the owner, or passed on.
 
-use super::*;
+use std::rc::Rc;
+use std::time::Duration;
 
 use sorrelhinge_blocks::isolation::PeerContact;
+use tokio::time::Instant;
+
+use super::core::Source;
+use super::{polls, Beat, Node, SentOn, CUT_OFF, MOST_SENT_ON, PASS_ON};
+use crate::peer;
+use crate::types::{MachineId, NodeId};
+use crate::worker::Report;
 
 impl Node {
     /// Takes a worker's report, `body` as it came.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,18 +4,21 @@
 //! the machines that there are; what finds no room there is rented, the
 //! cheapest first, and machines that nothing was packed into may go.
 
+mod packing;
 mod placed;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
-use sorrelhinge_topology::devices::{Held, Stock};
 use sorrelhinge_topology::renting::Memory;
-use sorrelhinge_topology::tree::Domain;
 
-use crate::sched::{ClusterState, Job, Progress};
+use self::packing::{Item, Packing, Room};
+use crate::sched::{ClusterState, Job, Machine, Progress};
 use crate::types::{Amount, JobId, JobSpec, Kind, MachineId, MachineType, Time, TypeName, Zone};
 
+/// Part of a boot that work waits for tasks to end.
+const QUEUED: f64 = 0.5;
+
 /// A machine on its way.
 #[derive(Clone, Debug)]
 pub struct Coming {
@@ -96,340 +99,68 @@
     pub memory: &'a Memory,
 }
 
-struct Room {
-    id: Option<MachineId>,
-    kind: Rc<MachineType>,
-    zone: Zone,
-    spot: bool,
-    /// Free now.
-    free: Amount,
-    /// Free once tasks have ended that should end while a machine boots.
-    soon: Amount,
-    kept: Amount,
-    /// Where it is, once it is up.
-    place: Option<Domain>,
-    /// Its devices, and those that are held; what comes up has those of its type.
-    stock: Rc<Stock>,
-    held: Held,
-    /// A task hopes for it: it may come up where its rules allow it.
-    hoped: bool,
-    /// Something that can't be moved off, or was packed here.
-    used: bool,
-}
-
-impl Room {
-    fn new(kind: Rc<MachineType>, zone: Zone, spot: bool) -> Self {
-        Self {
-            id: None,
-            free: kind.total,
-            soon: kind.total,
-            kind,
-            zone,
-            spot,
-            kept: Amount::default(),
-            place: None,
-            stock: Rc::default(),
-            held: Held::default(),
-            hoped: false,
-            used: true,
-        }
-    }
-    fn suits(&self, spec: &JobSpec) -> bool {
-        spec.each.fits(self.kind.total)
-            && (spec.spot || !self.spot)
-            && spec.zone.as_ref().is_none_or(|z| *z == self.zone)
-            && spec
-                .types
-                .as_ref()
-                .is_none_or(|t| t.contains(&self.kind.name))
-    }
-    fn available(&self, soon: bool) -> Amount {
-        if soon {
-            self.soon
-        } else {
-            self.free
-        }
-    }
-    fn bin(&self) -> Bin {
-        Bin {
-            spot: self.spot,
-            used: self.used,
-            kind: self.kind.name.clone(),
-            zone: self.zone.clone(),
-        }
-    }
-}
-
-/// Rooms that are as good as each other but for how tight they are.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct Bin {
-    spot: bool,
-    used: bool,
-    kind: TypeName,
-    zone: Zone,
-}
-
-struct Item {
-    spec: Rc<JobSpec>,
-    tasks: u32,
-    /// Room that is only kept.
-    expected: bool,
-    /// It has waited so long already that its aims are in danger.
-    late: bool,
-    /// It has waited for about as long as it can for tasks to end: they do,
-    /// but as much work comes as they leave room for.
-    queued: bool,
-    /// Its job has rules that its spec alone does not tell.
-    placed: Option<JobId>,
-    /// Its job is in a lane.
-    lane: bool,
-    /// For a window's hold.
-    window: Option<String>,
-}
+/// Tasks to be packed, by job.
+type Wanting<'a> = BTreeMap<&'a JobId, u32>;
 
-struct Packing<'a> {
-    input: &'a Input<'a>,
-    rooms: Vec<Room>,
-    /// Rooms by what is free now, and by what is free soon: the tightest first.
-    bins: [BTreeMap<Bin, BTreeSet<(i64, usize)>>; 2],
-    crowd: HashMap<Zone, u32>,
-    total_cpu: i64,
-    guaranteed_cpu: i64,
-    rent: BTreeMap<(bool, TypeName, Zone), u32>,
-    /// Machines rented for the sake of where they may come up, on their way
-    /// and new.
-    hoped: u32,
-    /// Rooms from here on are rented by this plan.
-    new_from: usize,
-    /// What of windows' holds was packed into machines on their way.
-    coming: BTreeMap<String, u32>,
+/// Room that windows hold: on each machine so much, and of each window on each machine
+/// so many tasks' room.
+#[derive(Default)]
+struct HeldRoom<'a> {
+    by_machine: HashMap<&'a MachineId, Amount>,
+    cover: BTreeMap<(String, MachineId), u32>,
 }
 
-impl Packing<'_> {
-    fn add(&mut self, room: Room) -> usize {
-        *self.crowd.entry(room.zone.clone()).or_insert(0) += 1;
-        self.total_cpu += room.kind.total.cpu;
-        self.rooms.push(room);
-        let at = self.rooms.len() - 1;
-        self.file(at, true);
-        at
-    }
-
-    fn file(&mut self, at: usize, put: bool) {
-        let room = &self.rooms[at];
-        for (soon, bins) in self.bins.iter_mut().enumerate() {
-            let bin = bins.entry(room.bin()).or_default();
-            let key = (room.available(soon == 1).cpu, at);
-            if put {
-                bin.insert(key);
-            } else {
-                bin.remove(&key);
-            }
-        }
-    }
-
-    /// The room for a task that ranks best: spot machines for what may use
-    /// them, then machines that stay anyway, then the tightest fit.
-    fn fitting(
-        &self,
-        spec: &JobSpec,
-        soon: bool,
-        barred: &dyn Fn(&Zone) -> bool,
-        pass: &dyn Fn(&Room) -> bool,
-    ) -> Option<usize> {
-        let mut best: Option<((bool, bool, bool, i64), usize)> = None;
-        for (bin, rooms) in &self.bins[usize::from(soon)] {
-            if barred(&bin.zone) {
-                continue;
-            }
-            for &(cpu, at) in rooms.range((spec.each.cpu, 0)..) {
-                let room = &self.rooms[at];
-                if !room.suits(spec) {
-                    break;
-                }
-                if !spec.each.fits(room.available(soon)) || !pass(room) {
-                    continue;
-                }
-                let apart =
-                    spec.kind == Kind::Service && !self.input.cluster_state.is_served(&bin.zone);
-                let rank = (spec.spot && !bin.spot, apart, !bin.used, cpu);
-                if best.as_ref().is_none_or(|(r, _)| rank < *r) {
-                    best = Some((rank, at));
-                }
-                break;
-            }
-        }
-        best.map(|(_, at)| at)
-    }
-
-    fn cheapest(&self, item: &Item, left_cpu: i64, barred: &dyn Fn(&Zone) -> bool) -> Option<Room> {
-        let spec = &item.spec;
-        let mut best: Option<(f64, Room)> = None;
-        for kind in self.input.types.iter().filter(|t| t.total.cpu > 0) {
-            for zone in kind.zones.iter().filter(|z| !barred(z)) {
-                for spot in [true, false] {
-                    let room = self.new_room(kind, zone, spot);
-                    let asked = self
-                        .rent
-                        .get(&(spot, kind.name.clone(), zone.clone()))
-                        .copied()
-                        .unwrap_or(0);
-                    if !room.suits(spec)
-                        || asked >= MOST_RENTED
-                        || !(self.input.open)(&kind.name, zone, spot)
-                    {
-                        continue;
-                    }
-                    if spec.spot && !spot && !item.late && self.total_cpu >= self.guaranteed_cpu {
-                        // Dear: only for what the teams were promised, or for
-                        // a queue that spot machines have not kept short.
-                        continue;
-                    }
-                    let price = if spot { kind.spot_price } else { kind.price };
-                    // By what of the machine will be of use now; among equals
-                    // the zone with the fewest machines, so that work spreads.
-                    let useful = kind.total.cpu.min(left_cpu.max(spec.each.cpu)).max(1);
-                    let crowd = self.crowd.get(zone).copied().unwrap_or(0);
-                    let apart =
-                        spec.kind == Kind::Service && !self.input.cluster_state.is_served(zone);
-                    let apart = if apart { UNSERVED } else { 1.0 };
-                    let score = price / useful as f64 * (1.0 + 1e-4 * f64::from(crowd)) * apart;
-                    if best.as_ref().is_none_or(|(s, _)| score < *s) {
-                        best = Some((score, room));
-                    }
-                }
-            }
-        }
-        best.map(|(_, room)| room)
-    }
-
-    fn pack(&mut self, item: &Item) {
-        let spec = &item.spec;
-        let mut zones: BTreeMap<Zone, u32> = BTreeMap::new();
-        let most = if spec.spread {
-            item.tasks.div_ceil(2)
-        } else {
-            item.tasks
-        };
-        // What is only expected needs its room at once; what waits can take
-        // the room of tasks that end soon.
-        let soon = !item.expected && !item.queued && (self.input.patient)(spec);
-        let mut left = item.tasks;
-        while left > 0 {
-            let barred = |z: &Zone| zones.get(z).is_some_and(|n| *n >= most);
-            let left_cpu = spec.each.cpu * i64::from(left);
-            let fitting = self.fitting(spec, soon, &barred, &|_| true);
-            // An ordinary machine that nothing else holds is dear for work
-            // that may use spot machines: rather rent one of those.
-            let keep = fitting
-                .map(|at| &self.rooms[at])
-                .is_some_and(|r| !spec.spot || r.spot || r.used);
-            let mut chosen = fitting;
-            if !keep {
-                let rented = self
-                    .cheapest(item, left_cpu, &barred)
-                    .filter(|r| r.spot || fitting.is_none());
-                if let Some(room) = rented {
-                    *self
-                        .rent
-                        .entry((room.spot, room.kind.name.clone(), room.zone.clone()))
-                        .or_insert(0) += 1;
-                    chosen = Some(self.add(room));
-                }
-            }
-            let Some(at) = chosen else { return };
-            self.file(at, false);
-            let room = &mut self.rooms[at];
-            let in_zone = zones.entry(room.zone.clone()).or_insert(0);
-            // A spread job's tasks go to one room after another, as their
-            // zones fill up.
-            let count = spec
-                .each
-                .how_many(room.available(soon))
-                .min(left)
-                .min(most - *in_zone)
-                .max(1);
-            let count = if spec.spread { 1 } else { count };
-            let taken = spec.each.times(i64::from(count));
-            room.free -= taken;
-            room.soon -= taken;
-            room.used = true;
-            match &item.window {
-                Some(window) if room.id.is_none() && at < self.new_from => {
-                    *self.coming.entry(window.clone()).or_insert(0) += count;
-                }
-                None if item.expected && !spec.spot => room.kept += taken,
-                _ => {}
-            }
-            *in_zone += count;
-            left -= count;
-            self.file(at, true);
+impl<'a> HeldRoom<'a> {
+    fn of(cluster_state: &'a ClusterState) -> Self {
+        let mut held = Self::default();
+        for (window, id, tasks) in cluster_state.held_room() {
+            *held.by_machine.entry(id).or_default() += window.each().times(i64::from(tasks));
+            held.cover.insert((window.name.clone(), id.clone()), tasks);
         }
+        held
     }
 }
 
-/// How much dearer a machine counts for a service in a zone without a controller.
-const UNSERVED: f64 = 2.0;
-/// Part of a boot that work waits for tasks to end.
-const QUEUED: f64 = 0.5;
-/// Most machines in one request.
-const MOST_RENTED: u32 = 50;
-
 /// Makes the plan.
 pub fn plan(input: &Input, now: Time) -> Plan {
-    let cluster_state = input.cluster_state;
-    let mut packing = Packing {
-        input,
-        rooms: Vec::new(),
-        bins: Default::default(),
-        crowd: HashMap::new(),
-        total_cpu: 0,
-        guaranteed_cpu: cluster_state.guaranteed().cpu,
-        rent: BTreeMap::new(),
-        hoped: 0,
-        new_from: usize::MAX,
-        coming: BTreeMap::new(),
-    };
+    let mut packing = Packing::new(input);
     // Held room is used, by a window that has not begun or whose work is to come.
-    let mut held: HashMap<&MachineId, Amount> = HashMap::new();
-    let mut cover: BTreeMap<(String, MachineId), u32> = BTreeMap::new();
-    for (window, id, tasks) in cluster_state.held_room() {
-        *held.entry(id).or_default() += window.each().times(i64::from(tasks));
-        cover.insert((window.name.clone(), id.clone()), tasks);
-    }
+    let mut held = HeldRoom::of(input.cluster_state);
     // Tasks that could move to spot machines are packed anew, by job.
-    let mut again: BTreeMap<&JobId, u32> = BTreeMap::new();
-    for (id, m) in cluster_state.machines().iter().filter(|(_, m)| m.usable) {
-        let fixed = m.used - m.movable;
-        let mut room = Room::new(m.kind.clone(), m.zone.clone(), m.spot);
-        room.id = Some(id.clone());
-        room.free -= fixed;
-        room.soon = room.free;
-        room.used = fixed != Amount::default();
-        if let Some(amount) = held.get(id) {
-            room.free -= *amount;
-            room.soon = room.free;
-            room.used = true;
-        }
-        room.place = Some(m.place);
-        room.stock = m.stock.clone();
-        if m.held.any() {
-            room.held = m.held.clone();
+    let mut again = Wanting::new();
+    add_machines(&mut packing, input, &held.by_machine, &mut again, now);
+    add_drained(input.cluster_state, &mut again);
+    let wanting = wanting(input.cluster_state, &mut held.cover, again, now);
+    for item in &items(input, wanting, now) {
+        let placed = item.placed.as_ref();
+        match placed.and_then(|id| input.cluster_state.job(id)) {
+            Some(job) => packing.pack_placed(item, job),
+            None => packing.pack(item),
         }
-        for task in &m.claims {
-            let Some(job) = cluster_state.job(&task.job) else {
+    }
+    outcome(packing)
+}
+
+/// Adds the machines that there are and those on their way; `again` gets the tasks that
+/// could move to spot machines.
+fn add_machines<'a>(
+    packing: &mut Packing,
+    input: &Input<'a>,
+    held: &HashMap<&MachineId, Amount>,
+    again: &mut Wanting<'a>,
+    now: Time,
+) {
+    let machines = input.cluster_state.machines().iter();
+    for (id, machine) in machines.filter(|(_, m)| m.usable) {
+        let mut room = room_of(id, machine, held.get(id).copied());
+        for task in &machine.claims {
+            let Some(job) = input.cluster_state.job(&task.job) else {
                 continue;
             };
-            if job.spec.spot && !m.spot {
+            if job.spec.spot && !machine.spot {
                 *again.entry(&task.job).or_insert(0) += 1;
-            } else if job.spec.kind == Kind::Array {
-                let claim = job.tasks.claims().get(&task.index);
-                if let Some(Progress::Running(since)) = claim.map(|c| c.progress) {
-                    let left = (job.spec.estimate_s - now.since(since)).max(2.0);
-                    if left <= input.boot_s {
-                        room.soon += job.spec.each;
-                    }
-                }
+            } else if ends_while_booting(job, task.index, input.boot_s, now) {
+                room.soon += job.spec.each;
             }
         }
         packing.add(room);
@@ -439,15 +170,61 @@
         packing.add(room);
     }
     packing.new_from = packing.rooms.len();
-    // What is being moved off draining machines needs room elsewhere.
-    for (_, m) in cluster_state.machines().iter().filter(|(_, m)| m.draining) {
-        for task in &m.claims {
+}
+
+/// The room on a machine that is up, less what is held for windows.
+fn room_of(id: &MachineId, machine: &Machine, held: Option<Amount>) -> Room {
+    let fixed = machine.used - machine.movable;
+    let mut room = Room::new(machine.kind.clone(), machine.zone.clone(), machine.spot);
+    room.id = Some(id.clone());
+    room.free -= fixed;
+    room.used = fixed != Amount::default();
+    if let Some(amount) = held {
+        room.free -= amount;
+        room.used = true;
+    }
+    room.soon = room.free;
+    room.place = Some(machine.place);
+    room.stock = machine.stock.clone();
+    if machine.held.any() {
+        room.held = machine.held.clone();
+    }
+    room
+}
+
+/// Whether a task that runs should end before a new machine is up.
+fn ends_while_booting(job: &Job, index: u32, boot_s: f64, now: Time) -> bool {
+    if job.spec.kind != Kind::Array {
+        return false;
+    }
+    let claim = job.tasks.claims().get(&index);
+    let Some(Progress::Running(since)) = claim.map(|c| c.progress) else {
+        return false;
+    };
+    let left_s = (job.spec.estimate_s - now.since(since)).max(2.0);
+    left_s <= boot_s
+}
+
+/// What is being moved off draining machines needs room elsewhere.
+fn add_drained<'a>(cluster_state: &'a ClusterState, again: &mut Wanting<'a>) {
+    let machines = cluster_state.machines().values();
+    for machine in machines.filter(|m| m.draining) {
+        for task in &machine.claims {
             if cluster_state.job(&task.job).is_some_and(|j| !j.cancelled) {
                 *again.entry(&task.job).or_insert(0) += 1;
             }
         }
     }
-    let mut items: Vec<Item> = Vec::new();
+}
+
+/// How many tasks of each job are to be packed: those that wait, within their teams'
+/// limits, and those that move.
+fn wanting<'a>(
+    cluster_state: &'a ClusterState,
+    cover: &mut BTreeMap<(String, MachineId), u32>,
+    again: Wanting<'a>,
+    now: Time,
+) -> Wanting<'a> {
     // What a team's limit forbids is not waiting for machines.
     let mut open: Vec<i64> = cluster_state
         .teams()
@@ -455,14 +232,14 @@
         .zip(cluster_state.held_of_limits())
         .map(|(t, held)| (t.limit - t.used - held).cpu.max(0))
         .collect();
-    let mut wanting: BTreeMap<&JobId, u32> = BTreeMap::new();
+    let mut wanting = Wanting::new();
     // Nor is a job that fails wherever it runs: nothing is rented for it.
     let asks = |job: &Job| job.wants(now) && !job.doubted;
     for (id, job) in cluster_state.wanting().filter(|(_, j)| asks(j)) {
         // Held room waits for it already.
         let covered = match cover.is_empty() {
             true => 0,
-            false => cluster_state.covered(job, &mut cover),
+            false => cluster_state.covered(job, cover),
         };
         let cpu = job.spec.each.cpu.max(1);
         let room = u32::try_from(open[job.team] / cpu).unwrap_or(u32::MAX);
@@ -473,45 +250,24 @@
     for (id, tasks) in again {
         *wanting.entry(id).or_insert(0) += tasks;
     }
-    for (id, tasks) in wanting {
-        if let Some(job) = cluster_state.job(id).filter(|_| tasks > 0) {
-            items.push(Item {
-                spec: job.spec.clone(),
-                tasks,
-                expected: false,
-                late: job.late(now),
-                queued: job
-                    .blocked_since
-                    .is_some_and(|t| now.since(t) > QUEUED * input.boot_s),
-                placed: job.policy.requires().then(|| id.clone()),
-                lane: job.lane.is_some(),
-                window: None,
-            });
-        }
-    }
+    wanting
+}
+
+/// All that is to be packed, in the order in which it is.
+fn items(input: &Input, wanting: Wanting, now: Time) -> Vec<Item> {
+    let waiting = wanting.into_iter().filter(|(_, tasks)| *tasks > 0);
+    let mut items: Vec<Item> = waiting
+        .filter_map(|(id, tasks)| {
+            let job = input.cluster_state.job(id)?;
+            Some(item_of(id, job, tasks, input.boot_s, now))
+        })
+        .collect();
     for e in input.expected.iter().filter(|e| e.tasks > 0) {
-        items.push(Item {
-            spec: e.spec.clone(),
-            tasks: e.tasks,
-            expected: true,
-            late: false,
-            queued: false,
-            placed: None,
-            lane: false,
-            window: None,
-        });
+        items.push(Item::expected(e.spec.clone(), e.tasks, None));
     }
     for lack in input.lacks.iter().filter(|l| l.tasks > 0) {
-        items.push(Item {
-            spec: lack.spec.clone(),
-            tasks: lack.tasks,
-            expected: true,
-            late: false,
-            queued: false,
-            placed: None,
-            lane: false,
-            window: Some(lack.window.clone()),
-        });
+        let window = Some(lack.window.clone());
+        items.push(Item::expected(lack.spec.clone(), lack.tasks, window));
     }
     // What only ordinary machines can take goes first, then the largest.
     // Among those the lanes' jobs, for which there may be no more machines later.
@@ -519,20 +275,29 @@
         let largest = std::cmp::Reverse(i.spec.each.cpu);
         (i.spec.spot, i.expected, !i.lane, largest)
     });
-    for item in &items {
-        match item
-            .placed
-            .as_ref()
-            .and_then(|id| Some((id, cluster_state.job(id)?)))
-        {
-            Some((_, job)) => packing.pack_placed(item, job),
-            None => packing.pack(item),
-        }
+    items
+}
+
+/// Tasks of a job that wait, or move.
+fn item_of(id: &JobId, job: &Job, tasks: u32, boot_s: f64, now: Time) -> Item {
+    let blocked_s = job.blocked_since.map(|t| now.since(t));
+    Item {
+        spec: job.spec.clone(),
+        tasks,
+        expected: false,
+        late: job.late(now),
+        queued: blocked_s.is_some_and(|waited| waited > QUEUED * boot_s),
+        placed: job.policy.requires().then(|| id.clone()),
+        lane: job.lane.is_some(),
+        window: None,
     }
+}
+
+/// What the packing comes to.
+fn outcome(packing: Packing) -> Plan {
+    let rent = packing.rent.into_iter();
     let mut plan = Plan {
-        rent: packing
-            .rent
-            .into_iter()
+        rent: rent
             .map(|((spot, kind, zone), count)| Want {
                 kind,
                 zone,
--- a/src/fleet/placed.rs
+++ b/src/fleet/placed.rs
@@ -2,13 +2,18 @@
 //! cloud picks the rack, so a machine is rented in hope, looked at, and kept or
 //! given back; how many are hoped for at a time is bounded.
 
-use sorrelhinge_topology::devices::choose;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use sorrelhinge_topology::devices::{choose, Held};
 use sorrelhinge_topology::policy::{Policy, Reach, Tally};
 use sorrelhinge_topology::renting::tries;
+use sorrelhinge_topology::tree::Domain;
 use sorrelhinge_topology::Topology;
 
-use super::*;
+use super::packing::{Item, Packing, Room, MOST_RENTED};
 use crate::sched::Job;
+use crate::types::{MachineType, Zone};
 
 /// Types and zones that hardly ever bring what is wanted are not tried, until
 /// what was seen is forgotten.
--- /dev/null
+++ b/src/peer/message.rs
@@ -0,0 +1,236 @@
+//! Messages between controllers: a fixed little-endian header and a text.
+
+use tokio::io::{AsyncReadExt, BufReader};
+use tokio::net::tcp::OwnedReadHalf;
+use zerocopy::little_endian::{U16, U32, U64};
+use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
+
+use crate::types::{MachineId, Seq, Session};
+
+const MAGIC: u32 = 0x6567_6e68;
+const VERSION: u16 = 2;
+const LENGTH: usize = std::mem::size_of::<Header>();
+/// Longest text that is passed on: a body of 64 KiB and some.
+pub(super) const MOST_TEXT: usize = 72 << 10;
+
+/// What a message is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The state service has reached the revision `number`.
+    Hint,
+    /// A worker's report, for this controller.
+    Beat,
+    /// A worker's report for a controller that the sender can't reach, to be
+    /// passed on once more.
+    Via,
+    /// A submission.
+    Submit,
+    /// A cancellation; the text is the job's id.
+    Withdraw,
+    /// The answer to the request `number`.
+    Answer,
+    /// A worker's report, taken for this controller, which asked for it.
+    Homed,
+    /// Machines that were heard: [`HeardOf`] entries. No answer.
+    Heard,
+    /// What a block uses and wants ([`crate::shares`]), as the next two are. No
+    /// answer, and only while there are several blocks.
+    Needs,
+    /// Machines that were rented.
+    Rented,
+    /// Tasks left to a block.
+    Left,
+    /// A poll; the text is the job's id. A version that does not know it ends
+    /// the connection, so it goes only to who said that it does ([`POLLS`]).
+    Poll,
+}
+
+const KINDS: [Kind; 12] = [
+    Kind::Hint,
+    Kind::Beat,
+    Kind::Via,
+    Kind::Submit,
+    Kind::Withdraw,
+    Kind::Answer,
+    Kind::Homed,
+    Kind::Heard,
+    Kind::Needs,
+    Kind::Rented,
+    Kind::Left,
+    Kind::Poll,
+];
+
+/// How every message begins: fixed layout, little-endian. `length` bytes of
+/// text follow.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned,
+)]
+#[repr(C)]
+pub struct Header {
+    magic: U32,
+    version: U16,
+    kind: U16,
+    number: U64,
+    status: U16,
+    /// Of a hint: what its sender knows, see [`Message::flags`].
+    flags: U16,
+    length: U32,
+}
+
+/// What a controller says of itself with each hint, in the header's `status`;
+/// the text is its name. A version that does not know it sends 0 and no text.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Takes reports for the owner of the machines.
+    pub helps: bool,
+    /// Has no room for more workers.
+    pub crowded: bool,
+    /// As their owner, asks to be spared reports that tell nothing new.
+    pub relief: bool,
+    /// Thousandths of the workers that it, as their owner, sends to others.
+    pub share: u16,
+}
+
+const HELPS: u16 = 0x8000;
+const CROWDED: u16 = 0x4000;
+/// A version that does not know it reads a share of 1000, which it then is.
+const RELIEF: u16 = 0x2000;
+
+impl Standing {
+    /// As it goes over the wire.
+    pub fn encode(self) -> u16 {
+        let flag = |on: bool, bit: u16| if on { bit } else { 0 };
+        flag(self.helps, HELPS)
+            | flag(self.crowded, CROWDED)
+            | flag(self.relief, RELIEF)
+            | self.share.min(1000)
+    }
+    /// Reads it.
+    pub fn parse(status: u16) -> Self {
+        Self {
+            helps: status & HELPS != 0,
+            crowded: status & CROWDED != 0,
+            relief: status & RELIEF != 0,
+            share: (status & !(HELPS | CROWDED | RELIEF)).min(1000),
+        }
+    }
+}
+
+/// A machine whose report was answered for its owner: fixed layout,
+/// little-endian. A name that is shorter is filled up with zeros.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned,
+)]
+#[repr(C)]
+pub struct HeardOf {
+    session: U64,
+    seq: U64,
+    name: [u8; HEARD_NAME],
+}
+
+/// The longest name in a [`HeardOf`]; reports of others go to the owner.
+const HEARD_NAME: usize = 32;
+/// How many go in one message.
+pub(super) const HEARD_TOGETHER: usize = 128;
+
+impl HeardOf {
+    /// Of a machine's report; none if its name is too long.
+    pub fn new(machine: &MachineId, session: Session, seq: Seq) -> Option<Self> {
+        let bytes = machine.as_str().as_bytes();
+        let mut name = [0; HEARD_NAME];
+        name.get_mut(..bytes.len())?.copy_from_slice(bytes);
+        Some(Self {
+            session: U64::new(session.0),
+            seq: U64::new(seq.0),
+            name,
+        })
+    }
+
+    /// Which machine, session and report.
+    pub fn read(&self) -> Option<(MachineId, Session, Seq)> {
+        let end = self.name.iter().position(|b| *b == 0);
+        let name = &self.name[..end.unwrap_or(HEARD_NAME)];
+        let machine = MachineId::from(std::str::from_utf8(name).ok()?);
+        Some((machine, Session(self.session.get()), Seq(self.seq.get())))
+    }
+
+    /// The entries of a message; none if its length is no multiple of one's.
+    pub fn parse(bytes: &[u8]) -> Option<&[Self]> {
+        <[Self]>::ref_from_bytes(bytes).ok()
+    }
+}
+
+/// The sender knows that there may be several blocks.
+pub const BLOCKS: u16 = 1;
+/// The sender answers polls that are passed on. The version before does not say
+/// so, and looks at [`BLOCKS`] alone.
+pub const POLLS: u16 = 2;
+
+/// A message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    /// What it is.
+    pub kind: Kind,
+    /// A revision, or the number of a request.
+    pub number: u64,
+    /// An answer's HTTP status.
+    pub status: u16,
+    /// Of a hint: what its sender knows ([`BLOCKS`], [`POLLS`]). Earlier versions send 0,
+    /// and do not look.
+    pub flags: u16,
+    /// A body.
+    pub text: Vec<u8>,
+    /// It may wait for company before it is sent.
+    pub waits: bool,
+}
+
+impl Message {
+    /// As it goes over the wire; none if it is too long.
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        let length = u32::try_from(self.text.len()).ok()?;
+        if self.text.len() > MOST_TEXT {
+            return None;
+        }
+        let kind = KINDS.iter().position(|k| *k == self.kind)?;
+        let header = Header {
+            magic: U32::new(MAGIC),
+            version: U16::new(VERSION),
+            kind: U16::new(kind as u16),
+            number: U64::new(self.number),
+            status: U16::new(self.status),
+            flags: U16::new(self.flags),
+            length: U32::new(length),
+        };
+        let mut bytes = header.as_bytes().to_vec();
+        bytes.extend_from_slice(&self.text);
+        Some(bytes)
+    }
+
+    /// Reads a header: the message without its text, and the text's length.
+    /// None if it is not one of this version, or too long.
+    pub fn parse(bytes: &[u8]) -> Option<(Self, usize)> {
+        let header = Header::read_from_bytes(bytes).ok()?;
+        let length = header.length.get() as usize;
+        let ours =
+            header.magic.get() == MAGIC && header.version.get() == VERSION && length <= MOST_TEXT;
+        let kind = *KINDS.get(usize::from(header.kind.get()))?;
+        let message = Self {
+            kind,
+            number: header.number.get(),
+            status: header.status.get(),
+            flags: header.flags.get(),
+            text: Vec::new(),
+            waits: false,
+        };
+        ours.then_some((message, length))
+    }
+
+    pub(super) async fn read(stream: &mut BufReader<OwnedReadHalf>) -> Option<Self> {
+        let mut header = [0; LENGTH];
+        stream.read_exact(&mut header).await.ok()?;
+        let (mut message, length) = Self::parse(&header)?;
+        message.text.resize(length, 0);
+        stream.read_exact(&mut message.text).await.ok()?;
+        Some(message)
+    }
+}
--- a/src/sched/gangs.rs
+++ b/src/sched/gangs.rs
@@ -1,14 +1,19 @@
 //! Gangs: claimed whole or not at all (DESIGN). Where free slots don't
 //! suffice, what falls free is held on the fewest machines that would fit.
 
+use std::cell::OnceCell;
+
 use sorrelhinge_topology::devices::{choose, Held};
 use sorrelhinge_topology::gang::{self, Rules, Slot};
+use sorrelhinge_topology::policy::Reach;
 use sorrelhinge_topology::settings::Gangs;
 use sorrelhinge_topology::tree::Tree;
 
+use super::capacity_index::Nearness;
+use super::machine::Machine;
 use super::topology_rules::Ask;
-use super::*;
-use crate::types::Kind;
+use super::{ClusterState, Delay, DelayRule, Job, Launch, Needy};
+use crate::types::{Amount, JobId, Kind, MachineId, TaskId, Time};
 
 /// How long a gang that found no room waits until all machines are looked at
 /// for it again.
--- a/src/sched/idle.rs
+++ b/src/sched/idle.rs
@@ -5,7 +5,8 @@
 //! until it was late enough to stop some of them, thousands of times a day, and
 //! what was stopped began anew.
 
-use super::*;
+use super::{ClusterState, Job, Team};
+use crate::types::{Amount, JobSpec, Priority, Time};
 
 /// What the other work used and waited for of late counts for so
 /// long, in seconds: it falls to a third meanwhile.
--- a/src/sched/lanes.rs
+++ b/src/sched/lanes.rs
@@ -1,12 +1,16 @@
 //! Lane jobs go ahead of all others, as far as their lane's part goes
 //! (`docs/lanes.md`). Without lanes nothing here is ever filled.
 
+use std::cell::OnceCell;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use sorrelhinge_lanes::order::{arrange, may_wait_ms, Key, Waits};
 use sorrelhinge_lanes::part::{Bound, Held};
 use sorrelhinge_lanes::{LaneId, Lanes};
 
-use super::*;
-use crate::types::Revision;
+use super::{ClusterState, DelayRule, Group, Job, Launch, Needy};
+use crate::types::{JobId, Kind, Priority, Revision, Time};
 
 /// A job's standing in its lane.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/sched/mod.rs
+++ b/src/sched/mod.rs
@@ -39,11 +39,11 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use capacity_index::{Nearness, Size};
+use capacity_index::Size;
 use sorrelhinge_blocks::served::Sort;
 use sorrelhinge_staging::patience;
 use sorrelhinge_topology::gang::Turn;
-use sorrelhinge_topology::policy::{Policy, Reach, Tally};
+use sorrelhinge_topology::policy::Policy;
 use sorrelhinge_topology::tree::Domain;
 use sorrelhinge_topology::Topology;
 
--- a/src/sched/rebalance.rs
+++ b/src/sched/rebalance.rs
@@ -3,11 +3,13 @@
 //! the break is its place: room elsewhere is reserved, then it is stopped.
 
 use sorrelhinge_topology::drain::{self, Drain, Step, Tenant};
+use sorrelhinge_topology::policy::Reach;
 use sorrelhinge_topology::repair::Stability;
 
+use super::tasks::{Progress, Sent};
 use super::topology_rules::Ask;
-use super::*;
-use crate::types::Kind;
+use super::{ClusterState, Job};
+use crate::types::{JobId, Kind, MachineId, TaskId, Time};
 
 /// For how long a place stays reserved for a task that is being moved.
 const MOVE_S: f64 = 15.0;
--- a/src/sched/topology_rules.rs
+++ b/src/sched/topology_rules.rs
@@ -2,13 +2,20 @@
 //! machine. Without the operator's file no job has a policy, and nothing here
 //! is asked.
 
+use std::cell::OnceCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
 use sorrelhinge_protocol::placement::Device;
 use sorrelhinge_topology::devices::{choose, Unit};
-use sorrelhinge_topology::policy::Whereabouts;
+use sorrelhinge_topology::policy::{Policy, Reach, Tally, Whereabouts};
 use sorrelhinge_topology::repair::Stability;
-use sorrelhinge_topology::tree::ROOT;
+use sorrelhinge_topology::tree::{Domain, ROOT};
+use sorrelhinge_topology::Topology;
 
-use super::*;
+use super::machine::Machine;
+use super::{ClusterState, Job, Needy};
+use crate::types::{JobId, JobSpec, MachineId, Time};
 
 const TAKEN: &str = "its devices are taken";
 
