One piece where logic stood twice: claims on a machine, messages, job records

- ClusterState::claim_on tells whether a reported attempt is claimed on its machine; commands and answers to unlinked machines each looked it up.
- A submission's record is built once: it was built to see whether it fits, thrown away, and built again to be written.
- Messages between controllers are made by Message::new and Message::answer.
- fleet's rooms ask ClusterState::kind_suits; claims_here asks claims_in.

No behaviour changes, but that a record's time of acceptance is taken when the submission is checked, and no longer when it is written.

--- a/src/control/core/commands.rs
+++ b/src/control/core/commands.rs
@@ -59,9 +59,7 @@
         for ((task, attempt), (phase, _)) in &link.tasks {
             let piece = task.to_string();
             let job = self.cluster_state.job(&task.job);
-            let claim = job
-                .and_then(|j| j.tasks.claims().get(&task.index))
-                .filter(|c| c.attempt == *attempt && c.machine == *id);
+            let claim = self.cluster_state.claim_on(id, task, *attempt);
             if *phase == TaskPhase::Ended {
                 if !fenced {
                     continue;
--- a/src/control/core/record.rs
+++ b/src/control/core/record.rs
@@ -83,7 +83,7 @@
 
     /// Whether a chunk's record claims tasks on machines of this block, or, if not
     /// `here`, of other blocks.
-    fn claims_in(&self, chunk: &ChunkRecord, here: bool) -> bool {
+    pub(super) fn claims_in(&self, chunk: &ChunkRecord, here: bool) -> bool {
         let mut claims = chunk.claims.iter();
         claims.any(|(_, _, machine)| self.shard.covers(machine) == here)
     }
--- a/src/control/core/sharing.rs
+++ b/src/control/core/sharing.rs
@@ -69,8 +69,8 @@
 
     /// Whether a record claims tasks on this block's machines.
     pub(super) fn claims_here(&self, entry: &JobEntry) -> bool {
-        let mut claims = entry.all_chunks().flat_map(|(_, c)| &c.claims);
-        claims.any(|c| self.shard.covers(&c.2))
+        let mut chunks = entry.all_chunks();
+        chunks.any(|(_, chunk)| self.claims_in(chunk, true))
     }
 
     /// What others hold of a job, by its record, and what is left to whom.
--- a/src/control/core/unlinked.rs
+++ b/src/control/core/unlinked.rs
@@ -7,7 +7,6 @@
 //! were kept alive by answers without a command for as long as that lasted.
 
 use super::Core;
-use crate::sched::Job;
 use crate::state::view::View;
 use crate::types::{MachineId, Time};
 use crate::worker::{Command, Reply, Report, ReportedTask, TaskPhase};
@@ -32,12 +31,11 @@
         let Some(task) = reported.id() else {
             return false;
         };
-        let live = |job: &&Job| !job.cancelled;
-        let Some(job) = self.cluster_state.job(&task.job).filter(live) else {
-            return false;
-        };
-        let claim = job.tasks.claims().get(&task.index);
-        claim.is_some_and(|c| c.attempt == reported.attempt && c.machine == *machine)
+        let job = self.cluster_state.job(&task.job);
+        let claim = self
+            .cluster_state
+            .claim_on(machine, &task, reported.attempt);
+        job.is_some_and(|j| !j.cancelled) && claim.is_some()
     }
 }
 
--- a/src/control/users.rs
+++ b/src/control/users.rs
@@ -62,12 +62,13 @@
         spec
     }
 
-    /// A job whose record would be over the state service's limit of a value is
-    /// malformed: it was answered 503 again and again, as its write was refused.
-    fn recordable(&self, spec: JobSpec) -> Result<JobSpec, String> {
+    /// The record of a job that is accepted now. One that would be over the state
+    /// service's limit of a value makes the job malformed: it was answered 503 again and
+    /// again, as its write was refused.
+    fn new_record(&self, spec: &JobSpec) -> Result<JobRecord, String> {
         let record = JobRecord::accepted(spec.clone(), wall_ms(), self.cfg.value_bytes);
         match record.fits(self.cfg.value_bytes) {
-            true => Ok(spec),
+            true => Ok(record),
             false => Err("the job's names are too long to be recorded".into()),
         }
     }
@@ -153,15 +154,15 @@
         id: &JobId,
         spec: Result<JobSpec, String>,
     ) -> Result<Submitted, String> {
-        let spec = spec
-            .map(|spec| self.with_class_devices(spec))
-            .and_then(|spec| self.recordable(spec));
-        let refusal = match &spec {
+        let candidate = spec.and_then(|spec| {
+            let spec = self.with_class_devices(spec);
+            let record = self.new_record(&spec)?;
+            Ok((record, self.never(&spec)))
+        });
+        let refusal = match &candidate {
             Err(why) => Some(Err(why.clone())),
-            Ok(spec) => match self.never(spec) {
-                None => Some(Ok(Submitted::Unavailable)),
-                Some(why) => why.map(|w| Ok(Submitted::Never(w))),
-            },
+            Ok((_, None)) => Some(Ok(Submitted::Unavailable)),
+            Ok((_, Some(never))) => never.clone().map(|why| Ok(Submitted::Never(why))),
         };
         let known = self.view.borrow().job(id).is_some();
         if known || refusal.is_some() {
@@ -175,14 +176,14 @@
         if let Some(refusal) = refusal {
             return refusal;
         }
-        let Ok(spec) = spec else {
+        let Ok((record, _)) = candidate else {
             return Ok(Submitted::Unavailable);
         };
         if self.submissions.get() >= MOST_SUBMISSIONS || !self.view.borrow().loaded {
             return Ok(Submitted::Unavailable);
         }
         self.submissions.set(self.submissions.get() + 1);
-        let result = self.accept(id, spec).await;
+        let result = self.accept(id, record).await;
         self.submissions.set(self.submissions.get() - 1);
         Ok(result)
     }
@@ -211,8 +212,7 @@
             .await
     }
 
-    pub(super) async fn accept(&self, id: &JobId, spec: JobSpec) -> Submitted {
-        let record = JobRecord::accepted(spec, wall_ms(), self.cfg.value_bytes);
+    async fn accept(&self, id: &JobId, record: JobRecord) -> Submitted {
         match self.write_job(id, Revision(0), &record).await {
             Ok(Outcome::Done(revision)) => {
                 self.recorded(id, revision, record);
--- a/src/fleet/packing.rs
+++ b/src/fleet/packing.rs
@@ -8,6 +8,7 @@
 use sorrelhinge_topology::tree::Domain;
 
 use super::Input;
+use crate::sched::ClusterState;
 use crate::types::{Amount, JobId, JobSpec, Kind, MachineId, MachineType, TypeName, Zone};
 
 /// How much dearer a machine counts for a service in a zone without a controller.
@@ -55,13 +56,7 @@
         }
     }
     pub(super) fn suits(&self, spec: &JobSpec) -> bool {
-        spec.each.fits(self.kind.total)
-            && (spec.spot || !self.spot)
-            && spec.zone.as_ref().is_none_or(|z| *z == self.zone)
-            && spec
-                .types
-                .as_ref()
-                .is_none_or(|t| t.contains(&self.kind.name))
+        ClusterState::kind_suits(spec, self.spot, &self.kind, &self.zone)
     }
     pub(super) fn available(&self, soon: bool) -> Amount {
         if soon {
--- a/src/peer/listening.rs
+++ b/src/peer/listening.rs
@@ -85,15 +85,8 @@
                     let Ok(place) = out.clone().try_reserve_owned() else {
                         continue;
                     };
-                    let (status, text) = heard.homed(&message.text);
-                    place.send(Message {
-                        kind: Kind::Answer,
-                        number: message.number,
-                        status,
-                        flags: 0,
-                        text,
-                        waits: true,
-                    });
+                    let answered = heard.homed(&message.text);
+                    place.send(message.answer(answered));
                     // They come in batches, and others wait.
                     in_a_turn += 1;
                     if in_a_turn % IN_A_TURN == 0 {
@@ -108,15 +101,10 @@
                     };
                     let heard = heard.clone();
                     tokio::task::spawn_local(async move {
-                        let (status, text) = heard.answer(kind, message.text).await;
-                        place.send(Message {
-                            kind: Kind::Answer,
-                            number: message.number,
-                            status,
-                            flags: 0,
-                            text,
-                            waits: false,
-                        });
+                        let mut message = message;
+                        let text = std::mem::take(&mut message.text);
+                        let answered = heard.answer(kind, text).await;
+                        place.send(message.answer(answered));
                     });
                 }
             }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -5,6 +5,7 @@
 use zerocopy::little_endian::{U16, U32, U64};
 use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
 
+use super::Answered;
 use crate::types::{MachineId, Seq, Session};
 
 const MAGIC: u32 = 0x6567_6e68;
@@ -185,6 +186,28 @@
 }
 
 impl Message {
+    /// One that asks for no answer, or is numbered by its sender.
+    pub(super) fn new(kind: Kind, text: Vec<u8>) -> Self {
+        Self {
+            kind,
+            number: 0,
+            status: 0,
+            flags: 0,
+            text,
+            waits: false,
+        }
+    }
+
+    /// The answer to this request, by its kind: reports' answers wait for company.
+    pub(super) fn answer(&self, (status, text): Answered) -> Self {
+        Self {
+            number: self.number,
+            status,
+            waits: self.kind == Kind::Homed,
+            ..Self::new(Kind::Answer, text)
+        }
+    }
+
     /// As it goes over the wire; none if it is too long.
     pub fn encode(&self) -> Option<Vec<u8>> {
         let length = u32::try_from(self.text.len()).ok()?;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -118,12 +118,10 @@
         for line in self.lines.values().filter(|l| l.connected.get()) {
             // A hint that finds no room is replaced by the next one.
             let _ = line.out.try_send(Message {
-                kind: Kind::Hint,
                 number: self.newest.get().0,
                 status: self.standing.get().encode(),
                 flags: BLOCKS | POLLS,
-                text: self.name.clone().into_bytes(),
-                waits: false,
+                ..Message::new(Kind::Hint, self.name.clone().into_bytes())
             });
         }
     }
@@ -139,14 +137,7 @@
     /// Tells another controller something about blocks. What finds no room is lost.
     pub fn share(&self, node: &NodeId, kind: Kind, text: Vec<u8>) {
         if let Some(line) = self.lines.get(node).filter(|l| l.connected.get()) {
-            let _ = line.out.try_send(Message {
-                kind,
-                number: 0,
-                status: 0,
-                flags: 0,
-                text,
-                waits: false,
-            });
+            let _ = line.out.try_send(Message::new(kind, text));
         }
     }
 
@@ -158,12 +149,8 @@
         };
         for some in machines.chunks(HEARD_TOGETHER) {
             let _ = line.out.try_send(Message {
-                kind: Kind::Heard,
-                number: 0,
-                status: 0,
-                flags: 0,
-                text: some.as_bytes().to_vec(),
                 waits: true,
+                ..Message::new(Kind::Heard, some.as_bytes().to_vec())
             });
         }
     }
@@ -194,12 +181,9 @@
         let (tell, told) = oneshot::channel();
         line.waiting.borrow_mut().insert(number, tell);
         let message = Message {
-            kind,
             number,
-            status: 0,
-            flags: 0,
-            text,
             waits: kind == Kind::Homed,
+            ..Message::new(kind, text)
         };
         let answered = match line.out.try_send(message) {
             Ok(()) => timeout(patience, told).await.ok().and_then(Result::ok),
--- a/src/sched/cluster_state.rs
+++ b/src/sched/cluster_state.rs
@@ -5,7 +5,7 @@
 use super::machine::Machine;
 use super::tasks::Claim;
 use super::{ClusterState, Job, Place, Team, AGED_PART, AGED_S};
-use crate::types::{Amount, JobId, MachineId, TaskId, Time, TypeName, Zone};
+use crate::types::{Amount, Attempt, JobId, MachineId, TaskId, Time, TypeName, Zone};
 
 impl ClusterState {
     /// A cluster state without jobs and machines.
@@ -40,6 +40,12 @@
         self.jobs.get(&task.job)?.tasks.claims().get(&task.index)
     }
 
+    /// The claim of a reported attempt: none if nobody claims it on this machine.
+    pub fn claim_on(&self, machine: &MachineId, task: &TaskId, attempt: Attempt) -> Option<&Claim> {
+        let claim = self.claim_of(task);
+        claim.filter(|c| c.attempt == attempt && c.machine == *machine)
+    }
+
     /// A task's claim, to change.
     pub fn claim_mut(&mut self, task: &TaskId) -> Option<&mut Claim> {
         self.jobs.get_mut(&task.job)?.tasks.claim_mut(task.index)
--- a/src/sched/placement_rules.rs
+++ b/src/sched/placement_rules.rs
@@ -11,7 +11,8 @@
 use crate::types::{Amount, JobId, JobSpec, MachineId, MachineType, Priority, Time, Zone};
 
 impl ClusterState {
-    pub(super) fn kind_suits(spec: &JobSpec, spot: bool, kind: &MachineType, zone: &Zone) -> bool {
+    /// Whether machines of a type, zone and kind suit a job at all.
+    pub fn kind_suits(spec: &JobSpec, spot: bool, kind: &MachineType, zone: &Zone) -> bool {
         spec.each.fits(kind.total)
             && (spec.spot || !spot)
             && spec.zone.as_ref().is_none_or(|z| z == zone)
