Where a TOML file is wrong is told by one piece

MalformedToml in crates/protocol, beside InvalidField: the controller's settings, the agent's, the calendar's and the topology's each counted lines up to the error by themselves. The texts of the errors stay. No behaviour changes.

--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -7,7 +7,7 @@
 use ipnet::IpNet;
 use schemars::JsonSchema;
 use serde::Deserialize;
-use sorrelhinge_protocol::invalid::InvalidField;
+use sorrelhinge_protocol::invalid::{InvalidField, MalformedToml};
 use sorrelhinge_protocol::types::{Amount, MachineId, TypeName, Zone};
 
 use crate::core::Machine;
@@ -23,13 +23,8 @@
     #[error("{0}: {1}")]
     File(PathBuf, Box<SettingsError>),
     /// It is not TOML, or not of the format.
-    #[error("line {line}: {reason}")]
-    Toml {
-        /// The line, from 1.
-        line: usize,
-        /// What is wrong there.
-        reason: String,
-    },
+    #[error(transparent)]
+    Toml(#[from] MalformedToml),
     /// A field is not valid.
     #[error(transparent)]
     Field(#[from] InvalidField),
@@ -216,15 +211,7 @@
 
     /// Reads and checks the settings.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let settings: Self = toml::from_str(text).map_err(|e| {
-            let line = e.span().map_or(0, |span| {
-                text[..span.start.min(text.len())].matches('\n').count()
-            });
-            SettingsError::Toml {
-                line: line + 1,
-                reason: e.message().replace('\n', " "),
-            }
-        })?;
+        let settings: Self = toml::from_str(text).map_err(|e| MalformedToml::new(text, &e))?;
         settings
             .validate()
             .map_err(|report| InvalidField::first(&report, "agent"))?;
--- a/crates/calendar/src/settings.rs
+++ b/crates/calendar/src/settings.rs
@@ -6,7 +6,7 @@
 use garde::Validate;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use sorrelhinge_protocol::invalid::InvalidField;
+use sorrelhinge_protocol::invalid::{InvalidField, MalformedToml};
 use sorrelhinge_protocol::types::{Amount, MachineType};
 
 use crate::when::{current_or_next, next, Span, When};
@@ -193,13 +193,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum FileError {
     /// It is not TOML, or not of the format.
-    #[error("line {line}: {reason}")]
-    Toml {
-        /// The line, from 1.
-        line: usize,
-        /// What is wrong there.
-        reason: String,
-    },
+    #[error(transparent)]
+    Toml(#[from] MalformedToml),
     /// A field is not valid.
     #[error(transparent)]
     Field(#[from] InvalidField),
@@ -207,15 +202,7 @@
 
 /// Reads the file; the error is one line that names the place.
 pub fn read(text: &str) -> Result<Calendar, FileError> {
-    let at_line = |e: toml::de::Error| {
-        let line = e.span().map_or(0, |span| {
-            text[..span.start.min(text.len())].matches('\n').count()
-        });
-        FileError::Toml {
-            line: line + 1,
-            reason: e.message().replace('\n', " "),
-        }
-    };
+    let at_line = |e: toml::de::Error| MalformedToml::new(text, &e);
     let file = toml::Deserializer::parse(text).map_err(at_line)?;
     // The same types are read from records, whose unknown fields a later
     // version may have written; in a file they are mistakes.
--- a/crates/protocol/src/invalid.rs
+++ b/crates/protocol/src/invalid.rs
@@ -24,6 +24,29 @@
     },
 }
 
+/// A text that is not TOML, or not of the file's format.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("line {line}: {reason}")]
+pub struct MalformedToml {
+    /// The line, from 1.
+    pub line: usize,
+    /// What is wrong there, in one line.
+    pub reason: String,
+}
+
+impl MalformedToml {
+    /// Where a text that was read is wrong.
+    pub fn new(text: &str, error: &toml::de::Error) -> Self {
+        let lines_before = error.span().map_or(0, |span| {
+            text[..span.start.min(text.len())].matches('\n').count()
+        });
+        Self {
+            line: lines_before + 1,
+            reason: error.message().replace('\n', " "),
+        }
+    }
+}
+
 impl InvalidField {
     /// A value that is not allowed.
     pub fn value(path: impl Into<String>, reason: impl Into<String>) -> Self {
--- a/crates/topology/src/settings.rs
+++ b/crates/topology/src/settings.rs
@@ -7,7 +7,7 @@
 use ipnet::IpNet;
 use schemars::JsonSchema;
 use serde::Deserialize;
-use sorrelhinge_protocol::invalid::InvalidField;
+use sorrelhinge_protocol::invalid::{InvalidField, MalformedToml};
 use sorrelhinge_protocol::placement::PlacementRules;
 use wildmatch::WildMatch;
 
@@ -234,13 +234,8 @@
     /// Reads and validates; the tree and the rules are checked by what is
     /// built from them.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let settings: Self = toml::from_str(text).map_err(|e| {
-            let line = e.span().map_or(0, |span| {
-                text[..span.start.min(text.len())].matches('\n').count()
-            });
-            let message = e.message().replace('\n', " ");
-            wrong(format!("line {}: {message}", line + 1))
-        })?;
+        let settings: Self =
+            toml::from_str(text).map_err(|e| wrong(MalformedToml::new(text, &e).to_string()))?;
         settings
             .validate()
             .map_err(|report| wrong(InvalidField::first(&report, "topology").to_string()))?;
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use sorrelhinge_lanes::Lanes;
 use sorrelhinge_overload::freshness::horizon_s;
+use sorrelhinge_protocol::invalid::MalformedToml;
 
 use super::{field, in_range, Config, ConfigError, Other, TeamConfig, Tuning};
 use crate::types::{Amount, NodeId, Zone};
@@ -119,13 +120,10 @@
 /// Says where the file is wrong: the line itself names the field, the message alone may
 /// not.
 fn toml_error(text: &str, error: &toml::de::Error) -> ConfigError {
-    let at = error
-        .span()
-        .map_or(0, |span| text[..span.start].matches('\n').count());
-    let line = text.lines().nth(at).unwrap_or("").trim();
-    let line: String = line.chars().take(LINE_SHOWN).collect();
-    let message = error.message().replace('\n', " ");
-    let why = format!("line {} ({line}): {message}", at + 1);
+    let MalformedToml { line, reason } = MalformedToml::new(text, error);
+    let shown = text.lines().nth(line - 1).unwrap_or("").trim();
+    let shown: String = shown.chars().take(LINE_SHOWN).collect();
+    let why = format!("line {line} ({shown}): {reason}");
     ConfigError::Toml(PathBuf::new(), why)
 }
 
