A job's wait begins anew wherever a task is placed

It was noted in launch alone, which gangs don't go through: a gang that lost its place took reserved room at once, as it had waited since its submission, against what the field says.

--- a/src/sched/claims.rs
+++ b/src/sched/claims.rs
@@ -49,6 +49,7 @@
         true
     }
 
+    /// Enters the claim of a task that is placed now, and begins its job's wait anew.
     pub(super) fn enter(
         &mut self,
         task: &TaskId,
@@ -69,6 +70,9 @@
             unnamed: false,
         };
         self.put_claim(task, claim);
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.last_placed = Some(now);
+        }
     }
 
     /// Enters a claim, new or found in the record.
--- a/src/sched/placement_pass.rs
+++ b/src/sched/placement_pass.rs
@@ -51,7 +51,6 @@
             anywhere: !cached,
             skipped_since: None,
         };
-        job.last_placed = Some(now);
         Some(Launch {
             task,
             machine: m_id.clone(),
