--- a/crates/standins/src/asking.rs
+++ b/crates/standins/src/asking.rs
@@ -168,6 +168,12 @@
         told["phase"].clone()
     }
 
+    /// Whether no task of these jobs is on a machine any more.
+    pub fn all_gone(&self, uids: &[String]) -> bool {
+        let nodes = self.nodes.borrow();
+        uids.iter().all(|uid| nodes.places(uid).is_empty())
+    }
+
     /// No start broke a rule.
     pub fn rules_hold(&self) {
         assert_eq!(self.nodes.borrow().wrong, [] as [String; 0]);
--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -107,10 +107,7 @@
         self.users.answers_hold();
         let accepted = self.users.answers.borrow().accepted();
         assert_eq!(accepted.len(), self.came.get(), "all were accepted");
-        let gone = |w: &World| {
-            let nodes = w.nodes.borrow();
-            accepted.iter().all(|uid| nodes.places(uid).is_empty())
-        };
+        let gone = |w: &World| w.all_gone(&accepted);
         let within = CANCEL_S as u64 + 1;
         world.until("all tasks are gone", within, gone).await;
         world.rules_hold();
--- a/tests/held_back.rs
+++ b/tests/held_back.rs
@@ -1,15 +1,12 @@
 //! The part of a team's limit that is left to jobs whose users wait for the start:
 //! no task is stopped to make room that this part then forbids to take.
 
+mod array_jobs;
 mod cluster_states;
 
-use std::rc::Rc;
-
-use cluster_states::RULE;
-use serde_json::json;
-use sorrelhinge::api::read_job;
-use sorrelhinge::sched::{ClusterState, Job, Progress, Tasks};
-use sorrelhinge::types::{Amount, JobId, TaskId, Time};
+use array_jobs::{claimed, run_placed, ArrayJob};
+use sorrelhinge::sched::ClusterState;
+use sorrelhinge::types::{Amount, JobId, Time};
 
 /// The team that has a limit, in the order of the cluster's teams.
 const HOUSE: usize = 0;
@@ -50,8 +47,7 @@
     }
 
     fn used(&self, id: &JobId) -> usize {
-        let job = self.cluster_state.job(id);
-        job.map_or(0, |j| j.tasks.claims().len())
+        claimed(&self.cluster_state, id)
     }
 
     /// Makes room, lets what is stopped go, and places: which jobs' tasks were stopped.
@@ -65,28 +61,15 @@
     }
 }
 
-fn add(cluster_state: &mut ClusterState, uid: &str, team: usize, rank: &str, pieces: u32) -> JobId {
-    let crew = ["house", "guest"][team];
-    let value = json!({"uid": uid, "jobclass": rank, "crew": crew, "shape": "sweep",
-        "rank": rank, "pieces": pieces, "cpus": 1.0, "cards": 0.0, "ram_gb": 1.0,
-        "bundle": "img-1", "pull_gb": 0.1, "builds": null, "rack": null, "together": false,
-        "spread": false, "loaners": true, "guess_s": 600.0, "mark_s": 0.0, "stash_s": 0.0,
-        "due_s": null});
-    let spec = read_job(value).expect("a valid job");
-    let tasks = Tasks::new(spec.tasks, 64);
-    let id = JobId::from(uid);
-    cluster_state.add_job(id.clone(), Job::new(Rc::new(spec), team, Time(0.0), tasks));
-    id
-}
-
-/// Places what can be placed, and lets it run.
-fn run_placed(cluster_state: &mut ClusterState, now: f64) {
-    for launch in cluster_state.place(RULE, Time(now)) {
-        let task: &TaskId = &launch.task;
-        let claim = cluster_state.claim_mut(task).expect("it was placed");
-        claim.committed = true;
-        claim.progress = Progress::Running(Time(now));
-    }
+fn add(cluster_state: &mut ClusterState, uid: &str, team: usize, rank: &str, tasks: u32) -> JobId {
+    let job = ArrayJob {
+        uid,
+        team,
+        rank,
+        tasks,
+        estimate_s: 600.0,
+    };
+    job.add(cluster_state)
 }
 
 /// The walk leaves the part to others, so room beyond it would lie there unused:
--- a/tests/idle.rs
+++ b/tests/idle.rs
@@ -1,13 +1,10 @@
 //! Work of idle priority beside all other: what it may take, what it keeps.
 
+mod array_jobs;
 mod cluster_states;
 
-use std::rc::Rc;
-
-use cluster_states::RULE;
-use serde_json::json;
-use sorrelhinge::api::read_job;
-use sorrelhinge::sched::{ClusterState, Job, Progress, Tasks};
+use array_jobs::{claimed as used, run_placed, ArrayJob};
+use sorrelhinge::sched::ClusterState;
 use sorrelhinge::types::{JobId, Time};
 
 /// Ten machines of 16 CPUs, a team that is guaranteed half of them, and a guest.
@@ -21,35 +18,23 @@
     uid: &str,
     team: usize,
     rank: &str,
-    pieces: u32,
-    guess_s: f64,
+    tasks: u32,
+    estimate_s: f64,
 ) -> JobId {
-    let value = json!({"uid": uid, "jobclass": rank, "crew": if team == 0 {"house"} else {"guest"},
-        "shape": "sweep", "rank": rank, "pieces": pieces, "cpus": 1.0, "cards": 0.0, "ram_gb": 1.0,
-        "bundle": "img-1", "pull_gb": 0.1, "builds": null, "rack": null, "together": false,
-        "spread": false, "loaners": true, "guess_s": guess_s, "mark_s": 0.0, "stash_s": 0.0,
-        "due_s": null});
-    let spec = read_job(value).expect("a valid job");
-    let tasks = Tasks::new(spec.tasks, 64);
-    let id = JobId::from(uid);
-    cluster_state.add_job(id.clone(), Job::new(Rc::new(spec), team, Time(0.0), tasks));
-    id
-}
-
-fn used(cluster_state: &ClusterState, id: &JobId) -> usize {
-    cluster_state.job(id).map_or(0, |j| j.tasks.claims().len())
+    let job = ArrayJob {
+        uid,
+        team,
+        rank,
+        tasks,
+        estimate_s,
+    };
+    job.add(cluster_state)
 }
 
 /// Looks, places, and lets what was placed run.
 fn turn(cluster_state: &mut ClusterState, now: f64) {
     cluster_state.look_at_idle(Time(now));
-    for launch in cluster_state.place(RULE, Time(now)) {
-        let claim = cluster_state
-            .claim_mut(&launch.task)
-            .expect("it was placed");
-        claim.committed = true;
-        claim.progress = Progress::Running(Time(now));
-    }
+    run_placed(cluster_state, now);
 }
 
 fn end(cluster_state: &mut ClusterState, id: &JobId, now: f64) {
--- a/tests/single_tasks.rs
+++ b/tests/single_tasks.rs
@@ -39,13 +39,12 @@
 }
 
 /// Sends all jobs, and ends leaders on the way.
-async fn send_jobs(world: &mut World, users: &Users) -> Vec<JoinHandle<String>> {
+async fn send_jobs(world: &mut World, users: &Users, uids: &[String]) -> Vec<JoinHandle<String>> {
     let mut lives = Vec::new();
     let mut ends = ENDS.into_iter().peekable();
-    for nth in 0..JOBS {
-        let uid = format!("run-{nth:06}");
-        one_task(world, &uid, RUN_S);
-        lives.push(spawn_local(user(users.clone(), uid, nth)));
+    for (nth, uid) in uids.iter().enumerate() {
+        one_task(world, uid, RUN_S);
+        lives.push(spawn_local(user(users.clone(), uid.clone(), nth)));
         if let Some((_, away_ms)) = ends.next_if(|(after, _)| *after == nth) {
             let leader = world.leader().unwrap_or(nth % 3);
             world.kill_controller(leader);
@@ -62,8 +61,9 @@
     let mut world = World::start(plan).await;
     world.until("a leader", 30, |w| w.leader().is_some()).await;
     let users = Users::new(&world, controllers);
+    let uids: Vec<String> = (0..JOBS).map(|n| format!("run-{n:06}")).collect();
     let mut ends = Vec::new();
-    for life in send_jobs(&mut world, &users).await {
+    for life in send_jobs(&mut world, &users, &uids).await {
         ends.push(life.await.expect("a user's routine ends"));
     }
     let over = Instant::now();
@@ -75,14 +75,9 @@
     }
     let done = ends.iter().filter(|end| *end == "done").count();
     println!("{controllers} controllers: {done} of {JOBS} done");
-    let uids: Vec<String> = (0..JOBS).map(|n| format!("run-{n:06}")).collect();
-    let gone = |w: &World| {
-        let nodes = w.nodes.borrow();
-        uids.iter().all(|uid| nodes.places(uid).is_empty())
-    };
-    world
-        .until("all tasks are gone", CANCEL_S as u64, gone)
-        .await;
+    let gone = |w: &World| w.all_gone(&uids);
+    let within = CANCEL_S as u64;
+    world.until("all tasks are gone", within, gone).await;
     println!("all tasks were gone after {:?}", over.elapsed());
     world.rules_hold();
     // The start of a cancelled job's task may be under way.
