A body that is too large is answered 400 at the first try

A connection that ended with most of a large body unread was reset, and the answer was lost with it: the user tries again in vain for as long as he has patience. The rest of such a body is read and thrown away, up to 8 MiB.

--- a/src/api.rs
+++ b/src/api.rs
@@ -28,7 +28,12 @@
 use sorrelhinge_protocol::users::job_id;
 pub use sorrelhinge_protocol::users::read_job;
 
+/// The largest body of a request, in bytes (PROTOCOL).
 const MOST_BODY: usize = 64 << 10;
+/// Of a body that is larger so many more bytes are read and thrown away.
+const MOST_DISCARDED: usize = 8 << 20;
+/// A body that has not come within this time is not waited for.
+const BODY_PATIENCE: Duration = Duration::from_secs(10);
 /// A user waits so long for an answer (PROTOCOL).
 const WAITED: Duration = Duration::from_secs(2);
 
@@ -338,6 +343,39 @@
     answer
 }
 
+/// Why a request's body can't be taken.
+enum BodyError {
+    /// It is larger than [`MOST_BODY`].
+    TooLarge,
+    /// It ended before its end.
+    Incomplete,
+}
+
+/// Reads a request's body. The rest of one that is too large is read, too, as far as
+/// [`MOST_DISCARDED`] goes: a connection that ends with something unread is reset, and
+/// the answer is lost with it.
+async fn read_body(mut body: Incoming) -> Result<Bytes, BodyError> {
+    match Limited::new(&mut body, MOST_BODY).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            discard(&mut body).await;
+            Err(BodyError::TooLarge)
+        }
+        Err(_) => Err(BodyError::Incomplete),
+    }
+}
+
+/// Reads what is left of a body, within a bound.
+async fn discard(body: &mut Incoming) {
+    let mut discarded = 0;
+    while discarded < MOST_DISCARDED {
+        let Some(Ok(frame)) = body.frame().await else {
+            return;
+        };
+        discarded += frame.data_ref().map_or(0, Bytes::len);
+    }
+}
+
 /// Answers a request.
 pub(crate) async fn answer(node: &Rc<Node>, conn: &Conn, request: Request<Incoming>) -> Reply {
     let method = request.method().clone();
@@ -382,14 +420,10 @@
     if !post || !takes_post {
         return refuse(405, "no such method here");
     }
-    let collected = timeout(
-        Duration::from_secs(10),
-        Limited::new(request.into_body(), MOST_BODY).collect(),
-    );
-    let body = match collected.await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => return refuse(400, "body over 64 KiB"),
-        Ok(Err(_)) | Err(_) => return refuse(400, "incomplete body"),
+    let body = match timeout(BODY_PATIENCE, read_body(request.into_body())).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::TooLarge)) => return refuse(400, "body over 64 KiB"),
+        Ok(Err(BodyError::Incomplete)) | Err(_) => return refuse(400, "incomplete body"),
     };
     if path == "/agent/beat" {
         return beat(node, conn, &body).await;
--- a/tests/bad_requests.rs
+++ b/tests/bad_requests.rs
@@ -351,6 +351,30 @@
     all
 }
 
+/// Bodies that are too large, in bytes: by a little, and by more than a connection holds
+/// on its way.
+const TOO_LARGE: [usize; 3] = [MOST_BODY + 1, 1 << 20, 4 << 20];
+const TRIES: usize = 20;
+
+/// Whoever sends too large a body is told so, each time. The connection was ended with
+/// most of the body unread, which resets it, and the answer was lost with it: users tried
+/// again for as long as they had patience.
+#[test]
+fn a_body_that_is_too_large_is_answered_at_the_first_try() {
+    run(async {
+        let world = World::start(Plan::plain("too_large", 68, 1, AT)).await;
+        world.until("a leader", 20, |w| w.leader().is_some()).await;
+        for size in TOO_LARGE {
+            for nth in 0..TRIES {
+                let body = Bytes::from(vec![b'x'; size]);
+                let told = send_body(world.address(0), "/v1/jobs", body).await;
+                let status = told.map(|(status, _)| status);
+                assert_eq!(status, Some(400), "{size} bytes, try {nth}");
+            }
+        }
+    });
+}
+
 #[test]
 fn odd_requests_are_refused_and_cost_nobody_an_answer() {
     run(async {
