Failing tests: a copy of a start command runs a forgotten attempt again

Seen by the operators: `ran_twice`, a service's task on two machines at once for 0.3 s.

The world of tests/rules can now deliver copies of executed direct commands (share, delay up to four leases, several of one message) and checks at every start that the machine was not told to forget that attempt before.

--- a/tests/rules/direct_commands.rs
+++ b/tests/rules/direct_commands.rs
@@ -7,8 +7,21 @@
 use crate::*;
 
 impl World {
-    /// Carries out direct commands at a worker; none if it refuses them.
+    /// Carries out direct commands at a worker, of which copies may arrive later.
     pub(crate) fn carry_out(&mut self, id: &str, commands: &Value) -> Option<Option<Heartbeat>> {
+        let outcome = self.carry_out_once(id, commands);
+        if matches!(outcome, Some(Some(_))) {
+            self.draw_copies(id, commands);
+        }
+        outcome
+    }
+
+    /// Carries out direct commands at a worker; none if it refuses them.
+    pub(crate) fn carry_out_once(
+        &mut self,
+        id: &str,
+        commands: &Value,
+    ) -> Option<Option<Heartbeat>> {
         let at = self.workers.iter().position(|w| w.id == id)?;
         let w = &self.workers[at];
         if commands["baton"].as_u64()? < w.fencing_token
@@ -30,6 +43,7 @@
                     if self.workers[at].tasks.contains_key(&task_name) {
                         continue;
                     }
+                    self.check_not_forgotten(at, &task_name, attempt);
                     self.check_start(at, &task_name);
                     self.check_claimed(at, &task_name, attempt);
                     if let Some(cancelled) = self.cancelled.get(&job_of(&task_name)) {
@@ -80,6 +94,12 @@
                         .is_some_and(|r| r.attempt == attempt && r.phase == "ended")
                     {
                         w.tasks.remove(&task_name);
+                        let machine = w.id.clone();
+                        self.forgotten.insert(ForgottenAttempt {
+                            machine,
+                            task: task_name,
+                            attempt,
+                        });
                     }
                 }
             }
--- a/tests/rules/invariants.rs
+++ b/tests/rules/invariants.rs
@@ -52,6 +52,19 @@
         names
     }
 
+    /// No attempt is carried out again on a machine that was told to forget it.
+    pub(crate) fn check_not_forgotten(&self, at: usize, task_name: &str, attempt: u64) {
+        let started = ForgottenAttempt {
+            machine: self.workers[at].id.clone(),
+            task: task_name.to_owned(),
+            attempt,
+        };
+        assert!(
+            !self.forgotten.contains(&started),
+            "ran_again: {started:?} starts after it was forgotten"
+        );
+    }
+
     /// The rules that a start can break.
     pub(crate) fn check_start(&self, at: usize, task_name: &str) {
         let w = &self.workers[at];
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -2,6 +2,7 @@
 //! workers, with lost replies, late commands, takeovers and owners that do not
 //! know they are deposed. Every step checks the rules of the protocol.
 
+mod command_copies;
 mod commands;
 mod decision_trace;
 mod direct_commands;
@@ -31,6 +32,7 @@
 mod workload;
 mod world;
 
+pub(crate) use self::command_copies::*;
 pub(crate) use self::faults::*;
 pub(crate) use self::invariants::*;
 pub(crate) use self::scenes::*;
--- a/tests/rules/world.rs
+++ b/tests/rules/world.rs
@@ -73,6 +73,9 @@
     /// Users wait for services to start.
     pub(crate) start_objectives: bool,
     pub(crate) faults: Faults,
+    pub(crate) command_copies: CommandCopies,
+    /// All attempts that workers were told to forget.
+    pub(crate) forgotten: BTreeSet<ForgottenAttempt>,
     /// Jobs wait for others.
     pub(crate) pipelines: bool,
     /// The jobs that each job needs.
@@ -128,6 +131,8 @@
             staged: false,
             start_objectives: false,
             faults: Faults::default(),
+            command_copies: CommandCopies::default(),
+            forgotten: BTreeSet::new(),
             pipelines: false,
             needs: BTreeMap::new(),
             accepted_bytes: 1024,
@@ -650,6 +655,7 @@
         }
         self.operate();
         self.carry_out_late();
+        self.deliver_command_copies();
         for at in 0..self.workers.len() {
             self.step_worker(at);
         }
