A forget carries a token above all starts, so no copy runs the attempt again

Cause, by class: the effect that made a repeat harmless was erased before the repeat was made refusable. A worker ignores a repeated start only while it knows the attempt. The owner sent `forget` with the fencing token of the start, so a copy of an `/orders` call that had been carried out and answered still matched token and incarnation, and ran the attempt again.

Change: `CommandFence` (crates/lease-safety) keeps the token of the last message that started a task on a machine; a `forget` goes only in a message with a higher one, raised for it if need be. `Core::forgets` is the only place that sends one, so answers, direct calls, passed heartbeats, refused, failed, moved and cancelled tasks have the same guard. Why this works: the worker takes the token of the message before it forgets, and refuses everything lower from then on, however old a copy is. Calls of earlier grants are below the token that it has to show before anything is forgotten; calls of an earlier incarnation don't match.

The raise leaves heartbeats their proof (nothing unknown is on its way), so no start waits for it. It is made only in answers to heartbeats and not while a direct call is in flight. A worker that shows a lower token than before has lost its memory: all that was sent to it is fenced first. An agent with 512 ended tasks in its heartbeats gets no more; a machine whose tokens run out is given back.

--- /dev/null
+++ b/crates/lease-safety/tests/command_fence.rs
@@ -0,0 +1,170 @@
+//! Compares the fence of commands with a worker that executes copies of all messages.
+
+use std::collections::BTreeSet;
+
+use proptest::prelude::*;
+use sorrelhinge_lease_safety::command_fence::{CommandFence, ForgetDecision, RESERVED_RAISES};
+use sorrelhinge_protocol::types::FencingToken;
+
+/// Grant of the commands.
+const GRANT: u64 = 3;
+
+/// A message to the worker.
+#[derive(Clone, Debug)]
+struct Message {
+    token: FencingToken,
+    starts: Option<u32>,
+    forgets: Vec<u32>,
+}
+
+/// A worker as PROTOCOL describes it, with tasks that end as soon as they start.
+#[derive(Default)]
+struct Worker {
+    token: FencingToken,
+    ended: BTreeSet<u32>,
+    forgotten: BTreeSet<u32>,
+}
+
+impl Worker {
+    /// Executes a message unless its token is too low. Returns whether that ran an attempt which
+    /// the worker was told to forget.
+    fn execute(&mut self, message: &Message) -> bool {
+        if message.token < self.token {
+            return false;
+        }
+        self.token = message.token;
+        for attempt in &message.forgets {
+            self.ended.remove(attempt);
+            self.forgotten.insert(*attempt);
+        }
+        message.starts.is_some_and(|attempt| {
+            self.ended.insert(attempt);
+            self.forgotten.contains(&attempt)
+        })
+    }
+}
+
+/// What happens next.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A message starts the next attempt; it may arrive.
+    Start { arrives: bool },
+    /// A message forgets all attempts that the last heartbeat named; it may arrive.
+    Forget { may_raise: bool, arrives: bool },
+    /// A command gets no answer.
+    Unanswered,
+    /// A heartbeat arrives.
+    Heartbeat,
+    /// An earlier message, counted from the latest, arrives once more.
+    Copy { back: usize },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        any::<bool>().prop_map(|arrives| Step::Start { arrives }),
+        any::<(bool, bool)>().prop_map(|(may_raise, arrives)| Step::Forget { may_raise, arrives }),
+        Just(Step::Unanswered),
+        Just(Step::Heartbeat),
+        (0..20_usize).prop_map(|back| Step::Copy { back }),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn no_copy_runs_a_forgotten_attempt(steps in prop::collection::vec(step(), 1..200)) {
+        let mut fence = CommandFence::new(FencingToken::of_grant(GRANT));
+        let mut worker = Worker::default();
+        let mut sent: Vec<Message> = Vec::new();
+        let mut named: Vec<u32> = Vec::new();
+        for (number, step) in steps.into_iter().enumerate() {
+            let mut message = Message { token: fence.token(), starts: None, forgets: Vec::new() };
+            let arrives = match step {
+                Step::Start { arrives } => {
+                    fence.start_sent();
+                    message.starts = u32::try_from(number).ok();
+                    arrives
+                }
+                Step::Forget { may_raise, arrives } => {
+                    if !fence.is_proven() || fence.decide_forget(may_raise) != ForgetDecision::Send {
+                        continue;
+                    }
+                    message.token = fence.token();
+                    message.forgets.clone_from(&named);
+                    arrives
+                }
+                Step::Unanswered => {
+                    fence.raise();
+                    continue;
+                }
+                Step::Heartbeat => {
+                    fence.reported(worker.token);
+                    named = worker.ended.iter().copied().collect();
+                    continue;
+                }
+                Step::Copy { back } => {
+                    let earlier = sent.iter().rev().nth(back);
+                    prop_assert!(!earlier.is_some_and(|earlier| worker.execute(earlier)));
+                    continue;
+                }
+            };
+            if arrives {
+                prop_assert!(!worker.execute(&message));
+            } else {
+                // The sender doesn't know, so it raises the token.
+                fence.raise();
+            }
+            sent.push(message);
+        }
+    }
+}
+
+#[test]
+fn forgets_wait_until_a_raise_is_allowed() {
+    let mut fence = CommandFence::new(FencingToken::of_grant(GRANT));
+    assert_eq!(fence.decide_forget(false), ForgetDecision::Send);
+    fence.start_sent();
+    assert_eq!(fence.decide_forget(false), ForgetDecision::Wait);
+    assert_eq!(fence.decide_forget(true), ForgetDecision::Send);
+    assert_eq!(fence.decide_forget(false), ForgetDecision::Send);
+}
+
+#[test]
+fn a_raise_for_forgets_needs_no_heartbeat_that_shows_it() {
+    let mut fence = CommandFence::new(FencingToken::of_grant(GRANT));
+    fence.reported(fence.token());
+    fence.start_sent();
+    assert_eq!(fence.decide_forget(true), ForgetDecision::Send);
+    assert!(fence.is_proven());
+    fence.raise();
+    assert!(!fence.is_proven());
+}
+
+#[test]
+fn an_agent_that_lost_its_token_proves_nothing_until_it_has_a_higher_one() {
+    let mut fence = CommandFence::new(FencingToken::of_grant(GRANT));
+    fence.reported(fence.token());
+    fence.start_sent();
+    let started = fence.token();
+    fence.reported(FencingToken(0));
+    assert!(!fence.is_proven());
+    assert!(fence.token() > started);
+}
+
+#[test]
+fn forgets_stop_before_the_tokens_of_the_grant_are_used_up() {
+    let first = FencingToken::of_grant(GRANT);
+    let mut fence = CommandFence::new(first);
+    let forgets = (0..).take_while(|_| {
+        fence.start_sent();
+        fence.decide_forget(true) == ForgetDecision::Send
+    });
+    assert_eq!(
+        forgets.count() as u64,
+        first.raises_left() - RESERVED_RAISES
+    );
+    for _ in 0..RESERVED_RAISES {
+        fence.raise();
+    }
+    assert_eq!(fence.token().grant(), GRANT);
+    assert_eq!(fence.token().raises_left(), 0);
+}
--- a/crates/protocol/src/types/mod.rs
+++ b/crates/protocol/src/types/mod.rs
@@ -133,6 +133,10 @@
     pub fn raised(self) -> Self {
         Self(self.0 + 1)
     }
+    /// Returns how often the fencing token can be raised within the same grant.
+    pub fn raises_left(self) -> u64 {
+        Self::of_grant(self.grant() + 1).0 - 1 - self.0
+    }
 }
 
 /// Id of one task of a job.
--- a/src/control/core/agent.rs
+++ b/src/control/core/agent.rs
@@ -3,15 +3,23 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use sorrelhinge_lease_safety::command_fence::{CommandFence, ForgetDecision};
 use sorrelhinge_lease_safety::reachability::Reachability;
 
+use super::commands::CommandPath;
 use super::direct_line::DirectCommandState;
 use super::failed_jobs::FailedJobs;
 use super::task_attempt::{SentKills, TaskAttempt, TaskStatus};
 use super::Source;
-use crate::agent_client::{Command, DirectCommands, Heartbeat, ReportedImage, ReportedTask};
+use crate::agent_client::{
+    Command, DirectCommands, Heartbeat, ReportedImage, ReportedTask, TaskPhase,
+};
 use crate::types::{FencingToken, Incarnation, SequenceNumber, Time};
 
+/// Number of ended tasks in an agent's heartbeats from which on it gets no more tasks. PROTOCOL
+/// allows a heartbeat of 64 KiB.
+const MAX_ENDED_TASKS: usize = 512;
+
 /// Differences between a heartbeat and the one before it.
 pub(super) struct HeartbeatChanges {
     /// The agent's incarnation ended, and all tasks of that incarnation ended with it.
@@ -29,10 +37,8 @@
     /// heartbeat in the incarnation.
     incarnation: Incarnation,
     sequence: SequenceNumber,
-    /// Fencing token that commands to this machine carry now.
-    pub(super) fencing_token: FencingToken,
-    /// Highest fencing token that the agent has reported.
-    highest_fencing_token: FencingToken,
+    /// Fencing tokens of the commands to this machine.
+    pub(super) fence: CommandFence,
     /// Time of the last heartbeat that this controller received, or of which another controller
     /// notified it.
     last_contact: Time,
@@ -42,6 +48,8 @@
     pub(super) reachability: Reachability,
     /// Tasks that the agent's last heartbeat names.
     pub(super) tasks: BTreeMap<TaskAttempt, TaskStatus>,
+    /// Number of those tasks that have ended.
+    ended_tasks: usize,
     /// State of direct commands to this agent.
     pub(super) direct: DirectCommandState,
     /// A direct command failed. The machine gets no new tasks until a heartbeat shows that a
@@ -69,12 +77,12 @@
             addr,
             incarnation: Incarnation(1),
             sequence: SequenceNumber(0),
-            fencing_token,
-            highest_fencing_token: FencingToken(0),
+            fence: CommandFence::new(fencing_token),
             last_contact: now,
             relayed_sequence: SequenceNumber(0),
             reachability: Reachability::default(),
             tasks: BTreeMap::new(),
+            ended_tasks: 0,
             direct: DirectCommandState::new(now),
             suspected_one_way: false,
             forwarded: false,
@@ -101,6 +109,8 @@
             Some((key, status))
         });
         self.tasks = tasks.collect();
+        let phases = self.tasks.values().map(|status| status.phase);
+        self.ended_tasks = phases.filter(|phase| *phase == TaskPhase::Ended).count();
     }
 
     /// Applies a heartbeat that is newer than the last one.
@@ -118,9 +128,7 @@
         self.addr = heartbeat.addr;
         self.incarnation = heartbeat.incarnation;
         self.sequence = heartbeat.sequence;
-        let token_adopted = heartbeat.fencing_token > self.highest_fencing_token
-            && heartbeat.fencing_token.grant() == self.fencing_token.grant();
-        self.highest_fencing_token = self.highest_fencing_token.max(heartbeat.fencing_token);
+        let token_adopted = self.fence.reported(heartbeat.fencing_token);
         self.last_contact = now;
         self.relayed_sequence = SequenceNumber(0);
         self.direct.contact_confirmed();
@@ -176,7 +184,7 @@
     /// token.
     pub(super) fn commands(&self, commands: Vec<Command>) -> DirectCommands {
         DirectCommands {
-            fencing_token: self.fencing_token,
+            fencing_token: self.fence.token(),
             incarnation: self.incarnation,
             commands,
         }
@@ -226,7 +234,7 @@
         if self.suspected_one_way {
             // The agent has the current fencing token but executes nothing. It has to adopt a
             // higher token before it gets more commands.
-            self.raise_fencing_token();
+            self.fence.raise();
         }
     }
 
@@ -246,7 +254,7 @@
     /// Records that a direct command may have reached the agent but got no answer.
     pub(super) fn command_unanswered(&mut self, now: Time) {
         self.direct.failed(true, now);
-        self.raise_fencing_token();
+        self.fence.raise();
     }
 
     /// Records that a direct command or its answer was lost. The machine is suspected from then
@@ -260,14 +268,25 @@
         }
     }
 
-    /// Fences all commands that were sent to the agent so far.
-    pub(super) fn raise_fencing_token(&mut self) {
-        self.fencing_token = self.fencing_token.raised();
+    /// Returns whether forget commands may go in the next message to the agent, and raises the
+    /// fencing token for it if that is necessary.
+    ///
+    /// Only answers to heartbeats raise the token. A direct command with a higher token would make
+    /// the agent drop an answer that is in flight, and with it the renewal of its lease. A direct
+    /// command in flight would be refused after the raise, so its outcome is waited for.
+    pub(super) fn decide_forget(&mut self, path: CommandPath) -> ForgetDecision {
+        let may_raise = path != CommandPath::Direct && !self.direct.is_in_flight();
+        self.fence.decide_forget(may_raise)
+    }
+
+    /// Returns whether the agent has so many ended tasks in its heartbeats that it gets no more.
+    pub(super) fn has_many_ended_tasks(&self) -> bool {
+        self.ended_tasks >= MAX_ENDED_TASKS
     }
 
     /// Returns whether the agent created its last heartbeat after it had received the fencing
-    /// token that now fences all earlier commands to it.
+    /// token that fences all earlier commands to it with an unknown outcome.
     pub(super) fn fenced(&self) -> bool {
-        self.highest_fencing_token >= self.fencing_token
+        self.fence.is_proven()
     }
 }
--- a/src/control/core/agents.rs
+++ b/src/control/core/agents.rs
@@ -178,6 +178,7 @@
             && !draining
             && !agent.is_suspected_one_way()
             && !leaving
+            && !agent.has_many_ended_tasks()
             && !agent.failed_jobs.is_quarantined(now)
             && !agent.reachability.is_quarantined(now)
             && !silent;
--- a/src/control/core/commands.rs
+++ b/src/control/core/commands.rs
@@ -1,5 +1,7 @@
 //! Builds the commands that start, stop and forget tasks on a machine.
 
+use sorrelhinge_lease_safety::command_fence::ForgetDecision;
+
 use super::command_queue::ContactOrder;
 use super::outcomes::recorded_claim;
 use super::task_attempt::TaskAttempt;
@@ -9,14 +11,46 @@
 use crate::state::view::View;
 use crate::types::{Kind, MachineId, TaskId, Time};
 
+/// Message in which commands go to a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CommandPath {
+    /// Answer to a heartbeat, without start commands.
+    Reply,
+    /// Answer to a heartbeat, with start commands.
+    ReplyWithStarts,
+    /// Direct command.
+    Direct,
+}
+
+impl CommandPath {
+    /// Returns whether the message renews the lease of the machine's tasks.
+    fn renews_lease(self) -> bool {
+        self != Self::Direct
+    }
+
+    /// Returns how claims are marked whose start commands go by this path, or `None` if the path
+    /// carries none.
+    fn carries_starts_as(self) -> Option<Sent> {
+        match self {
+            Self::Reply => None,
+            Self::ReplyWithStarts => Some(Sent::InReply),
+            Self::Direct => Some(Sent::Flying),
+        }
+    }
+}
+
 impl Core {
     /// Returns the answer to a heartbeat. It carries the fencing token, commands that are not
     /// urgent, and start commands if these can't be sent directly.
     pub fn reply(&mut self, id: &MachineId, view: &View, now: Time) -> Reply {
         let agent = self.agents.get(id);
-        let starts = agent.filter(|agent| agent.takes_starts_in_replies(now));
-        let starts = starts.map(|_| Sent::InReply);
-        let commands = self.commands(id, view, starts, now);
+        let starts = agent.is_some_and(|agent| agent.takes_starts_in_replies(now));
+        let path = if starts {
+            CommandPath::ReplyWithStarts
+        } else {
+            CommandPath::Reply
+        };
+        let commands = self.commands(id, view, path, now);
         let starts = commands
             .iter()
             .any(|command| matches!(command, Command::Start { .. }));
@@ -32,15 +66,15 @@
         let fencing_token = self
             .agents
             .get(id)
-            .map_or(self.base_fencing_token(), |agent| agent.fencing_token);
+            .map_or(self.base_fencing_token(), |agent| agent.fence.token());
         Reply {
             fencing_token,
             commands,
         }
     }
 
-    /// Returns the commands for a machine. Start commands are included only if `starts` names the
-    /// path by which they go. Their claims are marked as sent by this path.
+    /// Returns the commands for a machine that go by a path. Claims whose start commands are
+    /// included are marked as sent by this path.
     ///
     /// The task list of a heartbeat proves nothing unless the heartbeat carries the machine's
     /// current fencing token. Until then no task is started or forgotten. Tasks that must not run
@@ -52,7 +86,7 @@
         &mut self,
         id: &MachineId,
         view: &View,
-        starts: Option<Sent>,
+        path: CommandPath,
         now: Time,
     ) -> Vec<Command> {
         let machine = self.cluster_state.machines().get(id);
@@ -60,36 +94,54 @@
             return Vec::new();
         };
         let may_start = machine.usable && agent.fenced();
-        let mut commands = self.stops_and_forgets(id, view, starts != Some(Sent::Flying), now);
-        if let Some(sent) = starts.filter(|_| may_start) {
+        let mut commands = self.forgets(id, view, path);
+        commands.extend(self.stops(id, path, now));
+        if let Some(sent) = path.carries_starts_as().filter(|_| may_start) {
             commands.extend(self.start_commands(id, sent, now));
         }
         commands
     }
 
-    /// Returns the commands that stop or forget tasks that the machine reported. `in_reply` tells
-    /// that the commands go in the answer to a heartbeat, which renews the machine's lease.
-    fn stops_and_forgets(
-        &mut self,
-        id: &MachineId,
-        view: &View,
-        in_reply: bool,
-        now: Time,
-    ) -> Vec<Command> {
+    /// Returns the commands that make the machine forget ended tasks. They wait for a message whose
+    /// fencing token fences every copy of a command that started a task there.
+    fn forgets(&mut self, id: &MachineId, view: &View, path: CommandPath) -> Vec<Command> {
+        let Some(agent) = self.agents.get_mut(id).filter(|agent| agent.fenced()) else {
+            return Vec::new();
+        };
+        let ended = agent.tasks.iter();
+        let ended = ended.filter(|(_, status)| status.phase == TaskPhase::Ended);
+        let settled = ended.filter(|(key, _)| {
+            let claim = self.cluster_state.claim_on(id, &key.task, key.attempt);
+            is_settled(claim, key, view)
+        });
+        let forgets: Vec<Command> = settled.map(|(key, _)| forget(key)).collect();
+        if forgets.is_empty() {
+            return forgets;
+        }
+        match agent.decide_forget(path) {
+            ForgetDecision::Send => forgets,
+            ForgetDecision::Wait => Vec::new(),
+            ForgetDecision::Exhausted => {
+                if !agent.is_retiring() {
+                    tracing::info!(machine = %id, fencing_token = %agent.fence.token(), "fencing tokens exhausted; scaling in");
+                    agent.retire();
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    /// Returns the commands that stop tasks that the machine reported.
+    fn stops(&mut self, id: &MachineId, path: CommandPath, now: Time) -> Vec<Command> {
         let mut commands = Vec::new();
         let Some(agent) = self.agents.get_mut(id) else {
             return commands;
         };
         let fenced = agent.fenced();
         agent.sent_kills.keep_reported(&agent.tasks);
-        for (key, status) in &agent.tasks {
+        let running = agent.tasks.iter();
+        for (key, status) in running.filter(|(_, status)| status.phase != TaskPhase::Ended) {
             let claim = self.cluster_state.claim_on(id, &key.task, key.attempt);
-            if status.phase == TaskPhase::Ended {
-                if fenced && is_settled(claim, key, view) {
-                    commands.push(forget(key));
-                }
-                continue;
-            }
             let job = self.cluster_state.job(&key.task.job);
             let grace_s = stop_grace_s(job, claim).filter(|g| fenced || *g == 0.0);
             let Some(grace_s) = grace_s else {
@@ -99,7 +151,7 @@
             // An answer to a heartbeat renews the machine's lease. A task that must end at once
             // (`grace_s` is 0) could keep running by that lease. So the answer always carries the
             // kill of such a task, because the direct command that carried it last may be lost.
-            let renews = in_reply && grace_s == 0.0;
+            let renews = path.renews_lease() && grace_s == 0.0;
             if !saving && (renews || agent.sent_kills.is_due(key, now)) {
                 agent.sent_kills.sent(key, now);
                 commands.push(kill(key, grace_s));
@@ -128,10 +180,14 @@
             }
             return Vec::new();
         }
-        tasks
+        let starts = tasks
             .iter()
-            .filter_map(|task| self.start_command(id, task, sent, now))
-            .collect()
+            .filter_map(|task| self.start_command(id, task, sent, now));
+        let starts: Vec<Command> = starts.collect();
+        if let Some(agent) = self.agents.get_mut(id).filter(|_| !starts.is_empty()) {
+            agent.fence.start_sent();
+        }
+        starts
     }
 
     /// Returns the start command of a task. Returns `None` while the task waits for its image
@@ -166,8 +222,8 @@
     }
 }
 
-/// Returns whether an agent may forget a task that ended. The result must be recorded, and no
-/// start command of this attempt may still arrive, because it would run the task again.
+/// Returns whether a task that ended is settled: it is not claimed any more, and its result is
+/// recorded.
 fn is_settled(claim: Option<&Claim>, ended: &TaskAttempt, view: &View) -> bool {
     claim.is_none() && !recorded_claim(view, &ended.task, ended.attempt)
 }
--- a/src/control/core/dispatch.rs
+++ b/src/control/core/dispatch.rs
@@ -1,6 +1,7 @@
 //! Direct commands to agents and their outcomes (PROTOCOL, "Controller nodes -> workers").
 
 use super::command_queue::ContactOrder;
+use super::commands::CommandPath;
 use super::task_attempt::KILL_RETRY_S;
 use super::{Core, Dispatch, Source};
 use crate::agent_client::{Command, Sending};
@@ -49,7 +50,7 @@
     /// Returns the commands for a machine that may be contacted. Returns `None` if all of them
     /// can wait for its next heartbeat.
     fn dispatch_to(&mut self, id: MachineId, view: &View, now: Time) -> Option<Dispatch> {
-        let commands = self.commands(&id, view, Some(Sent::Flying), now);
+        let commands = self.commands(&id, view, CommandPath::Direct, now);
         let agent = self.agents.get_mut(&id)?;
         let forgets_only = commands
             .iter()
@@ -141,7 +142,7 @@
         // The agent may keep sending heartbeats and receive no command. The fencing token shows
         // whether it receives commands, whichever path carries them.
         if !agent.reachability.is_confirmed(self.cfg.heartbeat_s, now) {
-            agent.raise_fencing_token();
+            agent.fence.raise();
         }
         self.resolve_in_flight(id, Sent::No);
     }
@@ -161,7 +162,7 @@
             return;
         };
         agent.command_failed(now);
-        tracing::info!(machine = %id, fencing_token = %agent.fencing_token, "direct command failed");
+        tracing::info!(machine = %id, fencing_token = %agent.fence.token(), "direct command failed");
         self.refresh_machine(id, now);
     }
 
--- a/src/control/core/heartbeats.rs
+++ b/src/control/core/heartbeats.rs
@@ -68,7 +68,7 @@
         {
             agent.retire();
         }
-        let fenced = heartbeat.fencing_token >= agent.fencing_token;
+        let fenced = agent.fence.proves(heartbeat.fencing_token);
         self.record_served_images(heartbeat);
         if changes.address_changed {
             self.cluster_state.locate(id, Some(heartbeat.addr.ip()));
--- a/tests/rules/command_copies.rs
+++ b/tests/rules/command_copies.rs
@@ -86,6 +86,17 @@
         accepted
     }
 
+    /// A machine is back at once, without its tasks and without the fencing token.
+    pub(crate) fn restart_worker(&mut self, at: usize, next_incarnation: bool) {
+        let id = self.workers[at].id.clone();
+        self.note(&format!("{id} restarts"));
+        let w = &mut self.workers[at];
+        w.tasks.clear();
+        w.fencing_token = 0;
+        w.incarnation += u64::from(next_incarnation);
+        w.renewed = self.now;
+    }
+
     /// Lets the first owner record, and exchanges heartbeats, answers and direct commands with all
     /// workers. Returns the direct commands that were carried out.
     fn exchange(&mut self) -> Vec<Dispatch> {
@@ -218,6 +229,17 @@
     world.assert_copies_do_nothing(&machine, &commands);
 }
 
+#[test]
+fn a_copy_of_an_executed_start_does_not_run_a_moved_task_again() {
+    let (mut world, job, machine, commands) = started_job();
+    let at = world.workers.iter().position(|w| w.id == machine);
+    world.workers[at.expect("the worker")].warned = true;
+    let (other, _) = world.until_started(&job);
+    assert_ne!(other, machine, "the task moves");
+    world.until_forgotten(&machine, &commands);
+    world.assert_copies_do_nothing(&machine, &commands);
+}
+
 #[test]
 fn a_copy_of_an_executed_start_does_not_run_a_cancelled_task_again() {
     let (mut world, job, machine, commands) = started_job();
@@ -227,6 +249,40 @@
     world.assert_copies_do_nothing(&machine, &commands);
 }
 
+#[test]
+fn a_copy_of_a_refused_start_does_not_run_it_later() {
+    for reason in ["full", "in_use", "no_such"] {
+        let (mut world, job, machine, commands) = started_job();
+        world.end_tasks(&machine, &job, reason);
+        world.until_forgotten(&machine, &commands);
+        world.assert_copies_do_nothing(&machine, &commands);
+    }
+}
+
+#[test]
+fn a_copy_of_an_executed_start_does_nothing_after_the_next_leader_forgot_it() {
+    let (mut world, job, machine, commands) = started_job();
+    world.begin_leadership();
+    world.owners.remove(0);
+    world.end_tasks(&machine, &job, "error");
+    world.until_forgotten(&machine, &commands);
+    world.assert_copies_do_nothing(&machine, &commands);
+}
+
+#[test]
+fn a_copy_of_an_executed_start_does_nothing_on_a_restarted_machine_that_was_contacted() {
+    for next_incarnation in [true, false] {
+        let (mut world, job, machine, commands) = started_job();
+        let at = world.workers.iter().position(|w| w.id == machine);
+        world.restart_worker(at.expect("the worker"), next_incarnation);
+        world.confirm_cancelled(&job);
+        for _ in 0..10 {
+            world.exchange();
+        }
+        world.assert_copies_do_nothing(&machine, &commands);
+    }
+}
+
 /// Copies beside all faults that are drawn, with one shard and several.
 #[test]
 fn no_forgotten_attempt_runs_again_while_executed_commands_arrive_again() {
