A shard owned again by the same grant begins above all tokens issued before

Callers could see: a task on two machines, with several shards.

Cause, by class: knowledge that a safety check rests on was dropped while the right that it belongs to went on. A controller that releases a shard (a worker showed a newer token, or it reaches no worker) drops the shard's state. Until the records name another owner, the next change that it reads makes it take the shard up again by the same grant, from the grant's first token: the tokens of the starts that it sent, and of commands without an answer, are forgotten. A `forget` then goes with the token of the start, and a heartbeat counts as proof while an unanswered start may still be executed.

Change: `ShardOwnership` keeps the highest token that it issued for a released shard, and the shard's next state under the same grant begins above it. As with a new grant, nothing is concluded until a heartbeat shows that token.

That `Node` gets there (`release_shard`, then `adopt_shards`) is by reading only.

--- a/src/control/core/agent_table.rs
+++ b/src/control/core/agent_table.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use super::agent::AgentState;
-use crate::types::{JobId, MachineId, Time};
+use crate::types::{FencingToken, JobId, MachineId, Time};
 
 /// States of all agents whose machines are up, by machine name.
 #[derive(Default)]
@@ -60,6 +60,11 @@
         self.agents.get(id).map(|agent| agent.addr)
     }
 
+    /// Returns the highest fencing token that commands to any agent carry.
+    pub(super) fn highest_fencing_token(&self) -> Option<FencingToken> {
+        self.agents.values().map(|agent| agent.fence.token()).max()
+    }
+
     /// Returns the number of agents that have not reported their current fencing token.
     pub(super) fn count_unfenced(&self) -> usize {
         let unfenced = self.agents.values().filter(|agent| !agent.fenced());
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -132,7 +132,7 @@
 use crate::agent_client::DirectCommands;
 use crate::config::Config;
 use crate::scheduler::ClusterState;
-use crate::types::{MachineId, Revision, Time};
+use crate::types::{FencingToken, MachineId, Revision, Time};
 
 /// Path by which a heartbeat reached this controller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -169,6 +169,8 @@
     pub grant: u64,
     /// Revision of the state service at which the grant was written.
     grant_revision: Revision,
+    /// Lowest fencing token of this owner's commands.
+    first_fencing_token: FencingToken,
     /// Shard that the grant is for.
     pub scope: ShardScope,
     /// Freeze of the shard before its handover to another owner. While the shard is frozen, the
--- a/src/control/core/recovery.rs
+++ b/src/control/core/recovery.rs
@@ -58,6 +58,9 @@
     pub number: u64,
     /// Store revision that wrote the grant.
     pub revision: Revision,
+    /// Highest fencing token that this controller issued when it owned the shard by this grant
+    /// before. `None` if it did not.
+    pub issued: Option<FencingToken>,
 }
 
 impl ShardGrant {
@@ -67,8 +70,16 @@
             scope: ShardScope::WHOLE,
             number,
             revision,
+            issued: None,
         }
     }
+
+    /// Returns the first fencing token that commands carry. It is above all tokens of commands that
+    /// this controller sent before, because their outcomes and starts are not known any more.
+    fn first_fencing_token(&self) -> FencingToken {
+        self.issued
+            .map_or(FencingToken::of_grant(self.number), FencingToken::raised)
+    }
 }
 
 impl Core {
@@ -104,6 +115,7 @@
             cluster_state: ClusterState::new(teams(&input.cfg)),
             grant: grant.number,
             grant_revision: grant.revision,
+            first_fencing_token: grant.first_fencing_token(),
             scope,
             freeze: HandoverFreeze::default(),
             delegations: task_delegation::Delegations::default(),
@@ -166,9 +178,15 @@
         }
     }
 
-    /// Returns the lowest fencing token of the grant.
+    /// Returns the lowest fencing token of this owner's commands.
     pub(super) fn base_fencing_token(&self) -> FencingToken {
-        FencingToken::of_grant(self.grant)
+        self.first_fencing_token
+    }
+
+    /// Returns the highest fencing token of this owner's commands.
+    pub fn highest_fencing_token(&self) -> FencingToken {
+        let agents = self.agents.highest_fencing_token();
+        agents.unwrap_or(self.first_fencing_token)
     }
 
     /// Adds a job if this shard places the job or has claims of its tasks.
--- a/src/control/resharding.rs
+++ b/src/control/resharding.rs
@@ -150,6 +150,7 @@
                     scope,
                     number: grant,
                     revision: Revision(0),
+                    issued: None,
                 };
                 let core = Core::recover(&input, grant, self.shards.machine_zones());
                 core.needs().iter().map(|n| n.used).collect()
--- a/src/control/shard_owners.rs
+++ b/src/control/shard_owners.rs
@@ -101,6 +101,7 @@
                 scope: ShardScope { shard: *shard, of },
                 number: record.number,
                 revision: recorded.mod_revision,
+                issued: self.shards.issued_under(*shard, record.number),
             };
             self.recover_shard(view, grant);
             new = true;
--- a/src/control/shard_ownership.rs
+++ b/src/control/shard_ownership.rs
@@ -17,7 +17,7 @@
 use super::core::{Core, MachineZones};
 use crate::peer_messages::Needs;
 use crate::state::view::View;
-use crate::types::{MachineId, NodeId, Time, Zone};
+use crate::types::{FencingToken, MachineId, NodeId, Time, Zone};
 
 /// Time for which the use and demand that a shard's owner published are valid.
 const NEEDS_VALID_FOR: Duration = Duration::from_secs(3);
@@ -103,6 +103,8 @@
     machine_zones: MachineZones,
     /// Use and demand of each shard, as its owner published them.
     needs: RefCell<HashMap<ShardId, PublishedNeeds>>,
+    /// Highest fencing token issued for each shard that was owned and released.
+    issued: RefCell<HashMap<ShardId, FencingToken>>,
     /// The leader's memory of past shard assignments.
     assignments: RefCell<Owners>,
 }
@@ -146,7 +148,23 @@
 
     /// Stops acting for the shard at once, and returns its state if the shard was owned.
     pub(super) fn release_shard(&self, shard: ShardId) -> Option<Core> {
-        self.owned.borrow_mut().cores.remove(&shard)
+        let core = self.owned.borrow_mut().cores.remove(&shard)?;
+        self.record_issued(shard, &core);
+        Some(core)
+    }
+
+    /// Records the fencing tokens that were issued for a shard which is released.
+    fn record_issued(&self, shard: ShardId, core: &Core) {
+        let issued = core.highest_fencing_token();
+        self.issued.borrow_mut().insert(shard, issued);
+    }
+
+    /// Returns the highest fencing token that was issued for a released shard under this grant.
+    /// The records may still grant a shard that this controller released, and it then owns the
+    /// shard again.
+    pub(super) fn issued_under(&self, shard: ShardId, grant: u64) -> Option<FencingToken> {
+        let issued = self.issued.borrow().get(&shard).copied();
+        issued.filter(|token| token.grant() == grant)
     }
 
     /// Removes the owned shards that the records no longer grant to this controller. Returns
@@ -157,6 +175,7 @@
         owned.cores.retain(|shard, core| {
             let kept = is_granted(core, view);
             if !kept {
+                self.record_issued(*shard, core);
                 tracing::info!(%shard, grant = core.grant, "shard granted to another owner; stepping down");
             }
             kept
--- a/tests/rules/command_copies.rs
+++ b/tests/rules/command_copies.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 use serde_json::Value;
 use sorrelhinge::agent_client::Sending;
-use sorrelhinge::control::core::{Dispatch, Source};
+use sorrelhinge::control::core::{Core, Dispatch, MachineZones, RecoveryInput, ShardGrant, Source};
 use sorrelhinge::types::Time;
 
 use crate::*;
@@ -97,9 +97,52 @@
         w.renewed = self.now;
     }
 
-    /// Lets the first owner record, and exchanges heartbeats, answers and direct commands with all
-    /// workers. Returns the direct commands that were carried out.
+    /// The newest owner lost its state, and owns the shard again by the same grant.
+    fn own_again(&mut self) {
+        let core = self.owners.pop().expect("an owner").core;
+        let view = self.whole_view();
+        let grant = ShardGrant {
+            issued: Some(core.highest_fencing_token()),
+            ..ShardGrant::whole(core.grant, view.grant.mod_revision)
+        };
+        let input = RecoveryInput {
+            cfg: self.config(),
+            types: &kinds(),
+            view: &view,
+            topology: None,
+            now: Time(self.now),
+            wall_ms: 0,
+        };
+        let core = Core::recover(&input, grant, MachineZones::default());
+        self.add_owner(core, view);
+    }
+
+    /// Exchanges messages until a direct command with a start is on its way. Returns the command.
+    fn until_start_sent(&mut self) -> (String, Value) {
+        for _ in 0..60 {
+            for send in self.decide() {
+                let commands = serde_json::to_value(&send.commands).expect("orders");
+                if !started_attempts("", &commands).is_empty() {
+                    return (send.machine.as_str().to_owned(), commands);
+                }
+                self.execute(&send);
+            }
+        }
+        panic!("nothing starts");
+    }
+
+    /// Exchanges heartbeats, answers and direct commands between the newest owner and all workers.
+    /// Returns the direct commands.
     fn exchange(&mut self) -> Vec<Dispatch> {
+        let sends = self.decide();
+        for send in &sends {
+            self.execute(send);
+        }
+        sends
+    }
+
+    /// Lets the newest owner take all heartbeats, decide and record. Returns its direct commands.
+    fn decide(&mut self) -> Vec<Dispatch> {
         self.now += STEP_S;
         let now = Time(self.now);
         let o = self.owners.last_mut().expect("an owner");
@@ -114,17 +157,18 @@
         while let Some(batch) = o.core.next_batch(&o.view, 4, true, now) {
             commit(&mut self.store, &mut o.core, &mut o.view, batch, now);
         }
-        let sends = o.core.dispatch(&o.view, now);
-        for send in &sends {
-            let commands = serde_json::to_value(&send.commands).expect("orders");
-            let outcome = match self.carry_out_once(send.machine.as_str(), &commands) {
-                Some(Some(heartbeat)) => Sending::Executed(Box::new(heartbeat)),
-                other => panic!("refused: {commands}, {}", other.is_some()),
-            };
-            let o = self.owners.last_mut().expect("an owner");
-            o.core.dispatched(&send.machine, outcome, now);
-        }
-        sends
+        o.core.dispatch(&o.view, now)
+    }
+
+    /// A worker carries out a direct command, and its owner gets the answer.
+    fn execute(&mut self, send: &Dispatch) {
+        let commands = serde_json::to_value(&send.commands).expect("orders");
+        let outcome = match self.carry_out_once(send.machine.as_str(), &commands) {
+            Some(Some(heartbeat)) => Sending::Executed(Box::new(heartbeat)),
+            other => panic!("refused: {commands}, {}", other.is_some()),
+        };
+        let o = self.owners.last_mut().expect("an owner");
+        o.core.dispatched(&send.machine, outcome, Time(self.now));
     }
 
     /// A worker's heartbeat reaches the newest owner, and the worker carries out the answer.
@@ -269,6 +313,31 @@
     world.assert_copies_do_nothing(&machine, &commands);
 }
 
+#[test]
+fn a_copy_of_an_executed_start_does_nothing_once_its_owner_is_back_under_the_same_grant() {
+    let (mut world, job, machine, commands) = started_job();
+    world.own_again();
+    world.end_tasks(&machine, &job, "error");
+    world.until_forgotten(&machine, &commands);
+    world.assert_copies_do_nothing(&machine, &commands);
+}
+
+#[test]
+fn a_command_without_an_answer_is_fenced_once_its_owner_is_back_under_the_same_grant() {
+    let mut world = calm(3);
+    for _ in 0..10 {
+        world.exchange();
+    }
+    array(&mut world, 1, ENDLESS, 1);
+    let (machine, commands) = world.until_start_sent();
+    world.own_again();
+    for _ in 0..10 {
+        world.exchange();
+    }
+    assert!(!world.deliver_command_copy(&machine, &commands));
+    world.check();
+}
+
 #[test]
 fn a_copy_of_an_executed_start_does_nothing_on_a_restarted_machine_that_was_contacted() {
     for next_incarnation in [true, false] {
--- a/tests/rules/world.rs
+++ b/tests/rules/world.rs
@@ -196,6 +196,7 @@
             scope,
             number: self.grants,
             revision: view.shards[&shard].mod_revision,
+            issued: None,
         };
         let input = RecoveryInput {
             cfg: self.config(),
@@ -216,7 +217,7 @@
     }
 
     /// All that the state service holds, as a new owner reads it.
-    fn whole_view(&self) -> View {
+    pub(crate) fn whole_view(&self) -> View {
         let mut view = View::default();
         view.replace(Revision(0), Vec::new());
         self.store.follow(&mut view);
@@ -225,7 +226,7 @@
     }
 
     /// A new owner, which has just read everything.
-    fn add_owner(&mut self, core: Core, view: View) {
+    pub(crate) fn add_owner(&mut self, core: Core, view: View) {
         self.owners.push(Owner {
             core,
             view,
