--- a/crates/emulators/src/lib.rs
+++ b/crates/emulators/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod place;
 mod plan;
 mod site;
+pub mod soak;
 pub mod store;
 pub mod users;
 
--- a/crates/emulators/src/nodes.rs
+++ b/crates/emulators/src/nodes.rs
@@ -1,7 +1,10 @@
 //! Machines with their workers. A switch can be cut: whoever is behind it is
 //! silent, and its tasks run until the lease ends.
 
+mod command_copies;
+mod failing_starts;
 mod faults;
+mod figures;
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -13,7 +16,10 @@
 
 use crate::history::{AttemptId, Event, Reason, Recorder, TaskName};
 use crate::{LEASE_S, ZONES};
+pub use command_copies::CommandCopies;
+use failing_starts::FailingStarts;
 pub use faults::{machines_of, CommandDelay, Faults, Released};
+pub use figures::Figures;
 pub use worker::add;
 
 /// A task on a machine.
@@ -27,6 +33,8 @@
     /// How long it runs; for ever if it is a service's.
     run_s: f64,
     cpus: f64,
+    /// It ends with an error.
+    fails: bool,
     /// Its devices, by kind and name.
     pub units: Vec<(String, String)>,
 }
@@ -98,6 +106,13 @@
     pub apart: Option<(usize, u64)>,
     /// More that goes wrong by a test's word.
     pub faults: Faults,
+    /// Copies of executed direct commands.
+    pub command_copies: CommandCopies,
+    failing_starts: FailingStarts,
+    /// Attempts that workers were told to forget.
+    forgotten: BTreeSet<ForgottenAttempt>,
+    /// What the load costs.
+    pub figures: Figures,
     /// Takes notes of what happens on the machines.
     pub recorder: Recorder,
     /// Where each controller takes heartbeats.
@@ -106,6 +121,14 @@
     count: u32,
 }
 
+/// An attempt that a worker was told to forget.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ForgottenAttempt {
+    machine: String,
+    task: String,
+    attempt: u64,
+}
+
 /// The one machine type.
 pub(crate) const TYPE: &str = "t";
 /// CPUs of a machine.
@@ -144,6 +167,7 @@
             since: Instant::now(),
             run_s,
             cpus,
+            fails: false,
             units: units.to_vec(),
         }
     }
@@ -179,6 +203,10 @@
             sent: None,
             apart: None,
             faults: Faults::default(),
+            command_copies: CommandCopies::default(),
+            failing_starts: FailingStarts::default(),
+            forgotten: BTreeSet::new(),
+            figures: Figures::default(),
             recorder,
             controllers,
             count: 0,
@@ -257,6 +285,8 @@
     fn heartbeat(&mut self, id: &str) -> Value {
         let node = self.all.get_mut(id).expect("it is there");
         node.sequence += 1;
+        let ended = node.tasks.values().filter(|task| task.phase == "ended");
+        self.figures.reported_ended(ended.count());
         let tasks: Vec<Value> = node
             .tasks
             .iter()
@@ -295,6 +325,11 @@
                 Command::Forget { task_name, attempt } => {
                     let node = self.all.get_mut(id).expect("it is there");
                     node.tasks.remove(&(task_name.clone(), attempt.0));
+                    self.forgotten.insert(ForgottenAttempt {
+                        machine: id.to_owned(),
+                        task: task_name.clone(),
+                        attempt: attempt.0,
+                    });
                 }
             }
         }
@@ -308,22 +343,41 @@
         }
         let uid = task_name.rsplit_once('/').expect("a piece").0;
         let job = self.jobs.get(uid).cloned().unwrap_or(Value::Null);
+        self.check_not_forgotten(id, task_name, attempt);
         self.check_runs_once(id, task_name);
         self.check_unit_count(id, task_name, &job, units.len());
         for unit in units {
             self.check_unit(id, task_name, unit);
         }
         self.starts += 1;
+        self.figures.started(uid);
+        let fails = self.failing_starts.draw();
         let node = self.all.get_mut(id).expect("it is there");
         let cpus = job["cpus"].as_f64().unwrap_or(1.0);
         let full = node.used_cpus() + cpus > CPUS;
-        node.tasks.insert(key, Task::begin(&job, cpus, full, units));
+        let mut task = Task::begin(&job, cpus, full, units);
+        task.fails = fails;
+        node.tasks.insert(key, task);
         node.dirty = true;
         if let Some(attempt) = attempt_id(id, task_name, attempt).filter(|_| !full) {
             self.recorder.note(Event::Started(attempt));
         }
     }
 
+    /// The machine was not told to forget this attempt.
+    fn check_not_forgotten(&mut self, id: &str, task_name: &str, attempt: u64) {
+        let started = ForgottenAttempt {
+            machine: id.to_owned(),
+            task: task_name.to_owned(),
+            attempt,
+        };
+        if self.forgotten.contains(&started) {
+            self.wrong.push(format!(
+                "ran_again: {started:?} starts after it was forgotten"
+            ));
+        }
+    }
+
     /// No machine that is there has the task already.
     fn check_runs_once(&mut self, id: &str, task_name: &str) {
         let has = |node: &Node| {
@@ -380,6 +434,26 @@
         true
     }
 
+    /// A machine's incarnation ends with all its tasks, which were gone at `end`.
+    fn end_incarnation(&mut self, id: &str, end: Instant) {
+        let node = self.all.get_mut(id).expect("it is there");
+        node.incarnation += 1;
+        node.answered = Instant::now();
+        node.dirty = true;
+        for (key, task) in std::mem::take(&mut node.tasks) {
+            if task.phase != "ended" {
+                self.note_left(id, &key, end.max(task.since), Reason::Ended);
+            }
+        }
+    }
+
+    /// The names of all machines that are up and there.
+    pub fn names_up(&self) -> Vec<String> {
+        let now = Instant::now();
+        let up = self.all.values().filter(|n| !n.gone && n.up_at <= now);
+        up.map(|n| n.id.clone()).collect()
+    }
+
     /// Time passes on a machine: its lease may end, and unless it hangs its tasks go
     /// on.
     fn advance(&mut self, id: &str) {
@@ -387,26 +461,24 @@
         let now = Instant::now();
         let lease_end = node.answered + Duration::from_secs_f64(LEASE_S);
         if now > lease_end {
-            node.incarnation += 1;
-            node.answered = now;
-            node.dirty = true;
-            for (key, task) in std::mem::take(&mut node.tasks) {
-                if task.phase != "ended" {
-                    // At its end, also if this routine was late.
-                    self.note_left(id, &key, lease_end.max(task.since), Reason::Ended);
-                }
-            }
+            // At its end, also if this routine was late.
+            self.end_incarnation(id, lease_end);
         }
         if self.is_hung(id) {
             return;
         }
         let node = self.all.get_mut(id).expect("it is there");
-        let mut completed = Vec::new();
+        let (mut completed, mut failed) = (Vec::new(), Vec::new());
         for (key, task) in &mut node.tasks {
             let ran = now.duration_since(task.since).as_secs_f64();
             if task.phase == "fetching" && ran >= 0.1 {
                 task.phase = "running".into();
                 node.dirty = true;
+            } else if task.phase == "running" && task.fails {
+                task.phase = "ended".into();
+                task.exit_reason = Some("error");
+                failed.push(key.clone());
+                node.dirty = true;
             } else if task.phase == "running" && ran >= 0.1 + task.run_s {
                 task.phase = "ended".into();
                 task.exit_reason = Some("done");
@@ -414,6 +486,9 @@
                 node.dirty = true;
             }
         }
+        for key in failed {
+            self.note_left(id, &key, now, Reason::Ended);
+        }
         for key in completed {
             self.note_left(id, &key, now, Reason::Done);
             self.done.insert(key.0);
--- a/crates/emulators/src/nodes/worker.rs
+++ b/crates/emulators/src/nodes/worker.rs
@@ -14,7 +14,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::{Node, Nodes, CPUS, MAX_SENT, PATIENCE, RAM_GB, TYPE};
+use super::{command_copies, Node, Nodes, CPUS, MAX_SENT, PATIENCE, RAM_GB, TYPE};
 use crate::history::{Amounts, Event, Machine};
 use crate::{ask_over, serve, HttpResponse, HEARTBEAT_S, ZONES};
 
@@ -145,6 +145,7 @@
         // The controller gives up by itself.
         return std::future::pending().await;
     }
+    let all = nodes.clone();
     let mut nodes = nodes.borrow_mut();
     if path == "/status" {
         return HttpResponse::new(200, nodes.heartbeat(&id));
@@ -152,11 +153,14 @@
     let Ok(commands) = commands else {
         return HttpResponse::new(400, Value::Null);
     };
-    if nodes.obey(&id, &commands) {
-        HttpResponse::new(200, nodes.heartbeat(&id))
-    } else {
-        HttpResponse::new(409, nodes.heartbeat(&id))
+    nodes.figures.direct_calls += 1;
+    let executed = nodes.obey(&id, &commands);
+    let heartbeat = nodes.heartbeat(&id);
+    drop(nodes);
+    if executed {
+        command_copies::draw(&all, &id, &commands);
     }
+    HttpResponse::new(if executed { 200 } else { 409 }, heartbeat)
 }
 
 /// Waits while a machine hangs.
@@ -261,6 +265,7 @@
         node.dirty = false;
         let (target, incarnation) = (node.target, node.incarnation);
         let body = self.heartbeat(id);
+        self.figures.heartbeats += 1;
         self.keep_copy(id, &body);
         Due::Heartbeat(DueHeartbeat {
             target,
