The agent does not start an attempt again that it was told to forget

The next incarnation begins with none, as copies for an earlier one are refused.

PROTOCOL says that a worker starts such an attempt again; no controller sends such a start on purpose, so only copies are affected.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -8,6 +8,7 @@
 
 mod attempts;
 mod commands;
+mod forgotten;
 mod heartbeats;
 mod messages;
 
@@ -17,6 +18,7 @@
 use sorrelhinge_protocol::worker::{ReportedImage, TaskPhase};
 
 use self::attempts::{has_process, AttemptEntry};
+pub use self::forgotten::{ForgottenAttempts, MAX_FORGOTTEN_ATTEMPTS};
 pub use self::heartbeats::ANSWER_TIMEOUT_S;
 pub use self::messages::{
     Action, Answer, AttemptState, CommandOutcome, Ending, Exit, Key, Known, Machine, Needs, Note,
@@ -39,6 +41,8 @@
     sequence: u64,
     sequences_noted: u64,
     tasks: BTreeMap<Key, AttemptEntry>,
+    /// Attempts that this incarnation was told to forget.
+    forgotten: ForgottenAttempts,
     /// Killed with their incarnation, not gone yet: nothing is reported until
     /// they are, since a heartbeat without them would prove that they are.
     dying: BTreeMap<Key, Amount>,
@@ -91,6 +95,7 @@
             sequence: found.sequence,
             sequences_noted: found.sequence,
             tasks: BTreeMap::new(),
+            forgotten: found.forgotten.clone(),
             dying: BTreeMap::new(),
             results: found.results.clone(),
             answered: found.answered.unwrap_or(now),
@@ -165,6 +170,7 @@
             }
         }
         self.incarnation = Incarnation(self.incarnation.0 + 1);
+        self.forgotten.clear();
         self.answered = now;
         self.changed = true;
         actions.push(Action::Note(Note::Incarnation(self.incarnation)));
--- a/crates/agent/src/core/commands.rs
+++ b/crates/agent/src/core/commands.rs
@@ -98,7 +98,7 @@
         }
     }
 
-    /// `start`. If this attempt is here in any state, it has no effect.
+    /// `start`. If this attempt is here in any state, or was forgotten, it has no effect.
     fn start(
         &mut self,
         key: Key,
@@ -106,7 +106,7 @@
         from: Vec<SocketAddr>,
         actions: &mut Vec<Action>,
     ) {
-        if self.tasks.contains_key(&key) {
+        if self.tasks.contains_key(&key) || self.forgotten.contains(&key) {
             return;
         }
         let said: usize = self
@@ -190,6 +190,7 @@
         let ended = |h: &AttemptEntry| h.phase == TaskPhase::Ended;
         if self.tasks.get(&key).is_some_and(ended) {
             self.tasks.remove(&key);
+            self.forgotten.insert(&key);
             self.changed = true;
             actions.push(Action::Note(Note::Forgot(key.clone())));
             actions.push(Action::Clean(key));
--- a/crates/agent/src/core/messages.rs
+++ b/crates/agent/src/core/messages.rs
@@ -10,6 +10,8 @@
 };
 use sorrelhinge_protocol::worker::{ExitReason, Heartbeat, Reply, TaskPhase};
 
+use super::ForgottenAttempts;
+
 /// A task's attempt: `run-000412/3` and its number.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key {
@@ -155,6 +157,8 @@
     pub tasks: BTreeMap<Key, Known>,
     /// Attempts of an ended incarnation that are not known to be gone.
     pub dying: BTreeSet<Key>,
+    /// Attempts that the last incarnation was told to forget.
+    pub forgotten: ForgottenAttempts,
     /// Needs of those that still run.
     pub needs: BTreeMap<Key, Needs>,
     /// Tasks whose result was reached on this machine.
--- a/crates/agent/src/journal.rs
+++ b/crates/agent/src/journal.rs
@@ -22,7 +22,7 @@
 
 use sorrelhinge_protocol::types::{FencingToken, Incarnation};
 
-use crate::core::{Ending, Key, Known, Note, Recovered};
+use crate::core::{Ending, ForgottenAttempts, Key, Known, Note, Recovered};
 
 const MAGIC: &[u8; 4] = b"SHJ1";
 const VERSION: u32 = 1;
@@ -103,6 +103,8 @@
     pub tasks: BTreeMap<Key, Known>,
     /// Attempts of an ended incarnation that are not known to be gone.
     pub dying: BTreeSet<Key>,
+    /// Attempts that the present incarnation was told to forget.
+    pub forgotten: ForgottenAttempts,
 }
 
 impl State {
@@ -115,6 +117,7 @@
             Note::Incarnation(incarnation) if *incarnation > self.incarnation => {
                 // An incarnation takes its tasks along.
                 self.incarnation = *incarnation;
+                self.forgotten.clear();
                 let tasks = std::mem::take(&mut self.tasks);
                 self.dying.extend(tasks.into_keys());
             }
@@ -133,7 +136,10 @@
             }
             Note::Forgot(key) => {
                 self.tasks.remove(key);
-                self.dying.remove(key);
+                let of_earlier_incarnation = self.dying.remove(key);
+                if !of_earlier_incarnation {
+                    self.forgotten.insert(key);
+                }
             }
         }
     }
@@ -149,6 +155,7 @@
         notes.extend(dying.map(|key| Note::Took(key, Vec::new())));
         // It ends the incarnation of those before it.
         notes.push(Note::Incarnation(self.incarnation));
+        notes.extend(self.forgotten.iter().cloned().map(Note::Forgot));
         for (key, known) in &self.tasks {
             notes.push(Note::Took(key.clone(), known.units.clone()));
             if let Some(Ending { why, kept }) = known.ended {
@@ -166,6 +173,7 @@
             sequence: self.sequence,
             tasks: self.tasks.clone(),
             dying: self.dying.clone(),
+            forgotten: self.forgotten.clone(),
             ..Recovered::default()
         }
     }
