A controller notices a task on two machines, and logs the commands for it

On call, the logs of the incident could not tell by which token and records a start or forget was sent, and nobody noticed the second run but the operators.

An owner that finds an attempt without a claim asks whether the machine of the task's claim reports it as running too. No rule allows that: it logs `task on two machines` with both attempts and counts it, and then the commands that it sent for the task, with token, incarnation, path and revision, out of the last 1,024 to all machines. The same stands in one line a message at the debug level, with what was read and how old the view was at each answer. `leader elected` names the first token and the revision of the grant.

Evidence: a test puts a second attempt on a machine by hand: it is counted once and killed.

The stand-in workers take a higher token as a change at most once in half a lease, as PROTOCOL has it.

--- a/crates/emulators/src/nodes.rs
+++ b/crates/emulators/src/nodes.rs
@@ -60,6 +60,8 @@
     sequence: u64,
     /// The highest fencing token seen.
     fencing_token: u64,
+    /// When a higher fencing token was last worth a heartbeat of its own.
+    token_announced: Option<Instant>,
     /// When the last answered heartbeat was sent: the lease runs from then.
     answered: Instant,
     reported: Instant,
@@ -174,6 +176,20 @@
 }
 
 impl Node {
+    /// Takes a fencing token that is not below the highest one seen. A higher one counts as a
+    /// change at most once in half a lease (PROTOCOL).
+    fn take_token(&mut self, fencing_token: u64) {
+        if fencing_token <= self.fencing_token {
+            return;
+        }
+        self.fencing_token = fencing_token;
+        let pause = Duration::from_secs_f64(LEASE_S / 2.0);
+        if self.token_announced.is_none_or(|at| at.elapsed() >= pause) {
+            self.token_announced = Some(Instant::now());
+            self.dirty = true;
+        }
+    }
+
     /// CPUs of all tasks that have not ended.
     fn used_cpus(&self) -> f64 {
         self.tasks
@@ -429,7 +445,7 @@
         {
             return false;
         }
-        node.fencing_token = commands.fencing_token.0;
+        node.take_token(commands.fencing_token.0);
         self.execute(id, &commands.commands);
         true
     }
--- a/crates/emulators/src/nodes/worker.rs
+++ b/crates/emulators/src/nodes/worker.rs
@@ -84,6 +84,7 @@
             incarnation: 1,
             sequence: 0,
             fencing_token: 0,
+            token_announced: None,
             answered: now + boot,
             reported: now,
             dirty: true,
@@ -314,7 +315,7 @@
         let node = self.all.get_mut(id).expect("it is there");
         if reply.fencing_token.0 >= node.fencing_token && heartbeat.incarnation == node.incarnation
         {
-            node.fencing_token = reply.fencing_token.0;
+            node.take_token(reply.fencing_token.0);
             node.answered = heartbeat.sent;
             self.execute(id, &reply.commands);
         }
--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -180,6 +180,17 @@
     },
 }
 
+impl Command {
+    /// Returns the name of the task that the command is for.
+    pub fn task_name(&self) -> &str {
+        match self {
+            Self::Start { task_name, .. }
+            | Self::Kill { task_name, .. }
+            | Self::Forget { task_name, .. } => task_name,
+        }
+    }
+}
+
 /// Answer of a controller to a heartbeat.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Reply {
--- a/src/control/core/agent.rs
+++ b/src/control/core/agent.rs
@@ -180,6 +180,11 @@
         !self.direct.is_in_flight() && (self.forwarded || pauses)
     }
 
+    /// Returns the incarnation of the agent that sent the last heartbeat.
+    pub(super) fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
     /// Returns direct commands for the incarnation that reported last, with the current fencing
     /// token.
     pub(super) fn commands(&self, commands: Vec<Command>) -> DirectCommands {
--- a/src/control/core/commands.rs
+++ b/src/control/core/commands.rs
@@ -99,6 +99,7 @@
         if let Some(sent) = path.carries_starts_as().filter(|_| may_start) {
             commands.extend(self.start_commands(id, sent, now));
         }
+        self.record_commands(id, &commands, path, view.store_revision, now);
         commands
     }
 
@@ -133,7 +134,7 @@
 
     /// Returns the commands that stop tasks that the machine reported.
     fn stops(&mut self, id: &MachineId, path: CommandPath, now: Time) -> Vec<Command> {
-        let mut commands = Vec::new();
+        let (mut commands, mut unclaimed) = (Vec::new(), Vec::new());
         let Some(agent) = self.agents.get_mut(id) else {
             return commands;
         };
@@ -142,6 +143,9 @@
         let running = agent.tasks.iter();
         for (key, status) in running.filter(|(_, status)| status.phase != TaskPhase::Ended) {
             let claim = self.cluster_state.claim_on(id, &key.task, key.attempt);
+            if claim.is_none() && !agent.sent_kills.contains(key) {
+                unclaimed.push(key.clone());
+            }
             let job = self.cluster_state.job(&key.task.job);
             let grace_s = stop_grace_s(job, claim).filter(|g| fenced || *g == 0.0);
             let Some(grace_s) = grace_s else {
@@ -157,6 +161,7 @@
                 commands.push(kill(key, grace_s));
             }
         }
+        self.check_unclaimed(id, &unclaimed, now);
         commands
     }
 
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! | state | owner | main users |
 //! | --- | --- | --- |
+//! | commands sent last | `command_history` | `commands` |
 //! | machines to contact, commands in flight | `command_queue` | `dispatch`, `agents` |
 //! | time until which the owner may start tasks | `start_permission` | `commands` |
 //! | machines to scan for free capacity, one by one or all | `placement_queue` | `placement` |
@@ -39,6 +40,7 @@
 mod agents;
 mod arrivals;
 mod batch;
+mod command_history;
 mod command_queue;
 mod commands;
 mod delegated_tasks;
@@ -106,6 +108,7 @@
 use sorrelhinge_sharding::shard::ShardScope;
 
 use self::agent_table::AgentTable;
+use self::command_history::CommandHistory;
 use self::command_queue::CommandQueue;
 pub use self::command_queue::MAX_COMMANDS_IN_FLIGHT;
 pub use self::draft::Batch;
@@ -195,6 +198,8 @@
     write_queue: WriteQueue,
     /// Time since this owner took the grant, and the recovery steps that are still pending.
     failover: Failover,
+    /// Commands that were sent last, for the log.
+    command_history: CommandHistory,
     /// Queue of machines whose agents may need direct commands.
     command_queue: CommandQueue,
     /// Machines that may have free capacity for tasks.
--- a/src/control/core/recovery.rs
+++ b/src/control/core/recovery.rs
@@ -8,6 +8,7 @@
 use sorrelhinge_topology::Topology;
 
 use super::agent_table::AgentTable;
+use super::command_history::CommandHistory;
 use super::command_queue::CommandQueue;
 use super::drains::RecordedDrains;
 use super::failover::Failover;
@@ -127,6 +128,7 @@
             inventory: CloudInventory::default(),
             write_queue: WriteQueue::default(),
             failover: Failover::begin(now, input.wall_ms, view.history.images()),
+            command_history: CommandHistory::default(),
             command_queue: CommandQueue::default(),
             placement_queue: PlacementQueue::default(),
             scaling: ScalingState::new(now),
--- a/src/control/core/task_attempt.rs
+++ b/src/control/core/task_attempt.rs
@@ -40,6 +40,11 @@
         sent.is_none_or(|at| now.since(*at) >= KILL_RETRY_S)
     }
 
+    /// Returns whether a stop command is recorded for an attempt.
+    pub(super) fn contains(&self, task: &TaskAttempt) -> bool {
+        self.0.contains_key(task)
+    }
+
     /// Records that a stop command is sent for an attempt.
     pub(super) fn sent(&mut self, task: &TaskAttempt, now: Time) {
         self.0.insert(task.clone(), now);
--- a/src/control/heartbeats.rs
+++ b/src/control/heartbeats.rs
@@ -265,6 +265,9 @@
                 core.place_on(&heartbeat.machine, now);
             });
         }
-        HeartbeatOutcome::Processed(Some(core.answer(heartbeat, &self.store.view(), now)))
+        let reply = core.answer(heartbeat, &self.store.view(), now);
+        let view_age_s = self.store.freshness().age_s(now);
+        tracing::debug!(machine = %heartbeat.machine, incarnation = %heartbeat.incarnation, sequence = %heartbeat.sequence, shown_token = %heartbeat.fencing_token, fencing_token = %reply.fencing_token, ?source, view_age_s, "heartbeat answered");
+        HeartbeatOutcome::Processed(Some(reply))
     }
 }
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -13,7 +13,7 @@
 use crate::state::{
     Change, Condition, RequestPriority, StateError, Transaction, TransactionOutcome,
 };
-use crate::types::{LeaseId, Revision, Term};
+use crate::types::{FencingToken, LeaseId, Revision, Term};
 
 /// Fraction of the state service's request rate that the leader may use.
 const LEADER_REQUEST_SHARE: f64 = 0.5;
@@ -209,7 +209,8 @@
             self.leadership.release();
             return;
         }
-        tracing::info!(term = %grant.term, grant = grant.number, "leader elected");
+        let fencing_token = FencingToken::of_grant(grant.number);
+        tracing::info!(term = %grant.term, grant = grant.number, %fencing_token, %revision, "leader elected");
         let grant = ShardGrant::whole(grant.number, revision);
         let core = Core::recover(
             &RecoveryInput {
--- a/src/control/store_watch.rs
+++ b/src/control/store_watch.rs
@@ -123,6 +123,8 @@
         {
             Ok(events) => {
                 let continuous = self.store.apply(since, events, asked);
+                let store_revision = self.store.view().store_revision;
+                tracing::debug!(%since, %store_revision, asked_s = asked.0, continuous, "records read");
                 self.view_changed();
                 continuous
             }
--- a/tests/rules/command_copies.rs
+++ b/tests/rules/command_copies.rs
@@ -352,6 +352,30 @@
     }
 }
 
+#[test]
+fn the_owner_notices_a_task_on_two_machines() {
+    let (mut world, job, machine, commands) = started_job();
+    let core = |world: &World| world.owners[0].core.tasks_on_two_machines();
+    assert_eq!(core(&world), 0);
+    let other = world.workers.iter_mut().find(|w| w.id != machine);
+    let running = Running {
+        units: Vec::new(),
+        attempt: 100,
+        phase: "running",
+        exit_reason: None,
+        left: f64::INFINITY,
+    };
+    let task = started_attempts(&machine, &commands).remove(0).task;
+    assert_eq!(job_of(&task), job);
+    other.expect("a worker").tasks.insert(task, running);
+    world.exchange();
+    assert_eq!(core(&world), 1);
+    for _ in 0..10 {
+        world.exchange();
+    }
+    assert_eq!(core(&world), 1, "the attempt without a claim is killed");
+}
+
 /// Copies beside all faults that are drawn, with one shard and several.
 #[test]
 fn no_forgotten_attempt_runs_again_while_executed_commands_arrive_again() {
@@ -366,5 +390,8 @@
         assert!(world.started > 20, "nothing_ran: seed {seed}");
         let copies = &world.command_copies;
         assert!(copies.accepted + copies.refused > 50, "seed {seed}");
+        let noticed = |o: &Owner| o.core.tasks_on_two_machines();
+        let noticed: u64 = world.owners.iter().map(noticed).sum();
+        assert_eq!(noticed, 0, "false alarm: seed {seed}");
     }
 }
