--- a/crates/emulators/src/nodes.rs
+++ b/crates/emulators/src/nodes.rs
@@ -1,6 +1,7 @@
 //! Machines with their workers. A switch can be cut: whoever is behind it is
 //! silent, and its tasks run until the lease ends.
 
+mod checks;
 mod command_copies;
 mod failing_starts;
 mod faults;
@@ -16,6 +17,7 @@
 
 use crate::history::{AttemptId, Event, Reason, Recorder, TaskName};
 use crate::{LEASE_S, ZONES};
+use checks::ForgottenAttempt;
 pub use command_copies::CommandCopies;
 use failing_starts::FailingStarts;
 pub use faults::{machines_of, CommandDelay, Faults, Released};
@@ -123,14 +125,6 @@
     count: u32,
 }
 
-/// An attempt that a worker was told to forget.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct ForgottenAttempt {
-    machine: String,
-    task: String,
-    attempt: u64,
-}
-
 /// The one machine type.
 pub(crate) const TYPE: &str = "t";
 /// CPUs of a machine.
@@ -380,63 +374,6 @@
         }
     }
 
-    /// The machine was not told to forget this attempt.
-    fn check_not_forgotten(&mut self, id: &str, task_name: &str, attempt: u64) {
-        let started = ForgottenAttempt {
-            machine: id.to_owned(),
-            task: task_name.to_owned(),
-            attempt,
-        };
-        if self.forgotten.contains(&started) {
-            self.wrong.push(format!(
-                "ran_again: {started:?} starts after it was forgotten"
-            ));
-        }
-    }
-
-    /// No machine that is there has the task already.
-    fn check_runs_once(&mut self, id: &str, task_name: &str) {
-        let has = |node: &Node| {
-            let mut tasks = node.tasks.iter();
-            tasks.any(|((name, _), task)| name == task_name && task.phase != "ended")
-        };
-        if self.all.values().any(|node| !node.gone && has(node)) {
-            self.wrong
-                .push(format!("ran_twice: {task_name} starts on {id}"));
-        }
-    }
-
-    /// The start names as many devices as the job needs.
-    fn check_unit_count(&mut self, id: &str, task_name: &str, job: &Value, count: usize) {
-        let device = &job["topology"]["devices"][0];
-        let asked = device["count"].as_u64().unwrap_or(1) as usize;
-        let needs = if device.is_null() { 0 } else { asked };
-        if count != needs {
-            self.wrong
-                .push(format!("{task_name} on {id}: {count} of {needs} units"));
-        }
-    }
-
-    /// A device that a start names is there, works, and is no other task's.
-    fn check_unit(&mut self, id: &str, task_name: &str, unit: &(String, String)) {
-        let node = &self.all[id];
-        let there = self.encoders.get(&(node.zone, node.switch));
-        let works = there.and_then(|list| list.iter().find(|(name, _)| *name == unit.1));
-        let taken = node
-            .tasks
-            .values()
-            .any(|task| task.phase != "ended" && task.units.contains(unit));
-        let wrong = match works {
-            None => Some("missing"),
-            Some((_, false)) => Some("broken"),
-            Some(_) => None,
-        };
-        for wrong in wrong.into_iter().chain(taken.then_some("taken")) {
-            self.wrong
-                .push(format!("{task_name} on {id}: {unit:?} is {wrong}"));
-        }
-    }
-
     /// Carries out direct commands if fencing token and incarnation match.
     fn obey(&mut self, id: &str, commands: &DirectCommands) -> bool {
         let node = self.all.get_mut(id).expect("it is there");
--- a/tests/rules/command_copies.rs
+++ b/tests/rules/command_copies.rs
@@ -352,6 +352,25 @@
     }
 }
 
+#[test]
+fn a_forget_does_not_make_the_agent_refuse_a_start_in_flight() {
+    let (mut world, job, machine, commands) = started_job();
+    world.end_tasks(&machine, &job, "done");
+    array(&mut world, 2, ENDLESS, 3);
+    let sends = world.decide();
+    let is_start = |send: &&Dispatch| {
+        let commands = serde_json::to_value(&send.commands).expect("orders");
+        send.machine.as_str() == machine && !started_attempts(&machine, &commands).is_empty()
+    };
+    assert_eq!(sends.iter().filter(is_start).count(), 1, "{sends:?}");
+    let at = world.workers.iter().position(|w| w.id == machine);
+    world.answered_heartbeat(at.expect("the worker"));
+    for send in &sends {
+        world.execute(send);
+    }
+    world.until_forgotten(&machine, &commands);
+}
+
 #[test]
 fn the_owner_notices_a_task_on_two_machines() {
     let (mut world, job, machine, commands) = started_job();
