Commands are recorded where they are sent; stand-ins and rates in modules of their own

The history of commands and its debug line also had `forget` commands that `dispatch_to` then left to the next heartbeat. They are recorded now where a message really goes out. Agents without ended tasks are not looked at for forgets.

No change of behaviour: `src/control/store_rates.rs` has the controllers' shares of the store's rate (out of `leader.rs`); the stand-in workers' tasks, commands and progress, and a soak's troubles, are in modules of their own; the model of the fence has a world with short steps.

--- a/crates/emulators/src/nodes.rs
+++ b/crates/emulators/src/nodes.rs
@@ -3,9 +3,12 @@
 
 mod checks;
 mod command_copies;
+mod executing;
 mod failing_starts;
 mod faults;
 mod figures;
+mod progress;
+mod task;
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -13,7 +16,6 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
-use sorrelhinge_protocol::worker::{Command, DirectCommands};
 
 use crate::history::{AttemptId, Event, Reason, Recorder, TaskName};
 use crate::{LEASE_S, ZONES};
@@ -22,25 +24,9 @@
 use failing_starts::FailingStarts;
 pub use faults::{machines_of, CommandDelay, Faults, Released};
 pub use figures::Figures;
+pub use task::Task;
 pub use worker::add;
 
-/// A task on a machine.
-pub struct Task {
-    /// Its phase, as heartbeats have it.
-    pub phase: String,
-    /// Why it ended, as heartbeats have it.
-    exit_reason: Option<&'static str>,
-    /// When it was started.
-    since: Instant,
-    /// How long it runs; for ever if it is a service's.
-    run_s: f64,
-    cpus: f64,
-    /// It ends with an error.
-    fails: bool,
-    /// Its devices, by kind and name.
-    pub units: Vec<(String, String)>,
-}
-
 /// A machine and its worker.
 pub struct Node {
     /// The machine's name.
@@ -149,26 +135,6 @@
     pub to: Option<(usize, u64)>,
 }
 
-impl Task {
-    /// What a start makes of a job's task: refused where the machine is full.
-    fn begin(job: &Value, cpus: f64, full: bool, units: &[(String, String)]) -> Self {
-        let run_s = if job["shape"] == "standing" {
-            f64::INFINITY
-        } else {
-            job["guess_s"].as_f64().unwrap_or(1.0)
-        };
-        Self {
-            phase: if full { "ended" } else { "fetching" }.into(),
-            exit_reason: full.then_some("full"),
-            since: Instant::now(),
-            run_s,
-            cpus,
-            fails: false,
-            units: units.to_vec(),
-        }
-    }
-}
-
 impl Node {
     /// Takes a fencing token that is not below the highest one seen. A higher one counts as a
     /// change at most once in half a lease (PROTOCOL).
@@ -309,144 +275,12 @@
             "warning_s": null, "pieces": tasks})
     }
 
-    /// Carries out commands in their order.
-    fn execute(&mut self, id: &str, commands: &[Command]) {
-        for order in commands {
-            match order {
-                Command::Start {
-                    task_name,
-                    attempt,
-                    units,
-                    ..
-                } => self.begin(id, task_name, attempt.0, units),
-                Command::Kill {
-                    task_name, attempt, ..
-                } => {
-                    let node = self.all.get_mut(id).expect("it is there");
-                    let key = (task_name.clone(), attempt.0);
-                    let task = node.tasks.get_mut(&key);
-                    if let Some(task) = task.filter(|t| t.phase != "ended") {
-                        task.phase = "ended".into();
-                        task.exit_reason = Some("stopped");
-                        node.dirty = true;
-                        self.note_left(id, &key, Instant::now(), Reason::Ended);
-                    }
-                }
-                Command::Forget { task_name, attempt } => {
-                    let node = self.all.get_mut(id).expect("it is there");
-                    node.tasks.remove(&(task_name.clone(), attempt.0));
-                    self.forgotten.insert(ForgottenAttempt {
-                        machine: id.to_owned(),
-                        task: task_name.clone(),
-                        attempt: attempt.0,
-                    });
-                }
-            }
-        }
-    }
-
-    /// A start, with all that must hold at this moment.
-    fn begin(&mut self, id: &str, task_name: &str, attempt: u64, units: &[(String, String)]) {
-        let key = (task_name.to_owned(), attempt);
-        if self.all[id].tasks.contains_key(&key) {
-            return;
-        }
-        let uid = task_name.rsplit_once('/').expect("a piece").0;
-        let job = self.jobs.get(uid).cloned().unwrap_or(Value::Null);
-        self.check_not_forgotten(id, task_name, attempt);
-        self.check_runs_once(id, task_name);
-        self.check_unit_count(id, task_name, &job, units.len());
-        for unit in units {
-            self.check_unit(id, task_name, unit);
-        }
-        self.starts += 1;
-        self.figures.started(uid);
-        let fails = self.failing_starts.draw();
-        let node = self.all.get_mut(id).expect("it is there");
-        let cpus = job["cpus"].as_f64().unwrap_or(1.0);
-        let full = node.used_cpus() + cpus > CPUS;
-        let mut task = Task::begin(&job, cpus, full, units);
-        task.fails = fails;
-        node.tasks.insert(key, task);
-        node.dirty = true;
-        if let Some(attempt) = attempt_id(id, task_name, attempt).filter(|_| !full) {
-            self.recorder.note(Event::Started(attempt));
-        }
-    }
-
-    /// Carries out direct commands if fencing token and incarnation match.
-    fn obey(&mut self, id: &str, commands: &DirectCommands) -> bool {
-        let node = self.all.get_mut(id).expect("it is there");
-        if commands.fencing_token.0 < node.fencing_token
-            || commands.incarnation.0 != node.incarnation
-        {
-            return false;
-        }
-        node.take_token(commands.fencing_token.0);
-        self.execute(id, &commands.commands);
-        true
-    }
-
-    /// A machine's incarnation ends with all its tasks, which were gone at `end`.
-    fn end_incarnation(&mut self, id: &str, end: Instant) {
-        let node = self.all.get_mut(id).expect("it is there");
-        node.incarnation += 1;
-        node.answered = Instant::now();
-        node.dirty = true;
-        for (key, task) in std::mem::take(&mut node.tasks) {
-            if task.phase != "ended" {
-                self.note_left(id, &key, end.max(task.since), Reason::Ended);
-            }
-        }
-    }
-
     /// The names of all machines that are up and there.
     pub fn names_up(&self) -> Vec<String> {
         let now = Instant::now();
         let up = self.all.values().filter(|n| !n.gone && n.up_at <= now);
         up.map(|n| n.id.clone()).collect()
     }
-
-    /// Time passes on a machine: its lease may end, and unless it hangs its tasks go
-    /// on.
-    fn advance(&mut self, id: &str) {
-        let node = self.all.get_mut(id).expect("it is there");
-        let now = Instant::now();
-        let lease_end = node.answered + Duration::from_secs_f64(LEASE_S);
-        if now > lease_end {
-            // At its end, also if this routine was late.
-            self.end_incarnation(id, lease_end);
-        }
-        if self.is_hung(id) {
-            return;
-        }
-        let node = self.all.get_mut(id).expect("it is there");
-        let (mut completed, mut failed) = (Vec::new(), Vec::new());
-        for (key, task) in &mut node.tasks {
-            let ran = now.duration_since(task.since).as_secs_f64();
-            if task.phase == "fetching" && ran >= 0.1 {
-                task.phase = "running".into();
-                node.dirty = true;
-            } else if task.phase == "running" && task.fails {
-                task.phase = "ended".into();
-                task.exit_reason = Some("error");
-                failed.push(key.clone());
-                node.dirty = true;
-            } else if task.phase == "running" && ran >= 0.1 + task.run_s {
-                task.phase = "ended".into();
-                task.exit_reason = Some("done");
-                completed.push(key.clone());
-                node.dirty = true;
-            }
-        }
-        for key in failed {
-            self.note_left(id, &key, now, Reason::Ended);
-        }
-        for key in completed {
-            self.note_left(id, &key, now, Reason::Done);
-            self.done.insert(key.0);
-        }
-    }
 }
 
 /// An attempt as the history names it; none if its task has no such name.
--- a/crates/emulators/src/soak.rs
+++ b/crates/emulators/src/soak.rs
@@ -2,7 +2,8 @@
 //! many of them cancelled, starts that fail, copies of executed commands, controllers and machines
 //! that are back at once, machines that hang, transactions and commands that come late.
 
-use std::rc::Rc;
+mod troubles;
+
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
@@ -11,8 +12,6 @@
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::sleep;
 
-use crate::nodes::CommandDelay;
-use crate::store::{ScriptedOutcome, TransactionFault};
 use crate::users::{Question, Users};
 use crate::{World, CANCEL_S};
 
@@ -20,15 +19,10 @@
 const OVER_WITHIN_S: u64 = 60;
 /// Longest time from a job's acceptance to its cancellation, in seconds.
 const LATEST_CANCELLATION_S: f64 = 4.0;
-/// Time for which a killed controller is away.
-const AWAY: Duration = Duration::from_millis(300);
 /// Time without troubles at the beginning.
 const FIRST_TROUBLE: Duration = Duration::from_secs(3);
 /// Shortest and longest time between two troubles, in seconds.
 const BETWEEN_TROUBLES_S: std::ops::Range<f64> = 1.0..4.0;
-/// Shortest and longest time for which a machine hangs or commands are delayed, in seconds.
-const SHORTEST_DELAY_S: f64 = 0.2;
-const LONGEST_DELAY_S: f64 = 2.5;
 
 /// What a soak does.
 #[derive(Clone, Debug)]
@@ -152,7 +146,7 @@
     let begun = Instant::now();
     let submitted = submit_jobs(world, soak, &users, controllers).await;
     let rates = MessageRates::of(world, begun.elapsed());
-    end_troubles(world);
+    troubles::end(world);
     let mut jobs = Vec::new();
     for one in submitted {
         jobs.push(one.await.expect("a user's routine ends"));
@@ -180,7 +174,7 @@
         world.job(&job.uid, job.fields.clone());
         submitted.push(spawn_local(user(users.clone(), job)));
         if soak.troubles && begun.elapsed() >= next_trouble {
-            trouble(world, &mut rng, controllers).await;
+            troubles::draw(world, &mut rng, controllers).await;
             let pause_s = rng.random_range(BETWEEN_TROUBLES_S);
             next_trouble = begun.elapsed() + Duration::from_secs_f64(pause_s);
         }
@@ -268,63 +262,3 @@
         cancelled: job.cancelled_after.is_some(),
     }
 }
-
-/// One trouble, drawn at random.
-async fn trouble(world: &mut World, rng: &mut StdRng, controllers: usize) {
-    let machines = world.nodes.borrow().names_up();
-    let machine = machines[rng.random_range(0..machines.len())].clone();
-    let for_s = Duration::from_secs_f64(rng.random_range(SHORTEST_DELAY_S..LONGEST_DELAY_S));
-    match rng.random_range(0..6) {
-        0 | 1 => {
-            let killed = world.leader();
-            let killed = killed.unwrap_or_else(|| rng.random_range(0..controllers));
-            world.kill_controller(killed);
-            sleep(AWAY).await;
-            world.start_controller(killed);
-        }
-        2 => world.nodes.borrow_mut().restart(&machine),
-        3 => hang(world, machine, for_s),
-        4 => delay_commands(world, machine, for_s),
-        _ => {
-            let late = TransactionFault::next(ScriptedOutcome::Late, "h/job/");
-            world.store.borrow_mut().inject(late);
-        }
-    }
-}
-
-/// A machine hangs for so long, and goes on.
-fn hang(world: &World, machine: String, for_s: Duration) {
-    world.nodes.borrow_mut().hang(&machine);
-    let nodes = Rc::clone(&world.nodes);
-    spawn_local(async move {
-        sleep(for_s).await;
-        nodes.borrow_mut().resume(&machine);
-    });
-}
-
-/// Direct commands to a machine are held back for so long, and then executed.
-fn delay_commands(world: &World, machine: String, for_s: Duration) {
-    let delay = CommandDelay {
-        machine: Some(machine),
-        ..CommandDelay::default()
-    };
-    world.nodes.borrow_mut().faults.command_delay = Some(delay);
-    let nodes = Rc::clone(&world.nodes);
-    spawn_local(async move {
-        sleep(for_s).await;
-        nodes.borrow_mut().faults.command_delay = None;
-        nodes.borrow_mut().release_commands();
-    });
-}
-
-/// Ends what of the troubles still goes on.
-fn end_troubles(world: &World) {
-    let mut nodes = world.nodes.borrow_mut();
-    nodes.faults.command_delay = None;
-    nodes.fail_starts(0.0, 0);
-    nodes.release_commands();
-    drop(nodes);
-    let mut store = world.store.borrow_mut();
-    store.release_late();
-    store.end_faults();
-}
--- a/crates/lease-safety/tests/command_fence.rs
+++ b/crates/lease-safety/tests/command_fence.rs
@@ -69,51 +69,83 @@
     ]
 }
 
+/// A sender with its fence, the worker, and all messages between them.
+struct World {
+    fence: CommandFence,
+    worker: Worker,
+    sent: Vec<Message>,
+    /// Attempts that the last heartbeat named.
+    named: Vec<u32>,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            fence: CommandFence::new(FencingToken::of_grant(GRANT)),
+            worker: Worker::default(),
+            sent: Vec::new(),
+            named: Vec::new(),
+        }
+    }
+
+    /// Returns whether the step ran an attempt that the worker was told to forget.
+    fn step(&mut self, number: usize, step: Step) -> bool {
+        match step {
+            Step::Start { arrives } => self.start(number, arrives),
+            Step::Forget { may_raise, arrives } => self.forget(may_raise, arrives),
+            Step::Unanswered => self.fence.raise(),
+            Step::Heartbeat => {
+                self.fence.reported(self.worker.token);
+                self.named = self.worker.ended.iter().copied().collect();
+            }
+            Step::Copy { back } => {
+                let earlier = self.sent.iter().rev().nth(back);
+                return earlier.is_some_and(|earlier| self.worker.execute(earlier));
+            }
+        }
+        false
+    }
+
+    fn start(&mut self, number: usize, arrives: bool) {
+        self.fence.start_sent();
+        let message = Message {
+            token: self.fence.token(),
+            starts: u32::try_from(number).ok(),
+            forgets: Vec::new(),
+        };
+        self.send(message, arrives);
+    }
+
+    fn forget(&mut self, may_raise: bool, arrives: bool) {
+        let proven = self.fence.is_proven();
+        if !proven || self.fence.decide_forget(may_raise) != ForgetDecision::Send {
+            return;
+        }
+        let message = Message {
+            token: self.fence.token(),
+            starts: None,
+            forgets: self.named.clone(),
+        };
+        self.send(message, arrives);
+    }
+
+    /// Sends a message. If it does not arrive the sender doesn't know, and raises the token.
+    fn send(&mut self, message: Message, arrives: bool) {
+        if arrives {
+            self.worker.execute(&message);
+        } else {
+            self.fence.raise();
+        }
+        self.sent.push(message);
+    }
+}
+
 proptest! {
     #[test]
     fn no_copy_runs_a_forgotten_attempt(steps in prop::collection::vec(step(), 1..200)) {
-        let mut fence = CommandFence::new(FencingToken::of_grant(GRANT));
-        let mut worker = Worker::default();
-        let mut sent: Vec<Message> = Vec::new();
-        let mut named: Vec<u32> = Vec::new();
+        let mut world = World::new();
         for (number, step) in steps.into_iter().enumerate() {
-            let mut message = Message { token: fence.token(), starts: None, forgets: Vec::new() };
-            let arrives = match step {
-                Step::Start { arrives } => {
-                    fence.start_sent();
-                    message.starts = u32::try_from(number).ok();
-                    arrives
-                }
-                Step::Forget { may_raise, arrives } => {
-                    if !fence.is_proven() || fence.decide_forget(may_raise) != ForgetDecision::Send {
-                        continue;
-                    }
-                    message.token = fence.token();
-                    message.forgets.clone_from(&named);
-                    arrives
-                }
-                Step::Unanswered => {
-                    fence.raise();
-                    continue;
-                }
-                Step::Heartbeat => {
-                    fence.reported(worker.token);
-                    named = worker.ended.iter().copied().collect();
-                    continue;
-                }
-                Step::Copy { back } => {
-                    let earlier = sent.iter().rev().nth(back);
-                    prop_assert!(!earlier.is_some_and(|earlier| worker.execute(earlier)));
-                    continue;
-                }
-            };
-            if arrives {
-                prop_assert!(!worker.execute(&message));
-            } else {
-                // The sender doesn't know, so it raises the token.
-                fence.raise();
-            }
-            sent.push(message);
+            prop_assert!(!world.step(number, step), "{step:?}");
         }
     }
 }
@@ -154,7 +186,7 @@
 fn forgets_stop_before_the_tokens_of_the_grant_are_used_up() {
     let first = FencingToken::of_grant(GRANT);
     let mut fence = CommandFence::new(first);
-    let forgets = (0..).take_while(|_| {
+    let forgets = (0..=first.raises_left()).take_while(|_| {
         fence.start_sent();
         fence.decide_forget(true) == ForgetDecision::Send
     });
--- a/src/control/core/agent.rs
+++ b/src/control/core/agent.rs
@@ -3,10 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use sorrelhinge_lease_safety::command_fence::{CommandFence, ForgetDecision};
+use sorrelhinge_lease_safety::command_fence::CommandFence;
 use sorrelhinge_lease_safety::reachability::Reachability;
 
-use super::commands::CommandPath;
 use super::direct_line::DirectCommandState;
 use super::failed_jobs::FailedJobs;
 use super::task_attempt::{SentKills, TaskAttempt, TaskStatus};
@@ -273,15 +272,9 @@
         }
     }
 
-    /// Returns whether forget commands may go in the next message to the agent, and raises the
-    /// fencing token for it if that is necessary.
-    ///
-    /// Only answers to heartbeats raise the token. A direct command with a higher token would make
-    /// the agent drop an answer that is in flight, and with it the renewal of its lease. A direct
-    /// command in flight would be refused after the raise, so its outcome is waited for.
-    pub(super) fn decide_forget(&mut self, path: CommandPath) -> ForgetDecision {
-        let may_raise = path != CommandPath::Direct && !self.direct.is_in_flight();
-        self.fence.decide_forget(may_raise)
+    /// Returns whether the agent's last heartbeat names ended tasks.
+    pub(super) fn has_ended_tasks(&self) -> bool {
+        self.ended_tasks > 0
     }
 
     /// Returns whether the agent has so many ended tasks in its heartbeats that it gets no more.
--- a/src/control/core/commands.rs
+++ b/src/control/core/commands.rs
@@ -2,6 +2,7 @@
 
 use sorrelhinge_lease_safety::command_fence::ForgetDecision;
 
+use super::agent::AgentState;
 use super::command_queue::ContactOrder;
 use super::outcomes::recorded_claim;
 use super::task_attempt::TaskAttempt;
@@ -51,6 +52,7 @@
             CommandPath::Reply
         };
         let commands = self.commands(id, view, path, now);
+        self.record_commands(id, &commands, path, view.store_revision, now);
         let starts = commands
             .iter()
             .any(|command| matches!(command, Command::Start { .. }));
@@ -99,14 +101,14 @@
         if let Some(sent) = path.carries_starts_as().filter(|_| may_start) {
             commands.extend(self.start_commands(id, sent, now));
         }
-        self.record_commands(id, &commands, path, view.store_revision, now);
         commands
     }
 
     /// Returns the commands that make the machine forget ended tasks. They wait for a message whose
     /// fencing token fences every copy of a command that started a task there.
     fn forgets(&mut self, id: &MachineId, view: &View, path: CommandPath) -> Vec<Command> {
-        let Some(agent) = self.agents.get_mut(id).filter(|agent| agent.fenced()) else {
+        let may_forget = |agent: &&mut AgentState| agent.fenced() && agent.has_ended_tasks();
+        let Some(agent) = self.agents.get_mut(id).filter(may_forget) else {
             return Vec::new();
         };
         let ended = agent.tasks.iter();
@@ -119,7 +121,7 @@
         if forgets.is_empty() {
             return forgets;
         }
-        match agent.decide_forget(path) {
+        match decide_forget(agent, path) {
             ForgetDecision::Send => forgets,
             ForgetDecision::Wait => Vec::new(),
             ForgetDecision::Exhausted => {
@@ -227,6 +229,17 @@
     }
 }
 
+/// Decides whether forget commands may go in the next message to an agent, and raises the fencing
+/// token for it if that is necessary.
+///
+/// Only answers to heartbeats raise the token. A direct command with a higher token would make the
+/// agent drop an answer that is in flight, and with it the renewal of its lease. A direct command
+/// in flight would be refused after the raise, so its outcome is waited for.
+fn decide_forget(agent: &mut AgentState, path: CommandPath) -> ForgetDecision {
+    let may_raise = path != CommandPath::Direct && !agent.direct.is_in_flight();
+    agent.fence.decide_forget(may_raise)
+}
+
 /// Returns whether a task that ended is settled: it is not claimed any more, and its result is
 /// recorded.
 fn is_settled(claim: Option<&Claim>, ended: &TaskAttempt, view: &View) -> bool {
--- a/src/control/core/dispatch.rs
+++ b/src/control/core/dispatch.rs
@@ -67,10 +67,13 @@
         }
         agent.direct.sent();
         self.command_queue.sent();
+        let (addr, commands) = (agent.addr, agent.commands(commands));
+        let path = CommandPath::Direct;
+        self.record_commands(&id, &commands.commands, path, view.store_revision, now);
         Some(Dispatch {
             machine: id,
-            addr: agent.addr,
-            commands: agent.commands(commands),
+            addr,
+            commands,
         })
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -41,6 +41,7 @@
 mod shard_ownership;
 mod shard_status;
 mod status_queries;
+mod store_rates;
 mod store_view;
 mod store_watch;
 mod submissions;
