Each start fences the starts before it, so most forgets need no raise of their own

Cause: a worker sends a heartbeat when it takes a higher token, at most one in half a lease.

Change: the token is raised with the message that starts tasks, after which a heartbeat follows anyway. An attempt may be forgotten once the token is above the last start that was sent when a heartbeat first named it (`TaskStatus::start`), as nobody starts a named attempt again. What the last start message began is fenced by a raise in an answer to a heartbeat, a lease after the last raise at the earliest; so an ended task stays in the heartbeats for up to a lease on a machine that gets nothing new. `core::forgets` has all of it.

--- a/crates/lease-safety/src/command_fence.rs
+++ b/crates/lease-safety/src/command_fence.rs
@@ -9,23 +9,26 @@
 //! does not matter then.
 //!
 //! Two tokens are kept apart. [`CommandFence::raise`] also makes heartbeats prove nothing until one
-//! shows the raised token, because a command with an unknown outcome is on the way. The raise for a
-//! forget command does not, because the outcomes of all earlier commands are known.
+//! shows the raised token, because a command with an unknown outcome is on the way. The other
+//! raises do not, because the outcomes of all earlier commands are known.
+//!
+//! Agents send a heartbeat when they take a higher token. So the token is raised with the messages
+//! that start tasks, after which a heartbeat follows anyway: each start fences those before it.
+//! Only what the last of these messages started needs a raise of its own.
 
-use sorrelhinge_protocol::types::FencingToken;
+use sorrelhinge_protocol::types::{FencingToken, Time};
 
 /// Number of raises of a grant's fencing token that are left for commands with an unknown outcome.
-/// Forget commands don't use them.
+/// Starts and forget commands don't use them.
 pub const RESERVED_RAISES: u64 = 1024;
 
-/// Whether forget commands may go in the next message to a machine.
+/// Outcome of a raise of the fencing token for forget commands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ForgetDecision {
-    /// The next message may carry forget commands. Its fencing token is above those of all
-    /// messages that started a task.
-    Send,
-    /// The message has to wait for a raise of the fencing token.
-    Wait,
+pub enum ForgetRaise {
+    /// The next message fences all messages that started a task.
+    Raised,
+    /// The last raise was too short a time ago.
+    TooEarly,
     /// The grant has no fencing token left to raise to.
     Exhausted,
 }
@@ -41,6 +44,8 @@
     reported: FencingToken,
     /// Token of the last message that started a task on the machine.
     last_start: Option<FencingToken>,
+    /// Time of that message, or of a later raise for forget commands.
+    last_raise: Time,
 }
 
 impl CommandFence {
@@ -52,6 +57,7 @@
             proof_token: token,
             reported: FencingToken(0),
             last_start: None,
+            last_raise: Time(f64::NEG_INFINITY),
         }
     }
 
@@ -91,24 +97,48 @@
         self.proof_token = self.token;
     }
 
-    /// Records that the next message starts a task.
-    pub fn start_sent(&mut self) {
+    /// Records that the next message starts a task. Its token fences all earlier messages that
+    /// started one.
+    pub fn start_sent(&mut self, now: Time) {
+        if !self.fences(self.last_start()) {
+            self.raise_known();
+        }
         self.last_start = Some(self.token);
+        self.last_raise = now;
     }
 
-    /// Decides whether the next message may carry forget commands. Raises the token for it if
-    /// `may_raise` allows that and the token does not yet fence all messages that started a task.
-    pub fn decide_forget(&mut self, may_raise: bool) -> ForgetDecision {
-        if self.last_start.is_none_or(|start| start < self.token) {
-            return ForgetDecision::Send;
+    /// Returns the token of the last message that started a task on the machine under this grant,
+    /// or 0 if none did. No message that started an attempt which a heartbeat already names
+    /// carries a higher one.
+    pub fn last_start(&self) -> FencingToken {
+        self.last_start.unwrap_or_default()
+    }
+
+    /// Returns whether the agent refuses all messages with a token up to `start` once it has taken
+    /// the token of the next message.
+    pub fn fences(&self, start: FencingToken) -> bool {
+        start < self.token
+    }
+
+    /// Raises the token for forget commands, unless it was raised less than `pause_s` seconds ago.
+    pub fn raise_for_forgets(&mut self, pause_s: f64, now: Time) -> ForgetRaise {
+        if now.since(self.last_raise) < pause_s {
+            return ForgetRaise::TooEarly;
         }
-        if self.token.raises_left() <= RESERVED_RAISES {
-            return ForgetDecision::Exhausted;
+        if !self.raise_known() {
+            return ForgetRaise::Exhausted;
         }
-        if !may_raise {
-            return ForgetDecision::Wait;
+        self.last_raise = now;
+        ForgetRaise::Raised
+    }
+
+    /// Raises the token while the outcomes of all commands are known. Returns `false` if the
+    /// remaining tokens are reserved.
+    fn raise_known(&mut self) -> bool {
+        let raises = self.token.raises_left() > RESERVED_RAISES;
+        if raises {
+            self.token = self.token.raised();
         }
-        self.token = self.token.raised();
-        ForgetDecision::Send
+        raises
     }
 }
--- a/src/control/core/agent.rs
+++ b/src/control/core/agent.rs
@@ -96,14 +96,18 @@
     /// Replaces the agent's tasks by those that a heartbeat names. Tasks with an unreadable name
     /// are skipped.
     fn set_tasks(&mut self, reported: &[ReportedTask]) {
+        let known = std::mem::take(&mut self.tasks);
         let tasks = reported.iter().filter_map(|reported| {
             let key = TaskAttempt {
                 task: reported.id()?,
                 attempt: reported.attempt,
             };
+            // No later message starts an attempt that a heartbeat names.
+            let start = known.get(&key).map(|status| status.start);
             let status = TaskStatus {
                 phase: reported.phase,
                 why: reported.exit_reason,
+                start: start.unwrap_or(self.fence.last_start()),
             };
             Some((key, status))
         });
--- a/src/control/core/commands.rs
+++ b/src/control/core/commands.rs
@@ -1,10 +1,6 @@
-//! Builds the commands that start, stop and forget tasks on a machine.
+//! Builds the commands that start and stop tasks on a machine.
 
-use sorrelhinge_lease_safety::command_fence::ForgetDecision;
-
-use super::agent::AgentState;
 use super::command_queue::ContactOrder;
-use super::outcomes::recorded_claim;
 use super::task_attempt::TaskAttempt;
 use super::Core;
 use crate::agent_client::{Command, Reply, TaskPhase};
@@ -96,44 +92,15 @@
             return Vec::new();
         };
         let may_start = machine.usable && agent.fenced();
-        let mut commands = self.forgets(id, view, path);
+        let sent = path.carries_starts_as().filter(|_| may_start);
+        // The starts may raise the token that the forgets rest on.
+        let starts = sent.map(|sent| self.start_commands(id, sent, now));
+        let mut commands = self.forget_commands(id, view, path, now);
         commands.extend(self.stops(id, path, now));
-        if let Some(sent) = path.carries_starts_as().filter(|_| may_start) {
-            commands.extend(self.start_commands(id, sent, now));
-        }
+        commands.extend(starts.unwrap_or_default());
         commands
     }
 
-    /// Returns the commands that make the machine forget ended tasks. They wait for a message whose
-    /// fencing token fences every copy of a command that started a task there.
-    fn forgets(&mut self, id: &MachineId, view: &View, path: CommandPath) -> Vec<Command> {
-        let may_forget = |agent: &&mut AgentState| agent.fenced() && agent.has_ended_tasks();
-        let Some(agent) = self.agents.get_mut(id).filter(may_forget) else {
-            return Vec::new();
-        };
-        let ended = agent.tasks.iter();
-        let ended = ended.filter(|(_, status)| status.phase == TaskPhase::Ended);
-        let settled = ended.filter(|(key, _)| {
-            let claim = self.cluster_state.claim_on(id, &key.task, key.attempt);
-            is_settled(claim, key, view)
-        });
-        let forgets: Vec<Command> = settled.map(|(key, _)| forget(key)).collect();
-        if forgets.is_empty() {
-            return forgets;
-        }
-        match decide_forget(agent, path) {
-            ForgetDecision::Send => forgets,
-            ForgetDecision::Wait => Vec::new(),
-            ForgetDecision::Exhausted => {
-                if !agent.is_retiring() {
-                    tracing::info!(machine = %id, fencing_token = %agent.fence.token(), "fencing tokens exhausted; scaling in");
-                    agent.retire();
-                }
-                Vec::new()
-            }
-        }
-    }
-
     /// Returns the commands that stop tasks that the machine reported.
     fn stops(&mut self, id: &MachineId, path: CommandPath, now: Time) -> Vec<Command> {
         let (mut commands, mut unclaimed) = (Vec::new(), Vec::new());
@@ -192,7 +159,7 @@
             .filter_map(|task| self.start_command(id, task, sent, now));
         let starts: Vec<Command> = starts.collect();
         if let Some(agent) = self.agents.get_mut(id).filter(|_| !starts.is_empty()) {
-            agent.fence.start_sent();
+            agent.fence.start_sent(now);
         }
         starts
     }
@@ -229,23 +196,6 @@
     }
 }
 
-/// Decides whether forget commands may go in the next message to an agent, and raises the fencing
-/// token for it if that is necessary.
-///
-/// Only answers to heartbeats raise the token. A direct command with a higher token would make the
-/// agent drop an answer that is in flight, and with it the renewal of its lease. A direct command
-/// in flight would be refused after the raise, so its outcome is waited for.
-fn decide_forget(agent: &mut AgentState, path: CommandPath) -> ForgetDecision {
-    let may_raise = path != CommandPath::Direct && !agent.direct.is_in_flight();
-    agent.fence.decide_forget(may_raise)
-}
-
-/// Returns whether a task that ended is settled: it is not claimed any more, and its result is
-/// recorded.
-fn is_settled(claim: Option<&Claim>, ended: &TaskAttempt, view: &View) -> bool {
-    claim.is_none() && !recorded_claim(view, &ended.task, ended.attempt)
-}
-
 /// Returns how many seconds a reported task gets to save its state before it ends. Returns
 /// `None` if the task may keep running.
 fn stop_grace_s(job: Option<&Job>, claim: Option<&Claim>) -> Option<f64> {
@@ -259,14 +209,6 @@
     }
 }
 
-/// Returns the command to forget a task that ended.
-fn forget(ended: &TaskAttempt) -> Command {
-    Command::Forget {
-        task_name: ended.task.to_string(),
-        attempt: ended.attempt,
-    }
-}
-
 /// Returns the command to stop a task that may save its state for `grace_s` seconds.
 fn kill(running: &TaskAttempt, grace_s: f64) -> Command {
     Command::Kill {
--- a/src/control/core/heartbeats.rs
+++ b/src/control/core/heartbeats.rs
@@ -177,6 +177,7 @@
             Some(TaskStatus {
                 phase: TaskPhase::Ended,
                 why,
+                ..
             }) => {
                 let spec = job.spec.clone();
                 self.ended(id, task, &spec, why.unwrap_or(ExitReason::Other), now);
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -56,6 +56,7 @@
 mod failover;
 mod failures;
 mod fleet_log;
+mod forgets;
 mod gang_restarts;
 mod heartbeats;
 mod image_distribution;
--- a/src/control/core/task_attempt.rs
+++ b/src/control/core/task_attempt.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::agent_client::{ExitReason, TaskPhase};
-use crate::types::{Attempt, TaskId, Time};
+use crate::types::{Attempt, FencingToken, TaskId, Time};
 
 /// Seconds until a stop command without effect is sent again.
 pub(super) const KILL_RETRY_S: f64 = 2.0;
@@ -21,6 +21,8 @@
     pub(super) phase: TaskPhase,
     /// Reason for the end of the task, if it has ended.
     pub(super) why: Option<ExitReason>,
+    /// Highest fencing token of a message that can have started the attempt, under this grant.
+    pub(super) start: FencingToken,
 }
 
 /// Task attempts that a worker was told to stop, and the time of the last stop command for each.
