Tests: one machine for the agent's core, one way to take up a grant

No change of what is tested: the machine of two tests of the agent and the recovery of a core in the world of tests/rules stood twice and three times.

--- a/crates/agent/tests/forgotten_attempts.rs
+++ b/crates/agent/tests/forgotten_attempts.rs
@@ -1,29 +1,15 @@
 //! Starts of attempts that the agent was told to forget.
 
+mod machines;
+
 use sorrelhinge_agent::core::{
-    Action, Core, ForgottenAttempts, Key, Machine, Note, Recovered, MAX_FORGOTTEN_ATTEMPTS,
+    Action, Core, ForgottenAttempts, Key, Note, Recovered, MAX_FORGOTTEN_ATTEMPTS,
 };
 use sorrelhinge_agent::journal::State;
-use sorrelhinge_protocol::types::{
-    Amount, Attempt, FencingToken, Incarnation, MachineId, Time, TypeName, Zone,
-};
+use sorrelhinge_protocol::types::{Attempt, FencingToken, Incarnation, Time};
 use sorrelhinge_protocol::worker::{Command, DirectCommands};
 
-const LEASE_S: f64 = 10.0;
-
-fn machine() -> Machine {
-    Machine {
-        name: MachineId::from("vm-1"),
-        addr: "127.0.0.1:9".parse().expect("an address"),
-        kind: TypeName::from("t"),
-        zone: Zone::from("za"),
-        spot: false,
-        total: Amount::new(3.0, 0.0, 8.0),
-        report_s: 2.0,
-        lease_s: LEASE_S,
-        controllers: vec!["c-0".into()],
-    }
-}
+use self::machines::{machine, LEASE_S};
 
 fn key(number: u64) -> Key {
     Key {
--- a/crates/agent/tests/worker_model.rs
+++ b/crates/agent/tests/worker_model.rs
@@ -2,37 +2,22 @@
 //! generated orders of messages, ends of processes and time: commands repeated,
 //! late, after `forget`; lower fencing tokens; lost and late answers; leases that end.
 
+mod machines;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use sorrelhinge_agent::core::{
-    Action, Answer, CommandOutcome, Core, Exit, Key, Machine, Needs, Note, Reaction, Recovered,
-    StartedCore,
+    Action, Answer, CommandOutcome, Core, Exit, Key, Needs, Note, Reaction, Recovered, StartedCore,
 };
 use sorrelhinge_agent::journal::State;
-use sorrelhinge_protocol::types::{
-    Amount, Attempt, FencingToken, Incarnation, MachineId, Time, TypeName, Zone,
-};
+use sorrelhinge_protocol::types::{Amount, Attempt, FencingToken, Incarnation, Time};
 use sorrelhinge_protocol::worker::{
     Command, DirectCommands, ExitReason, Heartbeat, Reply, TaskPhase,
 };
 
-const LEASE_S: f64 = 10.0;
-
-fn machine() -> Machine {
-    Machine {
-        name: MachineId::from("vm-1"),
-        addr: "127.0.0.1:9".parse().expect("an address"),
-        kind: TypeName::from("t"),
-        zone: Zone::from("za"),
-        spot: false,
-        total: Amount::new(3.0, 0.0, 8.0),
-        report_s: 2.0,
-        lease_s: LEASE_S,
-        controllers: vec!["c-0".into(), "c-1".into()],
-    }
-}
+use self::machines::{machine, LEASE_S};
 
 #[derive(Clone, Debug)]
 enum Step {
--- a/tests/rules/command_copies.rs
+++ b/tests/rules/command_copies.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 use serde_json::Value;
 use sorrelhinge::agent_client::Sending;
-use sorrelhinge::control::core::{Core, Dispatch, MachineZones, RecoveryInput, ShardGrant, Source};
+use sorrelhinge::control::core::{Dispatch, MachineZones, ShardGrant, Source};
 use sorrelhinge::types::Time;
 
 use crate::*;
@@ -105,15 +105,7 @@
             issued: Some(core.highest_fencing_token()),
             ..ShardGrant::whole(core.grant, view.grant.mod_revision)
         };
-        let input = RecoveryInput {
-            cfg: self.config(),
-            types: &kinds(),
-            view: &view,
-            topology: None,
-            now: Time(self.now),
-            wall_ms: 0,
-        };
-        let core = Core::recover(&input, grant, MachineZones::default());
+        let core = self.recover(&view, grant, None, MachineZones::default());
         self.add_owner(core, view);
     }
 
--- a/tests/rules/world.rs
+++ b/tests/rules/world.rs
@@ -198,15 +198,7 @@
             revision: view.shards[&shard].mod_revision,
             issued: None,
         };
-        let input = RecoveryInput {
-            cfg: self.config(),
-            types: &kinds(),
-            view: &view,
-            topology: None,
-            now: Time(self.now),
-            wall_ms: 0,
-        };
-        let core = Core::recover(&input, grant, self.machine_zones.clone());
+        let core = self.recover(&view, grant, None, self.machine_zones.clone());
         self.add_owner(core, view);
         let same = self.owners.iter().filter(|o| o.core.scope == scope);
         if same.count() > 2 {
@@ -225,6 +217,25 @@
         view
     }
 
+    /// The core of an owner that takes up a grant now.
+    pub(crate) fn recover(
+        &self,
+        view: &View,
+        grant: ShardGrant,
+        topology: Option<Rc<Topology>>,
+        machine_zones: MachineZones,
+    ) -> Core {
+        let input = RecoveryInput {
+            cfg: self.config(),
+            types: &kinds(),
+            view,
+            topology,
+            now: Time(self.now),
+            wall_ms: 0,
+        };
+        Core::recover(&input, grant, machine_zones)
+    }
+
     /// A new owner, which has just read everything.
     pub(crate) fn add_owner(&mut self, core: Core, view: View) {
         self.owners.push(Owner {
@@ -254,15 +265,8 @@
             .write(GRANT, serde_json::to_value(&grant).expect("record"));
         let view = self.whole_view();
         let grant = ShardGrant::whole(self.grants, view.grant.mod_revision);
-        let input = RecoveryInput {
-            cfg: self.config(),
-            types: &kinds(),
-            view: &view,
-            topology: self.topology.clone(),
-            now: Time(self.now),
-            wall_ms: 0,
-        };
-        let core = Core::recover(&input, grant, MachineZones::default());
+        let topology = self.topology.clone();
+        let core = self.recover(&view, grant, topology, MachineZones::default());
         self.add_owner(core, view);
         if self.owners.len() > 2 {
             self.owners.remove(0);
