Review: a case ends at once when its outcome is known

The stand-ins end their process once the case has ended its own processes: a routine of the stand-ins could stay and keep a script from ending. Ports are taken below the range of outgoing connections. One run of case 8 among ten at once could not start a controller.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -4,7 +4,7 @@
 and free ports; the controllers and agents are separate processes. Nothing is imported beyond
 the standard library of Python 3.
 """
-import asyncio, json, os, random, shutil, signal, socket, sys, tempfile, time
+import asyncio, json, os, random, shutil, signal, socket, sys, tempfile, time, traceback
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), '..', '..'))
@@ -13,10 +13,19 @@
 
 
 def free_ports(count):
-    """Returns free ports of the loopback address."""
-    socks = [socket.socket() for _ in range(count)]
-    for s in socks:
-        s.bind(('127.0.0.1', 0))
+    """Returns free ports of the loopback address.
+
+    They lie below the ports that outgoing connections commonly take, one of which could
+    otherwise take the port before the program that it is meant for.
+    """
+    socks = []
+    while len(socks) < count:
+        s = socket.socket()
+        try:
+            s.bind(('127.0.0.1', random.randrange(20000, 32000)))
+            socks.append(s)
+        except OSError:
+            s.close()
     ports = [s.getsockname()[1] for s in socks]
     for s in socks:
         s.close()
@@ -678,10 +687,16 @@
 def main(run):
     """Runs a case: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     async def limited():
-        return await asyncio.wait_for(run(), 118.0)
-    try:
-        code = asyncio.run(limited())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
-        print('could not run: %r' % error)
-        code = 2
-    sys.exit(code)
+        try:
+            code = await asyncio.wait_for(run(), 116.0)
+        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+            print('could not run: %r' % error)
+            code = 2
+        except Exception:
+            traceback.print_exc()
+            code = 2
+        # The case has ended its processes. The stand-ins' own routines need not be waited for.
+        sys.stdout.flush()
+        sys.stderr.flush()
+        os._exit(code)
+    asyncio.run(limited())
