--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -353,6 +353,7 @@
         self.changed, self.gone = asyncio.Event(), False
         # What the network does: reports are lost, or answers are, or direct commands are.
         self.mute = self.deaf = self.no_orders = False
+        self.taken_at = None    # when the cloud takes the machine, if a notice was given
 
     async def start(self):
         self.port = free_ports(1)[0]
@@ -393,7 +394,7 @@
             pieces.append(one)
         return {'box': self.name, 'addr': '127.0.0.1:%d' % self.port, 'build': self.build, 'rack': self.rack,
                 'loaners': self.loaners, 'shift': self.shift, 'tick': self.tick, 'baton': self.baton,
-                'warning_s': None, 'pieces': pieces}
+                'warning_s': self.taken_at and max(0.0, self.taken_at - time.monotonic()), 'pieces': pieces}
 
     async def report(self):
         connection, wait = None, 0.0
@@ -465,7 +466,7 @@
 
     async def run(self, key, task):
         await asyncio.sleep(self.world.run_s(key[0]))
-        self.end(key, task, 'done')
+        self.end(key, task, 'error' if key[0].split('/')[0] in self.world.faulty else 'done')
 
     def end(self, key, task, cause):
         task['phase'], task['cause'] = 'ended', cause
@@ -540,6 +541,7 @@
         self.record = Record(case_folder)
         self.folder = tempfile.mkdtemp(prefix='sorrelhinge-review-')
         self.workers, self.on, self.runs, self.log_runs = {}, {}, {}, True
+        self.faulty = set()     # jobs that were submitted with a mistake: they fail on every machine
         self.twice = []
         self.state = State(self.rps, self.write_rps, self.value_kb, self.txn_ops)
         self.cloud = Cloud(self.builds, self.start_machine, self.stop_machine, capacity)
