A small fleet is never limited by an overload; the fleet limit never falls below 100

Cause: FleetLimit::take set the limit to 0.95 times the machines that are up, so to 0. It rises by a factor or to the number of machines, so a limit of 0 stops the only work that could raise it. Likewise 1 to 10 machines: 0.4 % a second is less than a machine in minutes.

Change: an overload with fewer than 100 machines sets no limit, as their heartbeats are no considerable load; the limit never falls below 100, where the rule that drops it begins. The same cause beside it: the limit was divided by the number of owned shards and rounded down, to 0 for each; the room left is now divided and rounded up.

--- a/crates/overload/tests/model.rs
+++ b/crates/overload/tests/model.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use sorrelhinge_overload::admission::{AdmissionQueue, Class, CLASSES};
 use sorrelhinge_overload::claim_rate::ClaimRate;
-use sorrelhinge_overload::fleet_limit::FleetLimit;
+use sorrelhinge_overload::fleet_limit::{shard_limit, FleetLimit, LEAST_LIMIT};
 use sorrelhinge_overload::heartbeat_offload::{HeartbeatLoad, HeartbeatOffload};
 use sorrelhinge_overload::pace::Pace;
 use sorrelhinge_overload::poll_shedding::{
@@ -361,6 +361,71 @@
     assert_eq!(fleet_limit.max(), None);
 }
 
+/// Guards against a fleet limit that stops all renting for good: it fell to 0 after an overload of
+/// one moment while no machine was up, and rose only by a factor (`review/4`). From one to ten
+/// machines it rose by less than a machine in minutes.
+#[test]
+fn an_overload_of_a_small_fleet_stops_no_renting() {
+    for machines in 0..=10 {
+        let mut fleet_limit = FleetLimit::default();
+        for half in 0..240 {
+            fleet_limit.take(machines, 1.5, true, Time(f64::from(half) * 0.5));
+            let max = fleet_limit.max();
+            assert_eq!(max, None, "{machines} machines, overload for {half} halves");
+        }
+    }
+}
+
+/// Guards against a fleet limit near 0 that a large fleet leaves behind: an overload that lasts
+/// until all machines are gone, and a limit that a fleet of up to ten machines then has to raise.
+#[test]
+fn a_fleet_limit_at_its_least_lets_a_small_fleet_grow_and_ends() {
+    for machines in 0..=10 {
+        let mut fleet_limit = FleetLimit::default();
+        let mut now = 0.0;
+        for _ in 0..2000 {
+            now += 0.5;
+            fleet_limit.take(LEAST_LIMIT, 1.5, true, Time(now));
+        }
+        assert_eq!(fleet_limit.max(), Some(LEAST_LIMIT), "the least limit");
+        fleet_limit.take(machines, 1.5, true, Time(now + 4.0));
+        assert_eq!(fleet_limit.max(), Some(LEAST_LIMIT), "still overload");
+        let calm = (0..).take_while(|half| {
+            let at = now + 4.5 + f64::from(*half) * 0.5;
+            fleet_limit.take(machines, 0.0, false, Time(at));
+            fleet_limit.max().is_some()
+        });
+        let calm_s = calm.count() as f64 * 0.5;
+        assert!(calm_s <= 60.0, "{machines} machines: {calm_s} s");
+    }
+}
+
+/// Guards against limits of shards that are rounded down to 0 although the limit of the fleet is
+/// not reached: no shard could rent a machine then.
+#[test]
+fn every_shard_can_grow_until_the_fleet_limit_is_reached() {
+    for max in [1, 2, 3, 7, 100, 1000] {
+        for sizes in [&[0, 0, 0, 0][..], &[1, 0, 0], &[90, 5, 0, 3], &[500, 600]] {
+            let total: usize = sizes.iter().sum();
+            let limits = sizes
+                .iter()
+                .map(|own| shard_limit(max, total, *own, sizes.len()));
+            let limits: Vec<usize> = limits.collect();
+            let grows = sizes.iter().zip(&limits).all(|(own, limit)| limit > own);
+            assert_eq!(grows, total < max, "{max} for {sizes:?}: {limits:?}");
+            let sum: usize = limits.iter().sum();
+            assert!(sum < max + sizes.len(), "{max} for {sizes:?}: {limits:?}");
+        }
+    }
+    assert_eq!(
+        shard_limit(70, 60, 60, 1),
+        70,
+        "one shard has the whole limit"
+    );
+    assert_eq!(shard_limit(50, 60, 60, 1), 50, "and gives machines back");
+    assert_eq!(shard_limit(usize::MAX, 60, 60, 1), usize::MAX, "no limit");
+}
+
 /// Workers are offloaded before the sockets of the owner are full, the same workers first, and
 /// evenly over the helpers. They return once the owner has free processor time.
 #[test]
--- a/src/control/load_monitor.rs
+++ b/src/control/load_monitor.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sorrelhinge_overload::fleet_limit::FleetLimit;
+use sorrelhinge_overload::fleet_limit::{shard_limit, FleetLimit};
 use sorrelhinge_overload::heartbeat_offload::{HeartbeatLoad, HeartbeatOffload};
 use sorrelhinge_overload::pressure::{Level, Pressure, Resource, Sample};
 use sorrelhinge_overload::relief::Relief;
@@ -276,7 +276,8 @@
         let claims = (self.state.writes.rate() * MAX_CLAIM_WAIT_S) as usize / here;
         let processor_binds = self.load.binds(Resource::Processor);
         for c in cores.values_mut() {
-            c.set_max_machines(Some(max / here));
+            let own = c.machine_count();
+            c.set_max_machines(Some(shard_limit(max, heartbeat_load.machines, own, here)));
             c.shed_placements(self.load.level() >= Level::Placements);
             c.set_max_claiming_jobs(claims.max(2 * self.cfg.state_limits.txn_ops));
             if processor_binds {
