Silent machines are replaced also if they are half of the fleet or more

Seen by callers: a task on the only machine, or on one of two, that hangs or is cut off for good stays there for good; with ten machines, when five or more are lost.

Cause: silence proved nothing unless more than half of all machines reported, so that a controller that is cut off gives back no fleet. Nothing ended that: the tasks wait for their machines, so no other machine is rented that could report.

Change: after three times the usual patience the machine that is silent for the longest counts as lost all the same, one in each pass. A controller that is cut off from a large fleet keeps most of it. The decisions on silence stand in core::silence now.

--- a/src/control/core/scale_in.rs
+++ b/src/control/core/scale_in.rs
@@ -11,11 +11,6 @@
 use crate::scheduler::Machine;
 use crate::types::{MachineId, Time};
 
-/// Number of unanswered direct connections after which a machine counts as unresponsive.
-const MAX_UNANSWERED_CONNECTIONS: u32 = 2;
-/// Number of heartbeat intervals without a heartbeat after which a machine with one unanswered
-/// direct connection counts as unresponsive.
-const UNANSWERED_SILENCE_HEARTBEATS: f64 = 2.2;
 /// Multiple of the usual boot time after which a booting machine counts as failed. A fixed
 /// margin is added.
 const BOOT_TIMEOUT_FACTOR: f64 = 2.5;
@@ -59,25 +54,12 @@
 
     /// Returns the machines to delete now: empty machines that were chosen for scale-in, lost
     /// machines, and machines whose boot failed.
-    pub(super) fn machines_to_delete(
-        &mut self,
-        silence_is_evidence: bool,
-        now: Time,
-    ) -> Vec<MachineId> {
+    pub(super) fn machines_to_delete(&mut self, now: Time) -> Vec<MachineId> {
         let mut to_delete = Vec::new();
         for (id, agent) in self.agents.iter_mut() {
             if agent.is_retiring() && is_empty(agent, self.cluster_state.machines().get(id)) {
                 agent.begin_deletion();
             }
-            let quiet_s = agent.silence_s(now);
-            let unanswered_connections =
-                unanswered_connections(agent, quiet_s, self.cfg.heartbeat_s);
-            if silence_is_evidence && (quiet_s > self.cfg.silent_s() || unanswered_connections) {
-                if unanswered_connections && !agent.is_deleting() {
-                    tracing::info!(machine = %id, quiet_s, "machine unresponsive; scaling in");
-                }
-                agent.begin_deletion();
-            }
             if agent.is_deleting() {
                 to_delete.push(id.clone());
             }
@@ -217,12 +199,3 @@
     machine.is_none_or(|m| m.claims.is_empty())
         && agent.tasks.values().all(|t| t.phase == TaskPhase::Ended)
 }
-
-/// Returns whether a machine accepts connections and does not answer. `quiet_s` is the age of
-/// its last heartbeat in seconds.
-fn unanswered_connections(agent: &AgentState, quiet_s: f64, heartbeat_s: f64) -> bool {
-    let long = agent.direct.unanswered_connections() == 1
-        && quiet_s > UNANSWERED_SILENCE_HEARTBEATS * heartbeat_s;
-    agent.direct.is_suspect()
-        && (agent.direct.unanswered_connections() >= MAX_UNANSWERED_CONNECTIONS || long)
-}
--- a/src/control/core/scaling.rs
+++ b/src/control/core/scaling.rs
@@ -4,6 +4,7 @@
 
 use std::rc::Rc;
 
+use super::silence::SilenceEvidence;
 use super::Core;
 use crate::autoscaler;
 use crate::cloud::Rental;
@@ -31,11 +32,12 @@
             return ScalingDecision::default();
         }
         self.log_fleet_if_due(now);
-        let silence_is_evidence = self.silence_is_evidence(now);
-        if silence_is_evidence {
+        let silence = self.silence_evidence(now);
+        if silence == SilenceEvidence::OfMachine {
             self.scale_in_unreachable(now);
         }
-        let to_delete = self.machines_to_delete(silence_is_evidence, now);
+        self.scale_in_silent(silence, now);
+        let to_delete = self.machines_to_delete(now);
         let settled = self.failover.age_s(now) > MIN_OWNER_AGE_HEARTBEATS * self.cfg.heartbeat_s;
         if !settled || self.scaling.requests.any_in_flight() {
             return ScalingDecision {
--- a/tests/rules/silence.rs
+++ b/tests/rules/silence.rs
@@ -270,3 +270,41 @@
     core.heartbeat(&w.heartbeat(), Source::Heartbeat, Time(301.0));
     assert_eq!(core.machine_count(), 1);
 }
+
+/// Guards against machines that hang or are cut off for good and keep their tasks for good, because
+/// not more than half of all machines report: a single machine, one of two, or all of ten.
+#[test]
+fn silent_machines_are_replaced_also_if_they_are_most_of_the_fleet() {
+    for machines in 1..=10 {
+        for reporting in 0..=machines / 2 {
+            replace_silent(machines, reporting);
+        }
+    }
+}
+
+fn replace_silent(machines: usize, reporting: usize) {
+    let mut world = World::new(1);
+    world.workers = (0..machines).map(Worker::new).collect();
+    one_job(&mut world);
+    let mut silent: BTreeSet<MachineId> = world.workers[reporting..]
+        .iter()
+        .map(|worker| MachineId::from(worker.id.as_str()))
+        .collect();
+    let core = &mut world.owners[0].core;
+    let mut now = 1.0;
+    while !silent.is_empty() {
+        now += STEP_S;
+        for worker in &mut world.workers[..reporting] {
+            core.heartbeat(&worker.heartbeat(), Source::Heartbeat, Time(now));
+        }
+        regular(core, Time(now));
+        let deleted = core.plan_scaling(Time(now)).to_delete;
+        assert!(deleted.is_empty() || now > LEASE_S, "{now} s: {deleted:?}");
+        core.apply_deletions(&deleted, Time(now));
+        silent.retain(|id| !deleted.contains(id));
+        assert!(
+            now < 4.0 * LEASE_S,
+            "{reporting} of {machines} report: {silent:?} stay"
+        );
+    }
+}
