An idle job waits no hour beside an empty machine

Seen by callers: on a small fleet a job of idle rank waits beside free CPUs long after all other work has ended, for up to 40 minutes.

Cause: the limit on idle work is what the peak of the other work leaves. The peak halves every 42 s but never reaches 0, so the last free CPUs, or the only machine, are refused. Renting counts that room as free, so it rents nothing either.

Change: a job that was not served for 60 s is not refused, as for other reserved capacity.

Test on the old code: an_idle_job_waits_no_90_s_beside_an_empty_machine failed with 0 of 1 job for one machine; it goes through 1 to 10.

--- a/src/scheduler/idle.rs
+++ b/src/scheduler/idle.rs
@@ -78,9 +78,10 @@
     }
 
     /// Returns whether one more task of a job must wait because idle work has reached its
-    /// limit. Tasks within their team's guarantee need not wait.
+    /// limit. Tasks within their team's guarantee need not wait, nor do jobs that have waited for
+    /// long: the peak decays, but may leave room for no task on a small fleet for an hour.
     pub(super) fn idle_limit_reached(&self, job: &Job) -> bool {
-        if !is_bounded(job) {
+        if !is_bounded(job) || job.may_use_reserved_capacity(self.idle.refreshed_at) {
             return false;
         }
         let team = &self.teams[job.team];
--- a/tests/idle.rs
+++ b/tests/idle.rs
@@ -121,3 +121,29 @@
         assert_eq!(used(&cluster_state, &other), 160 - left);
     }
 }
+
+/// Guards against idle jobs that wait for most of an hour beside empty machines: the peak of the
+/// other work fades, but never to exactly 0, so the last free CPUs were refused. The users' rule is
+/// 90 s.
+#[test]
+fn an_idle_job_waits_no_90_s_beside_an_empty_machine() {
+    for machines in 1..=10 {
+        let teams = [("house", 8.0, None), ("guest", 0.0, None)];
+        let mut cluster_state = cluster_states::cluster_state(machines, 1.0, true, &teams);
+        let house = add(&mut cluster_state, "run-1", 0, "normal", machines, 30.0);
+        turn(&mut cluster_state, 1.0);
+        assert_eq!(used(&cluster_state, &house), machines as usize);
+        end(&mut cluster_state, &house, 2.0);
+        let studies: Vec<JobId> = (0..machines)
+            .map(|n| {
+                let uid = format!("run-1{n}");
+                add(&mut cluster_state, &uid, 1, "idle", 1, 60.0)
+            })
+            .collect();
+        for second in 2..90 {
+            turn(&mut cluster_state, f64::from(second));
+        }
+        let placed = studies.iter().map(|id| used(&cluster_state, id));
+        assert_eq!(placed.sum::<usize>(), machines as usize, "idle jobs run");
+    }
+}
