Devices are rented for again once all machines that have them are gone

Seen by callers: a job that needs a device waits for up to 15 minutes after the last machine with such a device is gone, though the cloud has more.

Cause: a pool counted as likely only by domains in which a machine with the device is up. With none up, every remembered arrival counts against the pool, and nothing is rented from it until the arrivals are forgotten (renting.remember_s): the state that stops renting ends only through a machine that it forbids.

Change: an arrival keeps the devices that its machine had, and a pool without an arrival for 60 s is tried again however unlikely it is.

--- a/crates/topology/src/renting.rs
+++ b/crates/topology/src/renting.rs
@@ -5,9 +5,11 @@
 //! attempt. The number of such attempts in flight is limited.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
 
 use sorrelhinge_protocol::types::{Time, TypeName, Zone};
 
+use crate::devices::DeviceInventory;
 use crate::tree::Domain;
 
 /// Machines that the cloud rents out interchangeably: one type, one zone, spot or
@@ -22,14 +24,22 @@
     pub spot: bool,
 }
 
+/// Time without an arrival after which a pool is tried again, in seconds, however unlikely a useful
+/// machine is. What is remembered then tells little about the next machine.
+const RETRY_S: f64 = 60.0;
 /// Maximum number of arrivals of machines that are remembered for each pool.
 const MAX_ARRIVALS: usize = 64;
 
-/// A rented machine that came up at a time and place.
+/// A rented machine that came up.
 #[derive(Clone, Debug)]
-struct Arrival {
-    at: Time,
-    place: Domain,
+pub struct Arrival {
+    /// Time at which the machine came up.
+    pub at: Time,
+    /// Domain in which the machine came up.
+    pub place: Domain,
+    /// Devices of the machine. The next machine in its domain may have them too, also once the
+    /// machine is gone.
+    pub devices: Rc<DeviceInventory>,
 }
 
 /// Recent arrivals of rented machines, by machine pool.
@@ -39,10 +49,10 @@
 }
 
 impl Memory {
-    /// Records that a machine of a pool came up at a place.
-    pub fn came(&mut self, pool: MachinePool, place: Domain, now: Time) {
+    /// Records that a machine of a pool came up.
+    pub fn came(&mut self, pool: MachinePool, arrival: Arrival) {
         let arrivals = self.arrivals.entry(pool).or_default();
-        arrivals.push_back(Arrival { at: now, place });
+        arrivals.push_back(arrival);
         if arrivals.len() > MAX_ARRIVALS {
             arrivals.pop_front();
         }
@@ -56,17 +66,20 @@
         self.arrivals.retain(|_, arrivals| !arrivals.is_empty());
     }
 
-    /// Estimates the probability that the next machine of a pool comes up in a wanted domain.
+    /// Returns whether a pool is to be tried, because no machine of it came up lately.
+    pub fn is_retry_due(&self, pool: &MachinePool, now: Time) -> bool {
+        let last = self.arrivals.get(pool).and_then(VecDeque::back);
+        last.is_none_or(|arrival| now.since(arrival.at) >= RETRY_S)
+    }
+
+    /// Estimates the probability that the next machine of a pool is a wanted one.
     ///
-    /// The estimate is the share of wanted places among recent arrivals. It counts one extra
+    /// The estimate is the share of wanted machines among recent arrivals. It counts one extra
     /// success and one extra failure, so that it is never exactly 0 or 1.
-    pub fn chance(&self, pool: &MachinePool, wanted: &dyn Fn(Domain) -> bool) -> f64 {
+    pub fn chance(&self, pool: &MachinePool, wanted: &dyn Fn(&Arrival) -> bool) -> f64 {
         let arrivals = self.arrivals.get(pool);
         let (good, all) = arrivals.map_or((0, 0), |arrivals| {
-            let good = arrivals
-                .iter()
-                .filter(|arrival| wanted(arrival.place))
-                .count();
+            let good = arrivals.iter().filter(|arrival| wanted(arrival)).count();
             (good, arrivals.len())
         });
         (good as f64 + 1.0) / (all as f64 + 2.0)
--- a/src/autoscaler/mod.rs
+++ b/src/autoscaler/mod.rs
@@ -28,7 +28,7 @@
 
 /// Returns the machines to rent, and the machines that are unused.
 pub fn plan(input: &Input, now: Time) -> Plan {
-    let mut packing = Packing::new(input);
+    let mut packing = Packing::new(input, now);
     // Reserved capacity counts as used: its window has not begun, or its tasks have not arrived
     // yet.
     let mut reserved = ReservedCapacityTotals::of(input.cluster_state);
--- a/src/autoscaler/packing.rs
+++ b/src/autoscaler/packing.rs
@@ -6,7 +6,7 @@
 use super::free_capacity::{Bin, FreeCapacity};
 use super::Input;
 use crate::scheduler::CapacityPool;
-use crate::types::{JobId, JobSpec, Kind, Zone};
+use crate::types::{JobId, JobSpec, Kind, Time, Zone};
 
 /// Tasks to pack, which belong to a job, to expected work or to a reservation window.
 pub(super) struct Item {
@@ -68,6 +68,8 @@
 /// State of the packing: the machines, and the capacity that packed tasks leave free on them.
 pub(super) struct Packing<'a> {
     pub(super) input: &'a Input<'a>,
+    /// Time of the plan.
+    pub(super) now: Time,
     pub(super) free_capacities: Vec<FreeCapacity>,
     /// Machines of each group in order of free CPU, the least first. The first map counts CPU that
     /// is free now, the second CPU that is free once tasks have ended that should end soon.
@@ -91,9 +93,10 @@
 
 impl<'a> Packing<'a> {
     /// Creates a packing without machines.
-    pub(super) fn new(input: &'a Input<'a>) -> Self {
+    pub(super) fn new(input: &'a Input<'a>, now: Time) -> Self {
         Self {
             input,
+            now,
             free_capacities: Vec::new(),
             bins: Default::default(),
             machines_by_zone: HashMap::new(),
--- a/src/autoscaler/placed.rs
+++ b/src/autoscaler/placed.rs
@@ -7,9 +7,9 @@
 use std::rc::Rc;
 
 use sorrelhinge_protocol::placement::Device;
-use sorrelhinge_topology::devices::{choose, AllocatedDevices, Unit};
+use sorrelhinge_topology::devices::{choose, AllocatedDevices, DeviceInventory, Unit};
 use sorrelhinge_topology::policy::{MachineLocation, Policy, Reach, Tally};
-use sorrelhinge_topology::renting::{tries, MachinePool};
+use sorrelhinge_topology::renting::{tries, Arrival, MachinePool};
 use sorrelhinge_topology::tree::Domain;
 use sorrelhinge_topology::Topology;
 
@@ -20,7 +20,7 @@
 use crate::types::Zone;
 
 /// The plan rents no speculative machine from a pool whose machines come up in an allowed domain
-/// with a lower probability than this. The pool is tried again once the observations are forgotten.
+/// with a lower probability than this, unless a retry of the pool is due.
 const MIN_PROBABILITY: f64 = 0.1;
 
 /// Packing state of an item whose job has placement rules on domains or devices. Only required
@@ -106,6 +106,11 @@
         choose(&free_capacity.device_inventory, allocated, &self.needs)
     }
 
+    /// Returns whether devices suffice for a task if no other task uses them.
+    fn has_devices(&self, devices: &DeviceInventory) -> bool {
+        choose(devices, &AllocatedDevices::default(), &self.needs).is_some()
+    }
+
     /// Counts one more task that is packed into a machine, in its zone and domain.
     fn count(&mut self, free_capacity: &FreeCapacity) {
         *self.zones.entry(free_capacity.zone.clone()).or_insert(0) += 1;
@@ -191,20 +196,25 @@
                 .units(&free_capacity, &AllocatedDevices::default())
                 .is_some();
             let certain = equipped && !constrained.policy.counts();
-            let may = |place: Domain| {
-                constrained.allows_at(place, "") && (equipped || with_devices.contains(&place))
+            let may = |arrival: &Arrival| {
+                constrained.allows_at(arrival.place, "")
+                    && (equipped
+                        || with_devices.contains(&arrival.place)
+                        || constrained.has_devices(&arrival.devices))
+            };
+            let pool = MachinePool {
+                kind: free_capacity.kind.name.clone(),
+                zone: free_capacity.zone.clone(),
+                spot: free_capacity.spot,
             };
             let chance = if certain {
                 1.0
             } else {
-                let pool = MachinePool {
-                    kind: free_capacity.kind.name.clone(),
-                    zone: free_capacity.zone.clone(),
-                    spot: free_capacity.spot,
-                };
                 self.input.memory.chance(&pool, &may)
             };
-            if chance < MIN_PROBABILITY || bounded && !certain {
+            let unlikely =
+                chance < MIN_PROBABILITY && !self.input.memory.is_retry_due(&pool, self.now);
+            if unlikely || bounded && !certain {
                 continue;
             }
             let score = free_capacity.price() / chance;
--- a/src/control/core/agents.rs
+++ b/src/control/core/agents.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use sorrelhinge_topology::renting::MachinePool;
+use sorrelhinge_topology::renting::{Arrival, MachinePool};
 
 use super::agent::AgentState;
 use super::command_queue::ContactOrder;
@@ -89,9 +89,14 @@
         self.cluster_state.add_machine(id.clone(), machine);
         if self.cluster_state.topology().is_some() {
             self.cluster_state.locate(id, Some(seen.addr.ip()));
-            let place = self.cluster_state.machines().get(id).map(|m| m.place);
-            self.topology_history
-                .record_arrival(pool, place.unwrap_or_default(), now);
+            if let Some(machine) = self.cluster_state.machines().get(id) {
+                let arrival = Arrival {
+                    at: now,
+                    place: machine.place,
+                    devices: machine.device_inventory.clone(),
+                };
+                self.topology_history.record_arrival(pool, arrival);
+            }
         }
     }
 
--- a/src/control/core/topology_history.rs
+++ b/src/control/core/topology_history.rs
@@ -1,7 +1,7 @@
 //! Recent events in the failure domains of the topology: lost machines, and arrivals of requested
 //! machines. Without a topology no events are recorded.
 
-use sorrelhinge_topology::renting::{MachinePool, Memory};
+use sorrelhinge_topology::renting::{Arrival, MachinePool, Memory};
 use sorrelhinge_topology::repair::Stability;
 use sorrelhinge_topology::settings::Settings;
 use sorrelhinge_topology::tree::{Domain, Tree};
@@ -16,9 +16,9 @@
 }
 
 impl TopologyHistory {
-    /// Records that a machine of a pool came up in a domain.
-    pub(super) fn record_arrival(&mut self, pool: MachinePool, place: Domain, now: Time) {
-        self.placements.came(pool, place, now);
+    /// Records that a machine of a pool came up.
+    pub(super) fn record_arrival(&mut self, pool: MachinePool, arrival: Arrival) {
+        self.placements.came(pool, arrival);
     }
 
     /// Records that a machine in a domain was lost.
--- a/tests/topology_cases.rs
+++ b/tests/topology_cases.rs
@@ -27,7 +27,7 @@
 use sorrelhinge_protocol::users::read_job;
 use sorrelhinge_topology::drain::{Drain, Target};
 use sorrelhinge_topology::policy::ExclusionRule;
-use sorrelhinge_topology::renting::{MachinePool, Memory};
+use sorrelhinge_topology::renting::{Arrival, MachinePool, Memory};
 use sorrelhinge_topology::repair::Stability;
 use sorrelhinge_topology::Topology;
 
@@ -624,6 +624,82 @@
     assert_eq!(drained_replicas(&mut w, &live), 1, "all run");
 }
 
+/// What is rented for a cluster state.
+fn rent(
+    w: &World,
+    memory: &Memory,
+    pending_machines: &[autoscaler::PendingMachine],
+) -> Vec<autoscaler::ScaleOutRequest> {
+    let types = [kind()];
+    let input = autoscaler::Input {
+        cluster_state: &w.cluster_state,
+        types: &types,
+        pending_machines,
+        expected: &[],
+        shortfalls: &[],
+        patient: &|_| true,
+        boot_s: 10.0,
+        open: &|_, _, _| true,
+        memory,
+    };
+    autoscaler::plan(&input, Time(w.now)).rent
+}
+
+fn pool(zone: &str, spot: bool) -> MachinePool {
+    MachinePool {
+        kind: TypeName::from("t"),
+        zone: Zone::from(zone),
+        spot,
+    }
+}
+
+/// Guards against a device that is never rented for again once all machines that have it are gone:
+/// no domain counted as one with devices any more, and what else came up there made every pool too
+/// unlikely for 15 minutes.
+#[test]
+fn a_device_is_rented_for_again_after_all_machines_with_it_are_gone() {
+    let device = "[[device]]\nkind = \"enc\"\npatterns = [\"vm-a00\"]\nunits = [\"x\"]\n";
+    let t = topology("ab", 1, device);
+    let mut w = World::new(&t, "ab", 0, 0);
+    let devices = json!({"pieces": 1, "topology": {"devices": [{"kind": "enc"}]}});
+    w.add("run-1", spec(devices));
+    let equipped = Rc::new(t.device_inventory("vm-a00", None, &TypeName::from("t")));
+    let place = t.tree.find("za/s0").expect("a domain");
+    let came = |with_device: u32| {
+        let mut memory = Memory::default();
+        for zone in ["za", "zb"] {
+            for spot in [true, false] {
+                for n in 0..20 {
+                    let devices = if n < with_device {
+                        equipped.clone()
+                    } else {
+                        Rc::default()
+                    };
+                    let at = Time(0.0);
+                    memory.came(pool(zone, spot), Arrival { at, place, devices });
+                }
+            }
+        }
+        memory
+    };
+    let count = |requests: Vec<autoscaler::ScaleOutRequest>| -> u32 {
+        requests.iter().map(|request| request.count).sum()
+    };
+    w.now = 1.0;
+    assert_eq!(count(rent(&w, &came(4), &[])), 1, "a fifth had the device");
+    assert_eq!(
+        count(rent(&w, &came(0), &[])),
+        0,
+        "none had it a moment ago"
+    );
+    w.now = 61.0;
+    assert_eq!(
+        count(rent(&w, &came(0), &[])),
+        1,
+        "no machine came for 60 s"
+    );
+}
+
 /// Rented in hope: at most so many at a time, where it is likely, and not at
 /// all where it never helped.
 #[test]
@@ -636,25 +712,10 @@
     );
     w.place();
     assert_eq!(w.switches(&id), ["a0"]);
-    let rent = |w: &World, memory: &Memory, pending_machines: &[autoscaler::PendingMachine]| {
-        let types = [kind()];
-        let input = autoscaler::Input {
-            cluster_state: &w.cluster_state,
-            types: &types,
-            pending_machines,
-            expected: &[],
-            shortfalls: &[],
-            patient: &|_| true,
-            boot_s: 10.0,
-            open: &|_, _, _| true,
-            memory,
-        };
-        autoscaler::plan(&input, Time(w.now)).rent
-    };
-    let pool = |zone: &str, spot: bool| MachinePool {
-        kind: TypeName::from("t"),
-        zone: Zone::from(zone),
-        spot,
+    let arrival = |place| Arrival {
+        at: Time(0.0),
+        place,
+        devices: Rc::default(),
     };
     let mut memory = Memory::default();
     let wanted = rent(&w, &memory, &[]);
@@ -669,7 +730,7 @@
     // Zone a's spot machines all come up behind the switch that has one.
     let used = t.tree.find("za/s0").expect("a domain");
     for _ in 0..20 {
-        memory.came(pool("za", true), used, Time(0.0));
+        memory.came(pool("za", true), arrival(used));
     }
     let wanted = rent(&w, &memory, &[]);
     assert!(
@@ -679,7 +740,7 @@
     for zone in ["za", "zb"] {
         for spot in [true, false] {
             for _ in 0..20 {
-                memory.came(pool(zone, spot), used, Time(0.0));
+                memory.came(pool(zone, spot), arrival(used));
             }
         }
     }
