--- a/tests/rules/direct_commands.rs
+++ b/tests/rules/direct_commands.rs
@@ -60,7 +60,7 @@
                     };
                     let mistaken = piece_job(&self.jobs, &task_name)["jobclass"] == MISTAKEN;
                     let faulty = self.faulty.as_ref() == Some(&self.workers[at].id);
-                    let fails = mistaken || faulty || self.luck(0.02);
+                    let fails = mistaken || faulty || self.all_fail || self.luck(0.02);
                     *self.starts_of.entry(job_of(&task_name)).or_insert(0) += 1;
                     let (phase, exit_reason) = if fails {
                         ("ended", Some("error"))
--- a/tests/rules/main.rs
+++ b/tests/rules/main.rs
@@ -15,6 +15,7 @@
 mod meetings;
 mod mistaken;
 mod pipelines;
+mod progress;
 mod random;
 mod recording;
 mod scenes;
--- a/tests/rules/world.rs
+++ b/tests/rules/world.rs
@@ -8,7 +8,7 @@
 use serde_json::{json, Value};
 use sorrelhinge::agent_client::{Heartbeat, Sending};
 use sorrelhinge::api::read_job;
-use sorrelhinge::cloud::{CloudError, ListedMachine, MachinePhase};
+use sorrelhinge::cloud::{CloudError, ListedMachine, MachinePhase, Rental};
 use sorrelhinge::config::Config;
 use sorrelhinge::control::core::{
     Batch, Core, Dispatch, MachineZones, RecoveryInput, ShardGrant, Source,
@@ -65,9 +65,14 @@
     pub(crate) copies: Vec<Heartbeat>,
     /// Nothing goes wrong by chance.
     pub(crate) calm: bool,
+    /// Every task fails, as if all jobs were submitted with a mistake.
+    pub(crate) all_fail: bool,
     /// A machine on which every task fails.
     pub(crate) faulty: Option<String>,
     pub(crate) rented: u64,
+    /// How many machines the cloud has, if it rents them out and takes them back. Otherwise it
+    /// has no more than there are, and replaces each that is given back.
+    pub(crate) cloud_machines: Option<usize>,
     /// Images go from machine to machine, for two of three owners.
     pub(crate) staged: bool,
     /// Users wait for services to start.
@@ -126,8 +131,10 @@
             starts_of: BTreeMap::new(),
             copies: Vec::new(),
             calm: false,
+            all_fail: false,
             faulty: None,
             rented: 0,
+            cloud_machines: None,
             staged: false,
             start_objectives: false,
             faults: Faults::default(),
@@ -612,10 +619,16 @@
             .fold_json("deleted machines", &decision.to_delete);
         for rental in decision.scale_out {
             self.trace.fold_json("rental", &rental);
+            let outcome = self.rent(&rental);
             let core = &mut self.owners[owner].core;
-            core.scale_out_finished(&rental, Err(CloudError::NoCapacity), now);
+            core.scale_out_finished(&rental, outcome, now);
         }
         for id in decision.to_delete {
+            if self.cloud_machines.is_some() {
+                self.workers.retain(|w| w.id != id.as_str());
+                self.owners[owner].core.apply_deletions(&[id], now);
+                continue;
+            }
             self.rented += 1;
             if let Some(w) = self.workers.iter_mut().find(|w| w.id == id.as_str()) {
                 w.id = format!("vm-{:06}", 100 + self.rented);
@@ -634,6 +647,35 @@
         }
     }
 
+    /// The cloud rents out what it has; the machines are up at once.
+    fn rent(&mut self, rental: &Rental) -> Result<Vec<MachineId>, CloudError> {
+        let all = self.cloud_machines.unwrap_or(0);
+        let count = all.saturating_sub(self.workers.len());
+        let count = count.min(rental.count as usize);
+        if count == 0 {
+            return Err(CloudError::NoCapacity);
+        }
+        let zone = if rental.zone.as_str() == "za" {
+            "za"
+        } else {
+            "zb"
+        };
+        let machines = (0..count).map(|_| {
+            self.rented += 1;
+            let worker = Worker {
+                id: format!("vm-{:06}", 100 + self.rented),
+                zone,
+                spot: rental.spot,
+                renewed: self.now,
+                ..Worker::new(0)
+            };
+            let id = MachineId::from(worker.id.as_str());
+            self.workers.push(worker);
+            id
+        });
+        Ok(machines.collect())
+    }
+
     /// A worker whose lease is over ends all its tasks and begins a new incarnation.
     pub(crate) fn end_lease(&mut self, at: usize) {
         let w = &mut self.workers[at];
