--- a/tests/switch_loss.rs
+++ b/tests/switch_loss.rs
@@ -50,7 +50,7 @@
     let plan = Plan {
         switches: SWITCHES,
         topology,
-        ..loopback::plan(&format!("switch_loss_{mode:?}"), net, 2)
+        ..loopback::plan(&format!("switch_loss_{mode:?}_{net}"), net, 2)
     };
     let world = World::start(plan).await;
     let encoders = vec![
@@ -204,3 +204,31 @@
         assert!(at_least_one_copy(&watch));
     });
 }
+
+/// Guards against a device that nobody rents for again once all machines behind its switch are
+/// gone, while many machines without it came up in the zone of late.
+#[test]
+fn encoders_are_rented_for_again_after_all_machines_with_them_are_gone() {
+    run(async {
+        let (mut world, services) = begin(Mode::Switch, 40).await;
+        let run = |w: &World| all_run(w, &services);
+        world.until("all replicas run", 40, run).await;
+        let encoders = (0, 1);
+        world.nodes.borrow_mut().cut.insert(encoders);
+        let wave = json!({"pieces": 20, "cpus": 4.0, "rack": "za", "guess_s": 1.0});
+        assert_eq!(world.submit("run-wave", wave).await.status, 201);
+        let done = |w: &World| w.nodes.borrow().done.len() >= 20;
+        world.until("the wave is done", 60, done).await;
+        let gone = |w: &World| {
+            let nodes = w.nodes.borrow();
+            let mut there = nodes.all.values().filter(|n| !n.gone);
+            there.all(|n| (n.zone, n.switch) != encoders)
+        };
+        world.until("no machine has an encoder", 60, gone).await;
+        world.nodes.borrow_mut().cut.remove(&encoders);
+        bake(&world).await;
+        let baked = |w: &World| w.nodes.borrow().done.len() >= 68;
+        world.until("all bakes are done", 90, baked).await;
+        assert_eq!(world.nodes.borrow().wrong, Vec::<String>::new());
+    });
+}
