Silent machines are replaced also while an overload lasts

Seen by callers: a task on a machine that hangs waits for as long as requests wait too long for the processor, also if the fleet is one machine.

Cause: heartbeats that wait to be read made all silence prove nothing, without a bound. Change: the longer patience that holds while most machines are silent holds here too: three times the usual one, then one machine in each pass.

--- a/src/control/core/silence.rs
+++ b/src/control/core/silence.rs
@@ -13,18 +13,19 @@
 /// Number of heartbeat intervals without a heartbeat after which a machine with one unanswered
 /// direct connection counts as unresponsive.
 const UNANSWERED_SILENCE_HEARTBEATS: f64 = 2.2;
-/// Factor by which the owner waits longer for silent machines if most machines are silent.
+/// Factor by which the owner waits longer for silent machines if most machines are silent, or if
+/// heartbeats wait to be read.
 const MOST_SILENT_FACTOR: f64 = 3.0;
 
 /// What the silence of a machine proves.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum SilenceEvidence {
-    /// Nothing, because heartbeats may not have been read.
+    /// Nothing, because the owner does not listen for long enough.
     None,
     /// A machine that is silent is lost, because most machines report.
     OfMachine,
-    /// Most machines are silent, so nothing may reach this controller. After `patience_s` seconds
-    /// a silent machine counts as lost all the same, because its tasks would otherwise wait for it
+    /// Most machines are silent, so nothing may reach this controller, or heartbeats wait too long
+    /// to be read. After `patience_s` seconds a silent machine counts as lost all the same, because its tasks would otherwise wait for it
     /// for good. The machines are replaced one after the other, so that most of a large fleet is
     /// kept if the controller is cut off.
     OfMachineOrOwner { patience_s: f64 },
@@ -61,16 +62,17 @@
         self.ignored_silence.extend(now.after(self.cfg.silent_s()));
     }
 
-    /// Returns what a machine's silence proves now. Silence is no evidence while requests wait too
-    /// long to be read. The number of machines may then be too large for the controllers. If the
-    /// owner replaced silent machines by new ones, that number would not fall.
+    /// Returns what a machine's silence proves now. It proves less while requests wait too long to
+    /// be read. The number of machines may then be too large for the controllers. If the owner
+    /// replaced all silent machines by new ones, that number would not fall.
     pub(super) fn silence_evidence(&self, now: Time) -> SilenceEvidence {
         let silent_s = self.cfg.silent_s();
-        if self.failover.age_s(now) <= silent_s || self.ignored_silence.is_on(now) {
+        if self.failover.age_s(now) <= silent_s {
             return SilenceEvidence::None;
         }
         let limit_s = RECENT_HEARTBEATS * self.cfg.heartbeat_s;
-        if self.agents.most_reported_within(limit_s, now) {
+        let most_reported = self.agents.most_reported_within(limit_s, now);
+        if most_reported && !self.ignored_silence.is_on(now) {
             SilenceEvidence::OfMachine
         } else {
             SilenceEvidence::OfMachineOrOwner {
@@ -114,7 +116,7 @@
         let Some((id, agent)) = longest else { return };
         let quiet_s = agent.silence_s(now);
         if quiet_s > patience_s {
-            tracing::info!(machine = %id, quiet_s, "machine silent like most machines; scaling in");
+            tracing::info!(machine = %id, quiet_s, "machine silent for long; scaling in");
             agent.begin_deletion();
         }
     }
--- a/tests/rules/silence.rs
+++ b/tests/rules/silence.rs
@@ -277,12 +277,22 @@
 fn silent_machines_are_replaced_also_if_they_are_most_of_the_fleet() {
     for machines in 1..=10 {
         for reporting in 0..=machines / 2 {
-            replace_silent(machines, reporting);
+            replace_silent(machines, reporting, false);
         }
     }
 }
 
-fn replace_silent(machines: usize, reporting: usize) {
+/// Guards against a silent machine that keeps its tasks for as long as an overload lasts.
+#[test]
+fn silent_machines_are_replaced_also_during_an_overload() {
+    for machines in 1..=10 {
+        for reporting in 0..machines {
+            replace_silent(machines, reporting, true);
+        }
+    }
+}
+
+fn replace_silent(machines: usize, reporting: usize, overload: bool) {
     let mut world = World::new(1);
     world.workers = (0..machines).map(Worker::new).collect();
     one_job(&mut world);
@@ -297,6 +307,9 @@
         for worker in &mut world.workers[..reporting] {
             core.heartbeat(&worker.heartbeat(), Source::Heartbeat, Time(now));
         }
+        if overload {
+            core.ignore_silence(Time(now));
+        }
         regular(core, Time(now));
         let deleted = core.plan_scaling(Time(now)).to_delete;
         assert!(deleted.is_empty() || now > LEASE_S, "{now} s: {deleted:?}");
