--- a/tests/switch_loss.rs
+++ b/tests/switch_loss.rs
@@ -210,7 +210,7 @@
 #[test]
 fn encoders_are_rented_for_again_after_all_machines_with_them_are_gone() {
     run(async {
-        let (mut world, services) = begin(Mode::Switch, 40).await;
+        let (world, services) = begin(Mode::Switch, 40).await;
         let run = |w: &World| all_run(w, &services);
         world.until("all replicas run", 40, run).await;
         let encoders = (0, 1);
