Submissions that users give up keep no place at the controller

Cause: Node::submit counted a submission and took it back after the await; a future that is dropped in between, as the user's connection ends, never took it back. Nothing else lowers the count: a state that stops acceptance and never ends.

Change: the guard that forwarded polls have counts submissions too, and is dropped with the future.

--- a/src/control/admission.rs
+++ b/src/control/admission.rs
@@ -22,20 +22,20 @@
 /// through two controllers in vain.
 const FORWARD_BACKOFF: Duration = Duration::from_secs(1);
 
-/// User's poll of a job's state that another controller answers. The poll counts against the limit
-/// of forwarded polls until this value is dropped, because the user may disconnect at any time.
-pub(super) struct ForwardedQuery<'a> {
+/// User's request in flight. It counts against the limit of such requests until this value is
+/// dropped, because the user may disconnect at any time.
+pub(super) struct InFlight<'a> {
     count: &'a Cell<usize>,
 }
 
-impl<'a> ForwardedQuery<'a> {
+impl<'a> InFlight<'a> {
     fn new(count: &'a Cell<usize>) -> Self {
         count.set(count.get() + 1);
         Self { count }
     }
 }
 
-impl Drop for ForwardedQuery<'_> {
+impl Drop for InFlight<'_> {
     fn drop(&mut self) {
         self.count.set(self.count.get().saturating_sub(1));
     }
@@ -75,19 +75,11 @@
         }
     }
 
-    /// Returns whether the limit allows one more submission to be recorded now.
-    pub(super) fn has_free_capacity_for_submission(&self) -> bool {
-        self.submissions.get() < MAX_CONCURRENT_SUBMISSIONS
-    }
-
-    /// Counts a submission that is about to be recorded.
-    pub(super) fn begin_submission(&self) {
-        self.submissions.set(self.submissions.get() + 1);
-    }
-
-    /// Stops counting a submission that was recorded or refused.
-    pub(super) fn end_submission(&self) {
-        self.submissions.set(self.submissions.get() - 1);
+    /// Starts recording a submission, which counts until the result is dropped. Returns `None` if
+    /// too many submissions are being recorded.
+    pub(super) fn begin_submission(&self) -> Option<InFlight<'_>> {
+        let free = self.submissions.get() < MAX_CONCURRENT_SUBMISSIONS;
+        free.then(|| InFlight::new(&self.submissions))
     }
 
     /// Returns whether a submission is admitted by its lane's turn while the controller
@@ -128,12 +120,12 @@
 
     /// Starts forwarding a poll, which counts until the result is dropped. Returns `None`
     /// during the backoff or if too many forwarded polls are in flight.
-    pub(super) fn begin_forwarded_query(&self) -> Option<ForwardedQuery<'_>> {
+    pub(super) fn begin_forwarded_query(&self) -> Option<InFlight<'_>> {
         let backing_off = Instant::now() < self.queries_stay_local_until.get();
         if backing_off || self.forwarded_queries.get() >= MAX_FORWARDED_QUERIES {
             return None;
         }
-        Some(ForwardedQuery::new(&self.forwarded_queries))
+        Some(InFlight::new(&self.forwarded_queries))
     }
 
     /// Starts the backoff of forwarded polls after no other controller could answer one.
--- a/src/control/submissions.rs
+++ b/src/control/submissions.rs
@@ -108,13 +108,12 @@
         }
         let record = candidate?;
         self.check_dependencies(id, record.needs())?;
-        if !self.admission.has_free_capacity_for_submission() || !self.store.view().loaded {
+        if !self.store.view().loaded {
             return Err(SubmitError::Unavailable);
         }
-        self.admission.begin_submission();
-        let result = self.accept(id, record).await;
-        self.admission.end_submission();
-        result
+        let in_flight = self.admission.begin_submission();
+        let _in_flight = in_flight.ok_or(SubmitError::Unavailable)?;
+        self.accept(id, record).await
     }
 
     /// Applies a job's record that this controller has written to the local view, and
